--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets that people and CI run. `make test` is what .ci/run calls.
+GOBIN       ?= $(shell go env GOPATH)/bin
+LINT        := $(GOBIN)/golangci-lint
+LINT_VERSION := v2.15.0
+MODULES     := coord e2e fakes gateway loadgen peerpb platform service sidecar siskinctl
+PACKAGES    := $(MODULES:%=./%/...)
+PROGRAMS    := gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
+SEED        ?= 1
+FUZZTIME    ?= 30s
+
+.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto clean
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$${p##*:} ./$${p%%:*} || exit 1; done
+
+fmt:
+	gofmt -w $(MODULES)
+
+fmt-check:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	go vet $(PACKAGES)
+
+lint-tool:
+	@test -x $(LINT) || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: lint-tool
+	$(LINT) run $(PACKAGES)
+
+unit:
+	go test -race -rapid.seed=$(SEED) $(PACKAGES)
+
+test: fmt-check vet lint unit
+
+proto:
+	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/coord/invariant/invariant_test.go
@@ -0,0 +1,25 @@
+package invariant
+
+import "testing"
+
+// Guards against a check that never counts: each invariant is violated once.
+func TestCheckCountsEachName(t *testing.T) {
+	var reported []Name
+	r := NewRegistry(func(n Name, _ string) { reported = append(reported, n) })
+	for _, n := range Names() {
+		r.Check(true, n, "holds")
+		r.Check(false, n, "violated by %s", "the test")
+		if got := r.Count(n); got != 1 {
+			t.Errorf("Count(%s) = %d, want 1", n, got)
+		}
+		if got := r.Last(n); got != "violated by the test" {
+			t.Errorf("Last(%s) = %q", n, got)
+		}
+	}
+	if got, want := r.Total(), int64(len(Names())); got != want {
+		t.Errorf("Total = %d, want %d", got, want)
+	}
+	if len(reported) != len(Names()) {
+		t.Errorf("reported %d violations, want %d", len(reported), len(Names()))
+	}
+}
--- /dev/null
+++ b/coord/verdict/verdict.go
@@ -0,0 +1,120 @@
+// Package verdict says whether a failed request may have run. Retry rules and
+// refusals read only the verdict of an error, never its text.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request ran.
+type Verdict string
+
+// The verdicts. NotRun may be given only if nothing was sent or the sidecar
+// that owns the endpoint confirmed that the request did not start.
+const (
+	NotRun     Verdict = "not_run"
+	MayHaveRun Verdict = "may_have_run"
+	Ran        Verdict = "ran"
+)
+
+// Reason is the machine-readable cause of a refusal or failure.
+type Reason string
+
+// The reasons that callers and peers can see.
+const (
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonUnknownModel    Reason = "unknown_model"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonTooLong         Reason = "prompt_too_long"
+	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonKeyRequired     Reason = "idempotency_key_required"
+	ReasonKeyReused       Reason = "idempotency_key_reused"
+	ReasonDuplicate       Reason = "duplicate_request"
+	ReasonDeadlinePast    Reason = "deadline_exceeded"
+	ReasonDeadlineTooNear Reason = "deadline_too_near"
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonNoEndpoint      Reason = "no_endpoint"
+	ReasonZoneOut         Reason = "zone_out"
+	ReasonLeaving         Reason = "endpoint_leaving"
+	ReasonStarting        Reason = "endpoint_starting"
+	ReasonEngineDown      Reason = "engine_down"
+	ReasonEngineFailed    Reason = "engine_failed"
+	ReasonSuspect         Reason = "suspect_request"
+	ReasonCrashSuspect    Reason = "crash_suspect"
+	ReasonStaleConfig     Reason = "stale_config"
+	ReasonStoreDown       Reason = "store_unavailable"
+	ReasonNoConfig        Reason = "no_configuration"
+	ReasonShuttingDown    Reason = "shutting_down"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonConnection      Reason = "connection_lost"
+	ReasonGroupMember     Reason = "group_member_lost"
+	ReasonInternal        Reason = "internal"
+)
+
+// Error is a refusal or failure with its verdict.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Message    string
+	RetryAfter time.Duration
+	Err        error
+}
+
+// New returns an Error with a formatted message.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error formats the reason, message and verdict.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", e.Reason, e.Verdict, e.Message, e.Err)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Message)
+}
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// WithCause returns a copy that wraps err.
+func (e *Error) WithCause(err error) *Error {
+	c := *e
+	c.Err = err
+	return &c
+}
+
+// Of returns the verdict carried by err. An error without a verdict is
+// MayHaveRun, because nothing proves that the request did not start.
+func Of(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
+
+// Parse reads a verdict from its wire form. Unknown text is MayHaveRun.
+func Parse(s string) Verdict {
+	switch v := Verdict(s); v {
+	case NotRun, Ran:
+		return v
+	default:
+		return MayHaveRun
+	}
+}
+
+// CanRepeat reports whether a request may be sent again after a failure with
+// this verdict.
+func (v Verdict) CanRepeat(repeatable bool) bool {
+	return v == NotRun || (v == MayHaveRun && repeatable)
+}
--- /dev/null
+++ b/fakes/main.go
@@ -0,0 +1,4 @@
+// Command siskin-fake is part of siskinstand.
+package main
+
+func main() {}
--- /dev/null
+++ b/gateway/main.go
@@ -0,0 +1,4 @@
+// Command siskin-gateway is part of siskinstand.
+package main
+
+func main() {}
--- /dev/null
+++ b/loadgen/main.go
@@ -0,0 +1,4 @@
+// Command siskin-load is part of siskinstand.
+package main
+
+func main() {}
--- /dev/null
+++ b/service/rungroup/rungroup.go
@@ -0,0 +1,57 @@
+// Package rungroup runs the long-lived parts of a process so that all stop
+// when the first one ends.
+package rungroup
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+)
+
+// Group is a set of parts that stop together.
+type Group struct{ group run.Group }
+
+// Add adds a part that runs until its context is cancelled.
+func (g *Group) Add(name string, part func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.group.Add(func() error {
+		err := part(ctx)
+		if err != nil && ctx.Err() == nil {
+			return eris.Wrap(err, name)
+		}
+		return nil
+	}, func(error) { cancel() })
+}
+
+// AddSignals adds a part that ends the group on SIGINT or SIGTERM after drain
+// has returned. A second signal cancels the context of drain.
+func (g *Group) AddSignals(drain func(ctx context.Context)) {
+	g.Add("signals", func(ctx context.Context) error {
+		signals := make(chan os.Signal, 2)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		defer signal.Stop(signals)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+		}
+		drainCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			select {
+			case <-signals:
+				cancel()
+			case <-drainCtx.Done():
+			}
+		}()
+		drain(drainCtx)
+		return nil
+	})
+}
+
+// Run runs all parts and returns the error of the first one that ended.
+func (g *Group) Run() error { return g.group.Run() }
--- /dev/null
+++ b/sidecar/main.go
@@ -0,0 +1,4 @@
+// Command siskin-sidecar is part of siskinstand.
+package main
+
+func main() {}
--- /dev/null
+++ b/siskinctl/main.go
@@ -0,0 +1,4 @@
+// Command siskinctl is part of siskinstand.
+package main
+
+func main() {}
