--- /dev/null
+++ b/coord/config/parse.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"siskinstand.example/coord/inifile"
+)
+
+// Default time limits of a request without a deadline header.
+const (
+	DefaultModelTimeout = 60 * time.Second
+	DefaultPlainTimeout = 5 * time.Second
+)
+
+// File is the text of one table with the name used in error messages.
+type File struct {
+	Name string
+	Text []byte
+}
+
+// Parse checks both tables. An error names file, section, key and the accepted
+// values; one bad row makes the whole edit fail, so no row is ever skipped.
+func Parse(routes, pools File) (*Tables, error) {
+	t := &Tables{
+		accounts: map[string]Account{}, byToken: map[TokenHash]string{},
+		routes: map[routeKey][]Route{}, byName: map[string]Route{},
+		pools: map[string]Pool{}, zones: map[string]ZoneState{}, hosts: map[string]HostState{},
+	}
+	err := parseFile(pools, map[string]func(*reader){"pool": t.addPool, "zone": t.addZone, "host": t.addHost})
+	if err != nil {
+		return nil, err
+	}
+	if err := parseFile(routes, map[string]func(*reader){"account": t.addAccount, "route": t.addRoute}); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func parseFile(f File, kinds map[string]func(*reader)) error {
+	sections, err := inifile.Parse(f.Name, f.Text)
+	if err != nil {
+		return err
+	}
+	var accepted []string
+	for kind := range kinds {
+		accepted = append(accepted, "["+kind+" NAME]")
+	}
+	slices.Sort(accepted)
+	// Accounts come before routes, which refer to them.
+	slices.SortStableFunc(sections, func(a, b inifile.Section) int {
+		return boolOrder(strings.HasPrefix(b.Name, "account ")) - boolOrder(strings.HasPrefix(a.Name, "account "))
+	})
+	for _, s := range sections {
+		kind, name, ok := strings.Cut(s.Name, " ")
+		add := kinds[kind]
+		if !ok || add == nil || name == "" || strings.ContainsAny(name, " \t") {
+			return &inifile.Error{File: f.Name, Line: s.Line, Section: s.Name, Message: "unknown section; accepted: " + strings.Join(accepted, ", ")}
+		}
+		r := &reader{file: f.Name, section: s, name: name}
+		add(r)
+		if err := r.finish(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// reader reads the keys of one section and keeps the first mistake.
+type reader struct {
+	file    string
+	section inifile.Section
+	name    string
+	known   []string
+	err     error
+}
+
+func (r *reader) fail(key, format string, args ...any) {
+	if r.err != nil {
+		return
+	}
+	line := r.section.Line
+	if e, ok := r.section.Lookup(key); ok {
+		line = e.Line
+	}
+	r.err = &inifile.Error{File: r.file, Line: line, Section: r.section.Name, Key: key, Message: fmt.Sprintf(format, args...)}
+}
+
+func (r *reader) text(key, def string) string {
+	r.known = append(r.known, key)
+	if e, ok := r.section.Lookup(key); ok {
+		return e.Value
+	}
+	return def
+}
+
+func (r *reader) required(key string) string {
+	v := r.text(key, "")
+	if v == "" {
+		r.fail(key, "required key is missing or empty")
+	}
+	return v
+}
+
+func (r *reader) list(key string) []string {
+	var list []string
+	for part := range strings.SplitSeq(r.text(key, ""), ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+func (r *reader) oneOf(key, def string, accepted ...string) string {
+	v := r.text(key, def)
+	if !slices.Contains(accepted, v) {
+		r.fail(key, "%q is not accepted; accepted: %s", v, strings.Join(accepted, ", "))
+	}
+	return v
+}
+
+func (r *reader) number(key string, def, least, most float64) float64 {
+	text := r.text(key, strconv.FormatFloat(def, 'g', -1, 64))
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= least && v <= most) {
+		r.fail(key, "%q is not accepted; accepted: a number from %g to %g", text, least, most)
+		return def
+	}
+	return v
+}
+
+func (r *reader) whole(key string, def, least, most int64) int64 {
+	text := r.text(key, strconv.FormatInt(def, 10))
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || v < least || v > most {
+		r.fail(key, "%q is not accepted; accepted: a whole number from %d to %d", text, least, most)
+		return def
+	}
+	return v
+}
+
+func (r *reader) finish() error {
+	for _, e := range r.section.Entries {
+		if !slices.Contains(r.known, e.Key) {
+			r.fail(e.Key, "unknown key; accepted: %s", strings.Join(r.known, ", "))
+		}
+	}
+	return r.err
+}
+
+func (t *Tables) addPool(r *reader) {
+	p := Pool{
+		Name:            r.name,
+		Kind:            PoolKind(r.oneOf("kind", string(KindModel), string(KindModel), string(KindPlain))),
+		Service:         r.required("service"),
+		Model:           r.text("model", ""),
+		Zones:           r.list("zones"),
+		MaxPromptTokens: r.whole("max_prompt_tokens", 1_000_000, 1, 100_000_000),
+	}
+	if (p.Kind == KindModel) != (p.Model != "") {
+		r.fail("model", "a pool of kind model needs a model, a pool of kind plain has none")
+	}
+	t.pools[p.Name] = p
+}
+
+func (t *Tables) addZone(r *reader) {
+	t.zones[r.name] = ZoneState(r.oneOf("state", string(ZoneIn), string(ZoneIn), string(ZoneOut)))
+}
+
+func (t *Tables) addHost(r *reader) {
+	t.hosts[r.name] = HostState(r.oneOf("state", string(HostIn), string(HostIn), string(HostLeaving)))
+}
+
+func (t *Tables) addAccount(r *reader) {
+	a := Account{Name: r.name, Weight: r.number("weight", 1, 0.01, 10_000)}
+	for _, text := range r.list("token_sha256") {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != len(TokenHash{}) {
+			r.fail("token_sha256", "%q is not accepted; accepted: 64 hexadecimal digits", text)
+			return
+		}
+		hash := TokenHash(raw)
+		if other, taken := t.byToken[hash]; taken {
+			r.fail("token_sha256", "the token already belongs to account %q", other)
+		}
+		t.byToken[hash] = a.Name
+		a.Tokens = append(a.Tokens, hash)
+	}
+	if len(a.Tokens) == 0 {
+		r.fail("token_sha256", "required key is missing or empty")
+	}
+	t.accounts[a.Name] = a
+}
+
+func (t *Tables) addRoute(r *reader) {
+	route := Route{
+		Name:       r.name,
+		Accounts:   r.list("accounts"),
+		Model:      r.text("model", ""),
+		Service:    r.text("service", ""),
+		Pool:       r.required("pool"),
+		Repeatable: r.oneOf("repeatable", "yes", "yes", "no") == "yes",
+	}
+	if (route.Model == "") == (route.Service == "") {
+		r.fail("model", "exactly one of model and service is needed")
+	}
+	def := DefaultModelTimeout
+	if route.Service != "" {
+		def = DefaultPlainTimeout
+	}
+	route.Timeout = time.Duration(r.whole("timeout_ms", def.Milliseconds(), 1, 86_400_000)) * time.Millisecond
+	t.checkRoute(r, route)
+	key := routeKey{model: route.Model, service: route.Service}
+	t.routes[key] = append(t.routes[key], route)
+	t.byName[route.Name] = route
+}
+
+func (t *Tables) checkRoute(r *reader, route Route) {
+	if len(route.Accounts) == 0 {
+		r.fail("accounts", "required key is missing or empty")
+	}
+	for _, a := range route.Accounts {
+		if _, ok := t.accounts[a]; !ok && a != "*" {
+			r.fail("accounts", "unknown account %q", a)
+		}
+	}
+	pool, ok := t.pools[route.Pool]
+	if !ok && route.Pool != "" {
+		r.fail("pool", "unknown pool %q", route.Pool)
+		return
+	}
+	if route.Model != "" && pool.Model != route.Model {
+		r.fail("model", "pool %q serves model %q", route.Pool, pool.Model)
+	}
+	if route.Service != "" && pool.Kind != KindPlain {
+		r.fail("service", "pool %q is not of kind plain", route.Pool)
+	}
+	for _, other := range t.routes[routeKey{model: route.Model, service: route.Service}] {
+		for _, a := range route.Accounts {
+			if slices.Contains(other.Accounts, a) {
+				r.fail("accounts", "account %q already reaches this target by route %q", a, other.Name)
+			}
+		}
+	}
+}
--- a/service/settings/settings.go
+++ b/service/settings/settings.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
 	"siskinstand.example/coord/inifile"
 )
 
