--- /dev/null
+++ b/sidecar/gateway/events.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+	"siskinstand.example/peerpb"
+	"siskinstand.example/platform/engine"
+	"siskinstand.example/sidecar/control"
+)
+
+func offerOf(o *peerpb.Offer, deadline time.Time) control.Offer {
+	return control.Offer{
+		RequestID: o.RequestId, Attempt: o.Attempt, Account: o.Account, Weight: o.AccountWeight,
+		PromptTokens: o.PromptTokens, MaxOutputTokens: o.MaxOutputTokens, Deadline: deadline,
+		Fingerprint: o.Fingerprint, Repeatable: o.Repeatable, Isolated: o.Isolated,
+		BodyFollows: int64(len(o.Body)) < o.BodyBytes, Revision: o.GetSender().GetConfigRevision(),
+	}
+}
+
+func asError(err error) *verdict.Error {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "engine failed").WithCause(err)
+}
+
+func (a *attempt) event() *peerpb.AttemptEvent {
+	return &peerpb.AttemptEvent{
+		Sender: a.server.sender(), Load: a.server.load(),
+		RequestId: a.offer.GetRequestId(), Attempt: a.offer.GetAttempt(),
+	}
+}
+
+func (a *attempt) refuse(e *verdict.Error) error {
+	event := a.event()
+	event.Kind = &peerpb.AttemptEvent_Refused{Refused: &peerpb.Refused{
+		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}}
+	return a.stream.Send(event)
+}
+
+func (a *attempt) sendAdmitted() error {
+	event := a.event()
+	event.Kind = &peerpb.AttemptEvent_Admitted{Admitted: &peerpb.Admitted{
+		PromptTokens: a.offer.PromptTokens, StartRequired: a.ticket.Offer.StartRequired(),
+	}}
+	return a.stream.Send(event)
+}
+
+func (a *attempt) sendChunk(c engine.Chunk) error {
+	chunk := &peerpb.Chunk{Position: a.offer.ResumePosition + a.chunks, Data: c.Data, Tokens: c.Tokens, HttpStatus: int32(c.HTTPStatus)}
+	for _, h := range c.Header {
+		chunk.Headers = append(chunk.Headers, &peerpb.Header{Name: h.Name, Value: h.Value})
+	}
+	a.chunks++
+	event := a.event()
+	event.Kind = &peerpb.AttemptEvent_Chunk{Chunk: chunk}
+	return a.stream.Send(event)
+}
+
+func (a *attempt) sendFinal(r engine.Result) error {
+	event := a.event()
+	event.Kind = &peerpb.AttemptEvent_Final{Final: &peerpb.Final{
+		FinishReason: r.FinishReason, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		Chunks: a.offer.ResumePosition + a.chunks,
+	}}
+	return a.stream.Send(event)
+}
+
+func (a *attempt) fail(err error) error {
+	e := asError(err)
+	event := a.event()
+	event.Kind = &peerpb.AttemptEvent_Failed{Failed: &peerpb.Failed{
+		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message,
+	}}
+	return a.stream.Send(event)
+}
