--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -44,6 +44,13 @@
 	// token yet, in seconds of the engine's prefill rate. A short window keeps
 	// the order of work here, where the shares are known.
 	PrefillWindow time.Duration
+	// AloneAfter is the wait after which an item that exceeds the concurrency
+	// limit by itself may run while nothing else does. Without it, an endpoint
+	// whose limit is below every offered prompt could never show any evidence.
+	AloneAfter time.Duration
+	// IsolationWait is the time for which other work may pass an isolated item
+	// before the endpoint drains for it.
+	IsolationWait time.Duration
 	// MaxItems bounds the queue, MaxAccounts the accounts with state in it.
 	MaxItems    int
 	MaxAccounts int
@@ -56,6 +63,8 @@
 		LongShare:     0.5,
 		QuantumTokens: 2_048,
 		PrefillWindow: 250 * time.Millisecond,
+		AloneAfter:    2 * time.Second,
+		IsolationWait: time.Second,
 		MaxItems:      4_096,
 		MaxAccounts:   1_024,
 	}
@@ -78,6 +87,9 @@
 type Outcome struct {
 	Item    Item
 	Refusal *verdict.Error
+	// Priority orders the item inside the engine; lower values run first.
+	Priority int
+	Waited   time.Duration
 }
 
 // Load describes the queue and the reservations. PendingPrefillTokens belong
--- /dev/null
+++ b/coord/admission/admit.go
@@ -0,0 +1,213 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+)
+
+// Admit returns the items whose wait ends now, admitted or refused.
+func (q *Queue) Admit(now time.Time) []Outcome {
+	out := q.sweep(now)
+	for {
+		e := q.nextItem(now)
+		if e == nil {
+			return out
+		}
+		if refusal := q.late(now, e); refusal != nil {
+			q.remove(e)
+			out = append(out, Outcome{Item: e.Item, Refusal: refusal, Waited: now.Sub(e.arrived)})
+			continue
+		}
+		out = append(out, q.reserve(now, e))
+	}
+}
+
+func (q *Queue) reserve(now time.Time, e *entry) Outcome {
+	priority := e.class
+	if q.aged(now, e) {
+		priority = 0
+	}
+	q.remove(e)
+	q.running[e.ID] = &reservation{Item: e.Item, class: e.class, admitted: now}
+	q.reserved += e.Cost()
+	q.pending[e.class] += e.PromptTokens
+	if e.Long() {
+		q.longReserved += e.Cost()
+	}
+	q.isolatedRunning = q.isolatedRunning || e.Isolated
+	return Outcome{Item: e.Item, Priority: priority, Waited: now.Sub(e.arrived)}
+}
+
+// nextItem returns the item to admit now, or nil.
+func (q *Queue) nextItem(now time.Time) *entry {
+	if q.isolatedRunning {
+		return nil
+	}
+	if len(q.isolated) > 0 {
+		head := q.isolated[0]
+		if len(q.running) == 0 {
+			if q.fits(now, head) {
+				return head
+			}
+		} else if now.Sub(head.arrived) >= q.config.IsolationWait && now.Sub(q.isolatedEnded) >= q.config.IsolationWait {
+			return nil
+		}
+	}
+	if q.pledged == nil {
+		e := q.turn(now, func(e *entry) bool {
+			return !q.overShare(now, e) && q.withinWindow(e) && (e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e))
+		})
+		if e == nil {
+			return nil
+		}
+		if q.fits(now, e) {
+			return e
+		}
+		q.pledged = e
+	}
+	if q.fits(now, q.pledged) && q.withinWindow(q.pledged) {
+		return q.pay(now, q.pledged)
+	}
+	return q.turn(now, func(e *entry) bool {
+		return e != q.pledged && !q.overShare(now, e) && q.withinWindow(e) && q.fits(now, e) && q.leavesRoom(e)
+	})
+}
+
+// turn picks the next eligible item by deficit round robin between accounts,
+// and charges its account if the item can be admitted at once.
+func (q *Queue) turn(now time.Time, eligible func(*entry) bool) *entry {
+	best, bestRounds, bestAt := (*entry)(nil), math.Inf(1), 0
+	inner := 0.0
+	for i := range q.ring {
+		at := (q.cursor + i) % len(q.ring)
+		a := q.ring[at]
+		e, rounds := a.choose(q, now, eligible)
+		if e == nil {
+			continue
+		}
+		if r := roundsFor(e.Cost(), a.deficit, q.quantum(a.weight)); r < bestRounds {
+			best, bestRounds, bestAt, inner = e, r, at, rounds
+		}
+	}
+	if best == nil || !q.fits(now, best) {
+		return best
+	}
+	q.charge(best, bestRounds, bestAt, inner, eligible)
+	return best
+}
+
+func (q *Queue) charge(e *entry, rounds float64, at int, inner float64, eligible func(*entry) bool) {
+	for _, a := range q.ring {
+		waits := false
+		a.heads(func(_ int, head *entry) { waits = waits || eligible(head) })
+		if waits {
+			a.deficit += rounds * q.quantum(a.weight)
+		}
+	}
+	a := q.ring[at]
+	a.charge(q, e, inner, eligible)
+	a.deficit = max(a.deficit-float64(e.Cost()), 0)
+	if a.deficit < q.quantum(a.weight) {
+		q.cursor = (at + 1) % len(q.ring)
+	} else {
+		q.cursor = at
+	}
+}
+
+// pay charges the account of a pledged item, whose turn came earlier.
+func (q *Queue) pay(now time.Time, e *entry) *entry {
+	a := q.accounts[e.Account]
+	only := func(o *entry) bool { return o == e }
+	rounds := roundsFor(e.Cost(), a.deficit, q.quantum(a.weight))
+	for _, other := range q.ring {
+		other.deficit += rounds * q.quantum(other.weight)
+	}
+	_, inner := a.choose(q, now, only)
+	if math.IsInf(inner, 1) {
+		inner = 0
+	}
+	a.charge(q, e, inner, only)
+	a.deficit = max(a.deficit-float64(e.Cost()), 0)
+	return e
+}
+
+// fits reports whether memory and the concurrency limit admit e.
+func (q *Queue) fits(now time.Time, e *entry) bool {
+	if q.reserved+e.Cost() > q.capacity.MemoryTokens {
+		return false
+	}
+	if q.reserved+e.Cost() <= q.capacity.LimitTokens {
+		return true
+	}
+	return len(q.running) == 0 && e.Cost() > q.capacity.LimitTokens && q.mayRunAlone(now, e)
+}
+
+// mayRunAlone reports whether the endpoint may drain for an item that exceeds
+// the concurrency limit by itself. Other waiting work goes first until the age
+// bound, because its first tokens raise the limit.
+func (q *Queue) mayRunAlone(now time.Time, e *entry) bool {
+	waited := now.Sub(e.arrived)
+	return waited >= q.config.AgeBound || (waited >= q.config.AloneAfter && len(q.waiting) == 1)
+}
+
+// leavesRoom reports whether admitting e delays the pledged item only by work
+// that runs already.
+func (q *Queue) leavesRoom(e *entry) bool {
+	return q.reserved+e.Cost()+q.pledged.Cost() <= min(q.capacity.MemoryTokens, q.capacity.LimitTokens)
+}
+
+// overShare reports whether long work has used its share while other work
+// waits. Past the age bound only the share of prefill applies.
+func (q *Queue) overShare(now time.Time, e *entry) bool {
+	if !e.Long() || len(q.waiting) == q.longWaiting {
+		return false
+	}
+	if q.pending[classCount-1]+q.pending[classCount-2] > 0 {
+		return true
+	}
+	share := q.config.LongShare * float64(q.capacity.MemoryTokens)
+	return !q.aged(now, e) && float64(q.longReserved+e.Cost()) > share
+}
+
+// withinWindow bounds the prompts in the engine that it runs before or with
+// this one. One prompt of each class is always allowed.
+func (q *Queue) withinWindow(e *entry) bool {
+	if q.pending[e.class] == 0 || q.capacity.PrefillRate <= 0 {
+		return true
+	}
+	ahead := e.PromptTokens
+	for class := range e.class + 1 {
+		ahead += q.pending[class]
+	}
+	return float64(ahead) <= q.capacity.PrefillRate*q.config.PrefillWindow.Seconds()
+}
+
+// sweep refuses waiting items that can no longer meet their deadline.
+func (q *Queue) sweep(now time.Time) []Outcome {
+	if now.Sub(q.lastSweep) < sweepInterval {
+		return nil
+	}
+	q.lastSweep = now
+	var out []Outcome
+	for _, e := range q.waiting {
+		if refusal := q.late(now, e); refusal != nil {
+			q.remove(e)
+			out = append(out, Outcome{Item: e.Item, Refusal: refusal, Waited: now.Sub(e.arrived)})
+		}
+	}
+	sortOutcomes(out)
+	return out
+}
+
+func (q *Queue) late(now time.Time, e *entry) *verdict.Error {
+	if !now.Before(e.Deadline) {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline passed in the queue")
+	}
+	if now.Add(q.prefillTime(e.PromptTokens)).After(e.Deadline) {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadlineTooNear, "%s are left for a prompt of %d tokens",
+			e.Deadline.Sub(now).Round(time.Millisecond), e.PromptTokens)
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/admission/flow.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// entry is a waiting item.
+type entry struct {
+	Item
+	class   int
+	arrived time.Time
+}
+
+// flow is the work of one account in one length class, in order of arrival.
+type flow struct {
+	entries []*entry
+	tokens  int64
+	deficit float64
+}
+
+func (f *flow) remove(e *entry) {
+	for i := range f.entries {
+		if f.entries[i] == e {
+			f.entries = append(f.entries[:i], f.entries[i+1:]...)
+			f.tokens -= e.Cost()
+			break
+		}
+	}
+	if len(f.entries) == 0 {
+		f.deficit = 0
+	}
+}
+
+// account is a client account with waiting work. It is forgotten with its
+// deficit when its last item leaves, so the queue's bound limits the state.
+type account struct {
+	name    string
+	weight  float64
+	flows   [classCount]flow
+	cursor  int
+	tokens  int64
+	items   int
+	deficit float64
+}
+
+// heads calls visit with the first item of each class, starting at the class
+// whose turn it is.
+func (a *account) heads(visit func(class int, e *entry)) {
+	for i := range classCount {
+		class := (a.cursor + i) % classCount
+		if f := &a.flows[class]; len(f.entries) > 0 {
+			visit(class, f.entries[0])
+		}
+	}
+}
+
+// choose returns the item that the account sends in its next turn and the
+// rounds that its class needs to earn it. An item past the age bound goes
+// first; otherwise the classes share by deficit.
+func (a *account) choose(q *Queue, now time.Time, eligible func(*entry) bool) (best *entry, rounds float64) {
+	rounds = math.Inf(1)
+	var oldest *entry
+	a.heads(func(class int, e *entry) {
+		if !eligible(e) {
+			return
+		}
+		if q.aged(now, e) && (oldest == nil || e.arrived.Before(oldest.arrived)) {
+			oldest = e
+		}
+		if r := roundsFor(e.Cost(), a.flows[class].deficit, q.quantum(1)); r < rounds {
+			best, rounds = e, r
+		}
+	})
+	if oldest != nil {
+		return oldest, 0
+	}
+	return best, rounds
+}
+
+// charge moves the deficits of the classes by the rounds and pays for e.
+func (a *account) charge(q *Queue, e *entry, rounds float64, eligible func(*entry) bool) {
+	a.heads(func(class int, head *entry) {
+		if eligible(head) {
+			a.flows[class].deficit += rounds * q.quantum(1)
+		}
+	})
+	f := &a.flows[e.class]
+	f.deficit = max(f.deficit-float64(e.Cost()), 0)
+	if f.deficit < q.quantum(1) {
+		a.cursor = (e.class + 1) % classCount
+	}
+}
+
+// roundsFor returns the whole rounds after which a deficit covers a cost.
+// Counting rounds at once keeps a million-token item as cheap to schedule as a
+// short one.
+func roundsFor(cost int64, deficit, quantum float64) float64 {
+	return max(math.Ceil((float64(cost)-deficit)/quantum), 0)
+}
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -1,23 +1,55 @@
 package admission
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"siskinstand.example/coord/verdict"
 )
 
-// Queue holds waiting items and the reservations of running ones.
+// sweepInterval paces the search of the whole queue for items whose deadline
+// has come too near.
+const sweepInterval = 50 * time.Millisecond
+
+// Queue holds waiting items and the reservations of admitted ones.
 type Queue struct {
 	config   Config
 	capacity Capacity
-	waiting  []Item
-	running  map[string]Item
-	reserved int64
+
+	accounts map[string]*account
+	ring     []*account
+	cursor   int
+	isolated []*entry
+	waiting  map[string]*entry
+	running  map[string]*reservation
+	// pledged is the item whose turn it is and for which memory drains.
+	pledged *entry
+
+	queuedTokens, queuedPrompt int64
+	longWaiting                int
+	reserved, longReserved     int64
+	pending                    [classCount]int64
+	isolatedRunning            bool
+	isolatedEnded              time.Time
+	lastSweep                  time.Time
+	estimates                  estimates
+}
+
+// reservation is the memory of one admitted item.
+type reservation struct {
+	Item
+	class      int
+	admitted   time.Time
+	firstToken bool
 }
 
 // New returns an empty queue without capacity.
 func New(c Config) *Queue {
-	return &Queue{config: c, running: map[string]Item{}}
+	return &Queue{
+		config: c, accounts: map[string]*account{}, waiting: map[string]*entry{},
+		running: map[string]*reservation{}, estimates: estimates{outputRatio: initialOutputRatio},
+	}
 }
 
 // SetCapacity replaces the capacity. Reservations above a lowered capacity
@@ -26,74 +58,177 @@
 
 // Offer queues an item or refuses it immediately.
 func (q *Queue) Offer(now time.Time, item Item) *verdict.Error {
-	if len(q.waiting) >= q.config.MaxItems {
-		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "queue is full")
+	if refusal := q.refuseNow(now, item); refusal != nil {
+		return refusal
 	}
-	if !now.Before(item.Deadline) {
-		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline has passed")
+	if item.Weight <= 0 {
+		item.Weight = 1
+	}
+	e := &entry{Item: item, class: classIndex(item.PromptTokens), arrived: now}
+	q.waiting[item.ID] = e
+	q.queuedTokens += item.Cost()
+	q.queuedPrompt += item.PromptTokens
+	if item.Long() {
+		q.longWaiting++
 	}
-	q.waiting = append(q.waiting, item)
+	if item.Isolated {
+		q.isolated = append(q.isolated, e)
+		return nil
+	}
+	q.enqueue(e)
 	return nil
 }
 
-// Admit returns the items whose wait ends now.
-func (q *Queue) Admit(now time.Time) []Outcome {
-	var out []Outcome
-	for len(q.waiting) > 0 {
-		item := q.waiting[0]
-		if !now.Before(item.Deadline) {
-			out = append(out, Outcome{Item: item, Refusal: verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline passed in the queue")})
-			q.waiting = q.waiting[1:]
-			continue
-		}
-		if q.reserved+item.Cost() > min(q.capacity.MemoryTokens, q.capacity.LimitTokens) {
-			break
-		}
-		q.reserved += item.Cost()
-		q.running[item.ID] = item
-		out = append(out, Outcome{Item: item})
-		q.waiting = q.waiting[1:]
+func (q *Queue) enqueue(e *entry) {
+	a := q.accounts[e.Account]
+	if a == nil {
+		a = &account{name: e.Account}
+		q.accounts[e.Account] = a
+		q.ring = append(q.ring, a)
+	}
+	a.weight = e.Weight
+	a.items++
+	a.tokens += e.Cost()
+	f := &a.flows[e.class]
+	f.entries = append(f.entries, e)
+	f.tokens += e.Cost()
+}
+
+func (q *Queue) refuseNow(now time.Time, item Item) *verdict.Error {
+	switch {
+	case q.waiting[item.ID] != nil || q.running[item.ID] != nil:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "attempt %s is already here", item.ID)
+	case item.PromptTokens < 0 || item.OutputTokens < 0 || item.Cost() <= 0:
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "token bounds must be positive")
+	case !now.Before(item.Deadline):
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline has passed")
+	case item.Cost() > q.capacity.MemoryTokens:
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLong, "%d tokens exceed the engine's %d", item.Cost(), q.capacity.MemoryTokens)
+	case len(q.waiting) >= q.config.MaxItems:
+		return q.overloaded(item, "queue is full")
+	case q.accounts[item.Account] == nil && len(q.accounts) >= q.config.MaxAccounts:
+		return q.overloaded(item, "too many accounts wait")
+	}
+	return q.predict(now, item)
+}
+
+// remove takes an item out of the queue.
+func (q *Queue) remove(e *entry) {
+	delete(q.waiting, e.ID)
+	q.queuedTokens -= e.Cost()
+	q.queuedPrompt -= e.PromptTokens
+	if e.Long() {
+		q.longWaiting--
+	}
+	if q.pledged == e {
+		q.pledged = nil
+	}
+	if e.Isolated {
+		q.isolated = slices.DeleteFunc(q.isolated, func(o *entry) bool { return o == e })
+		return
+	}
+	a := q.accounts[e.Account]
+	a.flows[e.class].remove(e)
+	a.items--
+	a.tokens -= e.Cost()
+	if a.items == 0 {
+		q.forget(a)
+	}
+}
+
+func (q *Queue) forget(a *account) {
+	delete(q.accounts, a.name)
+	i := slices.Index(q.ring, a)
+	q.ring = slices.Delete(q.ring, i, i+1)
+	if i < q.cursor {
+		q.cursor--
+	}
+	if len(q.ring) > 0 {
+		q.cursor %= len(q.ring)
 	}
-	return out
 }
 
 // Cancel removes a waiting item and reports whether it was waiting.
 func (q *Queue) Cancel(id string) bool {
-	for i := range q.waiting {
-		if q.waiting[i].ID == id {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return true
-		}
+	e := q.waiting[id]
+	if e == nil {
+		return false
 	}
-	return false
+	q.remove(e)
+	return true
 }
 
 // FirstToken records that the engine has finished the prefill of an item.
-func (q *Queue) FirstToken(_ time.Time, _ string) {}
+func (q *Queue) FirstToken(_ time.Time, id string) {
+	if r := q.running[id]; r != nil && !r.firstToken {
+		r.firstToken = true
+		q.pending[r.class] -= r.PromptTokens
+	}
+}
 
-// Finish releases the reservation of an admitted item.
-func (q *Queue) Finish(_ time.Time, id string, _ int64) {
-	if item, ok := q.running[id]; ok {
-		q.reserved -= item.Cost()
-		delete(q.running, id)
+// Finish releases the reservation of an admitted item. The output tokens
+// improve later predictions; 0 means that they are not known.
+func (q *Queue) Finish(now time.Time, id string, outputTokens int64) {
+	r := q.running[id]
+	if r == nil {
+		return
+	}
+	q.FirstToken(now, id)
+	delete(q.running, id)
+	q.reserved -= r.Cost()
+	if r.Long() {
+		q.longReserved -= r.Cost()
 	}
+	if r.Isolated {
+		q.isolatedRunning = false
+		q.isolatedEnded = now
+	}
+	q.estimates.finished(r, now, outputTokens)
 }
 
-// HandBack empties the queue and refuses every waiting item as not run.
+// HandBack empties the queue and refuses every waiting item as not run, in
+// order of arrival.
 func (q *Queue) HandBack(reason verdict.Reason, message string) []Outcome {
-	var out []Outcome
-	for _, item := range q.waiting {
-		out = append(out, Outcome{Item: item, Refusal: verdict.New(verdict.NotRun, reason, "%s", message)})
+	entries := make([]*entry, 0, len(q.waiting))
+	for _, e := range q.waiting {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, compareArrival)
+	out := make([]Outcome, 0, len(entries))
+	for _, e := range entries {
+		q.remove(e)
+		refusal := verdict.New(verdict.NotRun, reason, "%s", message)
+		out = append(out, Outcome{Item: e.Item, Refusal: refusal})
 	}
-	q.waiting = nil
 	return out
 }
 
+func compareArrival(a, b *entry) int {
+	if c := a.arrived.Compare(b.arrived); c != 0 {
+		return c
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
 // Load describes the queue.
 func (q *Queue) Load() Load {
-	l := Load{QueuedItems: len(q.waiting), RunningItems: len(q.running), ReservedTokens: q.reserved}
-	for _, item := range q.waiting {
-		l.QueuedTokens += item.Cost()
+	l := Load{
+		QueuedItems: len(q.waiting), QueuedTokens: q.queuedTokens,
+		RunningItems: len(q.running), ReservedTokens: q.reserved,
+	}
+	for _, tokens := range q.pending {
+		l.PendingPrefillTokens += tokens
 	}
 	return l
 }
+
+func (q *Queue) quantum(weight float64) float64 {
+	return math.Max(float64(q.config.QuantumTokens)*weight, 1)
+}
+
+func (q *Queue) aged(now time.Time, e *entry) bool {
+	return now.Sub(e.arrived) >= q.config.AgeBound
+}
--- /dev/null
+++ b/coord/ramp/ramp.go
@@ -0,0 +1,206 @@
+// Package ramp sets the concurrency limit of an endpoint from evidence. The
+// limit starts low, grows while first tokens come at the expected speed and
+// falls when they do not, whatever the uptime.
+package ramp
+
+import (
+	"math"
+	"time"
+)
+
+// Config bounds a Limiter. Limits are reserved tokens in flight.
+type Config struct {
+	FloorTokens   int64
+	CeilingTokens int64
+	// NominalRate is the expected prefill speed in tokens a second before any
+	// first token was seen.
+	NominalRate float64
+	// BaseLatency is the part of a first token's time that does not depend on
+	// the prompt's length.
+	BaseLatency time.Duration
+	// IdleHalving is the time without evidence after which the limit halves,
+	// because an idle endpoint may have turned cold.
+	IdleHalving time.Duration
+}
+
+// DefaultConfig returns the bounds for an engine with the given memory. The
+// floor is a twentieth of it and at least one prompt of the 16k class.
+func DefaultConfig(totalTokens int64, nominalRate float64) Config {
+	floor := min(max(totalTokens/20, 16_384), totalTokens)
+	return Config{
+		FloorTokens: floor, CeilingTokens: totalTokens, NominalRate: nominalRate,
+		BaseLatency: 100 * time.Millisecond, IdleHalving: 5 * time.Minute,
+	}
+}
+
+const (
+	// onTimeFactor and lateFactor separate first tokens that raise the limit
+	// from those that lower it. Length estimates are wrong by up to 40% and
+	// engines vary by a factor of two, so smaller factors would react to noise.
+	onTimeFactor = 2.0
+	lateFactor   = 3.0
+	// farLateFactor lowers the limit to the floor at once.
+	farLateFactor = 8.0
+	// cutInterval lets work admitted under the old limit drain between cuts.
+	cutInterval = 500 * time.Millisecond
+	// baselineWeight is small so that a cold engine is noticed long before the
+	// expectation has followed it. Samples count at most twofold either way,
+	// which keeps cached prefixes from raising the expectation.
+	baselineWeight = 0.02
+	maxSampleStep  = math.Ln2
+	// rateWeight follows the present speed for predictions.
+	rateWeight = 0.2
+	// minSampleTokens is the least prefill work from which a rate is learnt;
+	// below it the base latency dominates.
+	minSampleTokens = 512
+)
+
+// Limiter is the concurrency limit of one endpoint.
+type Limiter struct {
+	config    Config
+	limit     float64
+	threshold float64
+	baseline  float64
+	rate      float64
+	flights   map[string]*flight
+	lastCut   time.Time
+	evidence  time.Time
+}
+
+// flight is an admitted item without a first token.
+type flight struct {
+	admitted time.Time
+	prompt   int64
+	cost     int64
+	work     float64
+	expected time.Duration
+	utilised bool
+	overdue  bool
+}
+
+// New returns a limiter at its floor.
+func New(now time.Time, c Config) *Limiter {
+	l := &Limiter{config: c, baseline: c.NominalRate, rate: c.NominalRate}
+	l.Reset(now)
+	return l
+}
+
+// Reset returns to the floor, as for an endpoint that has just started.
+func (l *Limiter) Reset(now time.Time) {
+	l.limit = float64(l.config.FloorTokens)
+	l.threshold = float64(l.config.CeilingTokens)
+	l.flights = map[string]*flight{}
+	l.lastCut, l.evidence = now, now
+}
+
+// Limit returns the tokens that may be in flight.
+func (l *Limiter) Limit() int64 { return int64(l.limit) }
+
+// PrefillRate returns the present prefill speed in tokens a second; 0 means
+// that it is not known.
+func (l *Limiter) PrefillRate() float64 { return l.rate }
+
+// Admitted records an item that is handed to the engine. inFlight is the sum
+// of reserved tokens with it.
+func (l *Limiter) Admitted(now time.Time, id string, promptTokens, cost, inFlight int64) {
+	f := &flight{admitted: now, prompt: promptTokens, cost: cost, utilised: float64(inFlight) >= l.limit/2}
+	f.work = float64(promptTokens)
+	for _, other := range l.flights {
+		// Longer prompts have a lower priority in the engine.
+		if other.prompt <= 4*promptTokens {
+			f.work += float64(other.prompt)
+		}
+	}
+	f.expected = l.config.BaseLatency
+	if l.baseline > 0 {
+		f.expected += time.Duration(f.work / l.baseline * float64(time.Second))
+	}
+	l.flights[id] = f
+}
+
+// FirstToken is the evidence of one item.
+func (l *Limiter) FirstToken(now time.Time, id string) {
+	f := l.flights[id]
+	if f == nil {
+		return
+	}
+	delete(l.flights, id)
+	elapsed := now.Sub(f.admitted)
+	known := l.baseline > 0
+	l.learn(f, elapsed)
+	if !known {
+		return
+	}
+	l.evidence = now
+	late := float64(elapsed) / float64(f.expected)
+	switch {
+	case late > lateFactor:
+		if !f.overdue {
+			l.cut(now, late)
+		}
+	case late <= onTimeFactor && f.utilised:
+		l.grow(f)
+	}
+}
+
+func (l *Limiter) grow(f *flight) {
+	step := float64(f.cost)
+	if l.limit >= l.threshold {
+		step *= min(step/l.limit, 1)
+	}
+	l.limit = min(l.limit+step, float64(l.config.CeilingTokens))
+}
+
+func (l *Limiter) cut(now time.Time, late float64) {
+	if now.Sub(l.lastCut) < cutInterval {
+		return
+	}
+	l.lastCut, l.evidence = now, now
+	l.threshold = max(l.limit/2, float64(l.config.FloorTokens))
+	l.limit = l.threshold
+	if late > farLateFactor {
+		l.limit = float64(l.config.FloorTokens)
+	}
+}
+
+func (l *Limiter) learn(f *flight, elapsed time.Duration) {
+	if f.work < minSampleTokens {
+		return
+	}
+	sample := f.work / max(elapsed-l.config.BaseLatency/2, time.Millisecond).Seconds()
+	if l.baseline <= 0 {
+		l.baseline, l.rate = sample, sample
+		return
+	}
+	step := math.Log(sample / l.baseline)
+	l.baseline *= math.Exp(baselineWeight * min(max(step, -maxSampleStep), maxSampleStep))
+	bounded := min(sample, 2*l.baseline)
+	l.rate += rateWeight * (bounded - l.rate)
+}
+
+// Ended forgets an item. A failure of the engine returns the limit to the
+// floor.
+func (l *Limiter) Ended(now time.Time, id string, engineFailed bool) {
+	delete(l.flights, id)
+	if engineFailed {
+		l.limit = float64(l.config.FloorTokens)
+		l.lastCut, l.evidence = now, now
+	}
+}
+
+// Tick treats first tokens that are overdue as evidence before they arrive and
+// lowers the limit of an endpoint that has been idle for long.
+func (l *Limiter) Tick(now time.Time) {
+	for _, f := range l.flights {
+		late := float64(now.Sub(f.admitted)) / float64(f.expected)
+		if late > lateFactor && !f.overdue && l.baseline > 0 {
+			f.overdue = true
+			l.cut(now, late)
+		}
+	}
+	if len(l.flights) > 0 || now.Sub(l.evidence) < l.config.IdleHalving {
+		return
+	}
+	l.evidence = now
+	l.limit = max(l.limit/2, float64(l.config.FloorTokens))
+}
