engine: add the HTTP adapters and a fake engine

Cause: the sidecar needs an engine behind platform/engine, and tests need one that fails on demand.

Change: HTTP adapter for streams and the small JSON calls, forwarder for plain services, and a fake with chunked prefill, continuous batching, prefix cache, priorities, resume and failure switches.

Conclusion: the sidecar can be built against the fake.

--- /dev/null
+++ b/fakes/engine/adapter_test.go
@@ -0,0 +1,266 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+	fake "siskinstand.example/fakes/engine"
+	"siskinstand.example/fakes/server"
+	"siskinstand.example/platform/engine"
+)
+
+type fixture struct {
+	fake    *fake.Engine
+	server  *server.Server
+	adapter *engine.HTTP
+}
+
+func start(t *testing.T, change func(*fake.Config)) *fixture {
+	t.Helper()
+	f := &fixture{}
+	config := fake.DefaultConfig()
+	config.Switches.TokenTime = server.Duration(time.Millisecond)
+	config.Switches.PrefillTokensPerSecond = 10_000_000
+	config.OnCrash = func(d time.Duration) { f.server.Down(d) }
+	change(&config)
+	f.fake = fake.New(config)
+	s, err := server.Start("127.0.0.1:0", f.fake.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server = s
+	t.Cleanup(func() { s.Close(); f.fake.Close() })
+	limits := engine.DefaultLimits()
+	limits.StallTimeout = 2 * time.Second
+	f.adapter = engine.NewHTTP(s.Address(), limits)
+	return f
+}
+
+func request(id, prompt string) engine.Request {
+	body, _ := json.Marshal(map[string]any{"model": "siskin-small", "prompt": prompt})
+	return engine.Request{AttemptID: id, Method: http.MethodPost, Path: "/v1/completions", Body: body}
+}
+
+func (f *fixture) run(r engine.Request) (string, engine.Result, error) {
+	var text strings.Builder
+	result, err := f.adapter.Run(context.Background(), r, func(c engine.Chunk) error {
+		text.Write(c.Data)
+		return nil
+	})
+	return text.String(), result, err
+}
+
+func (f *fixture) set(t *testing.T, change func(*fake.Switches)) {
+	t.Helper()
+	s := f.fake.Switches()
+	change(&s)
+	if err := f.fake.Set(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantVerdict(t *testing.T, err error, v verdict.Verdict, reason verdict.Reason) {
+	t.Helper()
+	var known *verdict.Error
+	if !errors.As(err, &known) || known.Verdict != v || known.Reason != reason {
+		t.Fatalf("got %v, want %s (%s)", err, reason, v)
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("after 5 s: %s", what)
+}
+
+// Guards against an answer, resumed or not, that differs from the whole one.
+func TestAnswerIsWholeAtEachResumePosition(t *testing.T) {
+	f := start(t, func(*fake.Config) {})
+	want, reason := fake.Expected("a prompt", 0)
+	for cut := 0; cut <= len(want); cut += fake.TokenBytes {
+		r := request(fmt.Sprint("a", cut), "a prompt")
+		r.ResumeText = want[:cut]
+		text, result, err := f.run(r)
+		if err != nil || text != want[cut:] || result.FinishReason != reason {
+			t.Fatalf("cut %d: got %q, %v, %v; want %q", cut, text, result, err, want[cut:])
+		}
+	}
+	r := request("b", "a prompt")
+	r.ResumeText = "other"
+	_, _, err := f.run(r)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonBadRequest)
+}
+
+// Guards against a crash whose verdict or lost state is wrong: the crashing and
+// the unaffected request may have run, a dial while down is not_run.
+func TestCrashBreaksTheBatchAndRefusesConnections(t *testing.T) {
+	f := start(t, func(c *fake.Config) { c.Switches.CrashDown = server.Duration(300 * time.Millisecond) })
+	f.set(t, func(s *fake.Switches) { s.TokenTime = server.Duration(50 * time.Millisecond) })
+	other := make(chan error, 1)
+	go func() {
+		_, _, err := f.run(request("unaffected", "an ordinary prompt"))
+		other <- err
+	}()
+	eventually(t, "start", func() bool { return f.fake.Counters().Started == 1 })
+	_, _, err := f.run(request("crash", "please crash-this-engine now"))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonEngineFailed)
+	wantVerdict(t, <-other, verdict.MayHaveRun, verdict.ReasonEngineFailed)
+	eventually(t, "refused connection", func() bool {
+		_, err := f.adapter.State(context.Background())
+		return verdict.Of(err) == verdict.NotRun && err != nil
+	})
+	eventually(t, "restart", func() bool {
+		state, err := f.adapter.State(context.Background())
+		return err == nil && state.Incarnation == "2" && len(state.Pieces) == 0
+	})
+}
+
+// Guards against a frozen engine that holds an attempt for ever.
+func TestFreezeEndsAtTheStallLimit(t *testing.T) {
+	f := start(t, func(c *fake.Config) { c.Switches.Frozen = true })
+	_, _, err := f.run(request("a", "a prompt"))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonEngineFailed)
+	_, err = f.adapter.Load(context.Background())
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonDeadlinePast)
+	f.set(t, func(s *fake.Switches) { s.Frozen = false })
+	if _, _, err := f.run(request("b", "a prompt")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a cancelled attempt, a deadline or a failed receiver that
+// leaves its memory behind.
+func TestEndedAttemptsReleaseMemory(t *testing.T) {
+	f := start(t, func(c *fake.Config) { c.Switches.TokenTime = server.Duration(100 * time.Millisecond) })
+	time.AfterFunc(200*time.Millisecond, func() { _ = f.adapter.Cancel(context.Background(), "a") })
+	_, _, err := f.run(request("a", "a prompt"))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonCancelled)
+	late := request("b", "a prompt")
+	late.Deadline = time.Now().Add(150 * time.Millisecond)
+	_, _, err = f.run(late)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonDeadlinePast)
+	_, err = f.adapter.Run(context.Background(), request("c", "a prompt"), func(engine.Chunk) error { return errors.New("gone") })
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonCancelled)
+	eventually(t, "no memory in use", func() bool {
+		state, err := f.adapter.State(context.Background())
+		return err == nil && state.UsedTokens == 0
+	})
+}
+
+// Guards against leaked memory that the engine's state does not show, and
+// against a hold that outlives its time.
+func TestLeaksAndHoldsAreVisibleAndFreed(t *testing.T) {
+	ctx := context.Background()
+	f := start(t, func(c *fake.Config) { c.Switches.LeakTokens = 1000 })
+	if _, _, err := f.run(request("a", "a prompt")); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.adapter.Hold(ctx, "h", 598_500, 300*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	err := f.adapter.Hold(ctx, "h2", 598_500, time.Second)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonOverloaded)
+	state, err := f.adapter.State(ctx)
+	if err != nil || len(state.Pieces) != 2 || state.UsedTokens != 599_500 {
+		t.Fatalf("got %+v, %v", state, err)
+	}
+	for _, p := range state.Pieces {
+		if p.Kind == engine.PieceExport {
+			_ = f.adapter.Free(ctx, p.ID)
+		}
+	}
+	eventually(t, "hold expired and leak freed", func() bool {
+		state, err := f.adapter.State(ctx)
+		return err == nil && state.UsedTokens == 0
+	})
+}
+
+// Guards against an adapter that misses a refused order, and a fake that
+// ignores its switch.
+func TestFencing(t *testing.T) {
+	ctx := context.Background()
+	f := start(t, func(*fake.Config) {})
+	if err := f.adapter.Apply(ctx, engine.Order{Fence: 5, Model: "siskin-small"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.adapter.Apply(ctx, engine.Order{Fence: 4, Model: "old"}); !errors.Is(err, engine.ErrStaleFence) {
+		t.Fatalf("got %v", err)
+	}
+	f.set(t, func(s *fake.Switches) { s.IgnoreFence = true })
+	if err := f.adapter.Apply(ctx, engine.Order{Fence: 4, Model: "old"}); err != nil || f.fake.Counters().StaleOrders != 1 {
+		t.Fatalf("got %v, %+v", err, f.fake.Counters())
+	}
+}
+
+// Guards against a cold engine that takes full load, or never warms.
+func TestColdEngineCollapsesUnderFullLoad(t *testing.T) {
+	f := start(t, func(c *fake.Config) {
+		c.Switches.Cold, c.Switches.ColdTokens, c.Switches.WarmAfterTokens = true, 2000, 3000
+	})
+	prompt := strings.Repeat("word", 1500)
+	for i := range 2 {
+		if _, _, err := f.run(request(fmt.Sprint(i), prompt+fmt.Sprint(i)+strings.Repeat("x", 1000))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := f.fake.Counters().CollapsedSteps; n != 0 {
+		t.Fatalf("%d collapsed steps under a small load", n)
+	}
+	f.set(t, func(s *fake.Switches) { s.Cold, s.CollapseFactor = true, 5 })
+	if _, _, err := f.run(request("big", strings.Repeat("y", 20_000))); err != nil {
+		t.Fatal(err)
+	}
+	if f.fake.Counters().CollapsedSteps == 0 || !f.fake.Switches().Cold {
+		t.Fatal("a cold engine ran a full load without collapse")
+	}
+}
+
+// Guards against a load report that is fresher than its lag, and a prefix cache
+// that is never used.
+func TestLoadReportLagsAndPrefixIsCached(t *testing.T) {
+	f := start(t, func(c *fake.Config) { c.Switches.LoadLag = server.Duration(time.Hour) })
+	prompt := strings.Repeat("word", 5000)
+	if _, _, err := f.run(request("a", prompt)); err != nil {
+		t.Fatal(err)
+	}
+	load, err := f.adapter.Load(context.Background())
+	if err != nil || load.CachedPrefixTokens != 0 || time.Since(load.MeasuredAt) < time.Hour {
+		t.Fatalf("got %+v, %v", load, err)
+	}
+	f.set(t, func(s *fake.Switches) { s.LoadLag = 0 })
+	load, err = f.adapter.Load(context.Background())
+	if err != nil || load.CachedPrefixTokens != 19*256 {
+		t.Fatalf("got %+v, %v", load, err)
+	}
+}
+
+// Guards against a low priority that goes before a high one inside the engine.
+func TestPriorityGoesFirst(t *testing.T) {
+	f := start(t, func(c *fake.Config) { c.MaxBatch = 1; c.Switches.TokenTime = server.Duration(50 * time.Millisecond) })
+	order := make(chan string, 4)
+	for i, p := range []int{0, 9, 5, 1} {
+		r := request(fmt.Sprint("p", p), "a prompt")
+		r.Priority = p
+		go func() { _, _, _ = f.run(r); order <- r.AttemptID }()
+		eventually(t, "request inside", func() bool {
+			state, err := f.adapter.State(context.Background())
+			return err == nil && len(state.Pieces) == i+1
+		})
+	}
+	f.set(t, func(s *fake.Switches) { s.TokenTime = server.Duration(5 * time.Millisecond) })
+	if got := <-order + <-order + <-order + <-order; got != "p0p1p5p9" {
+		t.Fatalf("got %s", got)
+	}
+}
