sidecar: add reconciliation, zone-out, suspects, group holds and reports

The control loop now looks at the engine every second, marks what ran in it when it dies, cancels the runs of a former sidecar before it admits work, returns queued and admitted work when the zone goes out, and drains for a shutdown. Tests run each of these over gRPC against an engine in memory.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -23,6 +23,9 @@
 	Fingerprint  uint64
 	// Isolated work runs only while nothing else does.
 	Isolated bool
+	// Held work has its memory set aside already, by a group's hold. It goes
+	// first and only needs memory; the hold was checked against the limit.
+	Held bool
 }
 
 // Cost is the engine memory that the item reserves, in tokens.
--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -45,16 +45,30 @@
 	if q.isolatedRunning {
 		return nil
 	}
-	if len(q.isolated) > 0 {
-		head := q.isolated[0]
-		if len(q.running) == 0 {
-			if q.fits(now, head) {
-				return head
-			}
-		} else if now.Sub(head.arrived) >= q.config.IsolationWait && now.Sub(q.isolatedEnded) >= q.config.IsolationWait {
-			return nil
-		}
+	if len(q.held) > 0 && q.reserved+q.held[0].Cost() <= q.capacity.MemoryTokens {
+		return q.held[0]
+	}
+	if e, drains := q.nextIsolated(now); e != nil || drains {
+		return e
 	}
+	return q.nextInTurn(now)
+}
+
+// nextIsolated returns an isolated item that can run now, or reports that the
+// endpoint drains for one.
+func (q *Queue) nextIsolated(now time.Time) (e *entry, drains bool) {
+	if len(q.isolated) == 0 {
+		return nil, false
+	}
+	head := q.isolated[0]
+	if len(q.running) == 0 && q.fits(now, head) {
+		return head, true
+	}
+	return nil, now.Sub(head.arrived) >= q.config.IsolationWait && now.Sub(q.isolatedEnded) >= q.config.IsolationWait
+}
+
+// nextInTurn returns the next item of the fair order.
+func (q *Queue) nextInTurn(now time.Time) *entry {
 	if q.pledged == nil {
 		e := q.turn(now, func(e *entry) bool {
 			return !q.overShare(now, e) && q.withinWindow(e) && (e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e))
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -21,6 +21,7 @@
 	ring     []*account
 	cursor   int
 	isolated []*entry
+	held     []*entry
 	waiting  map[string]*entry
 	running  map[string]*reservation
 	// pledged is the item whose turn it is and for which memory drains.
@@ -71,11 +72,14 @@
 	if item.Long() {
 		q.longWaiting++
 	}
-	if item.Isolated {
+	switch {
+	case item.Held:
+		q.held = append(q.held, e)
+	case item.Isolated:
 		q.isolated = append(q.isolated, e)
-		return nil
+	default:
+		q.enqueue(e)
 	}
-	q.enqueue(e)
 	return nil
 }
 
@@ -104,6 +108,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline has passed")
 	case item.Cost() > q.capacity.MemoryTokens:
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLong, "%d tokens exceed the engine's %d", item.Cost(), q.capacity.MemoryTokens)
+	case item.Held:
+		return nil
 	case len(q.waiting) >= q.config.MaxItems:
 		return q.overloaded(item, "queue is full")
 	case q.accounts[item.Account] == nil && len(q.accounts) >= q.config.MaxAccounts:
@@ -123,8 +129,10 @@
 	if q.pledged == e {
 		q.pledged = nil
 	}
-	if e.Isolated {
-		q.isolated = slices.DeleteFunc(q.isolated, func(o *entry) bool { return o == e })
+	if e.Held || e.Isolated {
+		same := func(o *entry) bool { return o == e }
+		q.held = slices.DeleteFunc(q.held, same)
+		q.isolated = slices.DeleteFunc(q.isolated, same)
 		return
 	}
 	a := q.accounts[e.Account]
--- a/coord/group/holds.go
+++ b/coord/group/holds.go
@@ -65,7 +65,8 @@
 func (h *Holds) Acquire(now time.Time, want Hold, timeToLive time.Duration, free int64) Outcome {
 	want.Expires = now.Add(min(max(timeToLive, 0), MaxTimeToLive))
 	if old, ok := h.holds[want.ID]; ok && now.Before(old.Expires) {
-		if old.Group != want.Group || old.Tokens != want.Tokens {
+		// A hold that a successor found in the engine has no known group.
+		if (old.Group != "" && old.Group != want.Group) || old.Tokens != want.Tokens {
 			return RefusedClash
 		}
 		h.holds[want.ID] = want
--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -21,15 +21,18 @@
 	// IdleHalving is the time without evidence after which the limit halves,
 	// because an idle endpoint may have turned cold.
 	IdleHalving time.Duration
+	// WarmEvidence is the prompt tokens that must have come on time since the
+	// last contrary evidence before the limit grows fast.
+	WarmEvidence int64
 }
 
 // DefaultConfig returns the bounds for an engine with the given memory. The
-// floor is a twentieth of it and at least one prompt of the 16k class.
+// floor is one prompt of the 4k class with an answer of the same length,
+// because cold engines handle only a small load.
 func DefaultConfig(totalTokens int64, nominalRate float64) Config {
-	floor := min(max(totalTokens/20, 16_384), totalTokens)
 	return Config{
-		FloorTokens: floor, CeilingTokens: totalTokens, NominalRate: nominalRate,
-		BaseLatency: 100 * time.Millisecond, IdleHalving: 5 * time.Minute,
+		FloorTokens: min(8_192, totalTokens), CeilingTokens: totalTokens, NominalRate: nominalRate,
+		BaseLatency: 100 * time.Millisecond, IdleHalving: 5 * time.Minute, WarmEvidence: 131_072,
 	}
 }
 
@@ -41,6 +44,10 @@
 	lateFactor   = 3.0
 	// farLateFactor lowers the limit to the floor at once.
 	farLateFactor = 8.0
+	// coldGain is the growth of the limit as a share of the prompts that came
+	// on time until WarmEvidence is reached. It doubles the default floor over
+	// about 100,000 tokens, by which time a cold engine has filled its caches.
+	coldGain = 0.08
 	// cutInterval lets work admitted under the old limit drain between cuts.
 	cutInterval = 500 * time.Millisecond
 	// baselineWeight is small so that a cold engine is noticed long before the
@@ -65,6 +72,8 @@
 	flights   map[string]*flight
 	lastCut   time.Time
 	evidence  time.Time
+	// warm counts the prompt tokens that came on time since the last cut.
+	warm int64
 }
 
 // flight is an admitted item without a first token.
@@ -91,6 +100,7 @@
 	l.threshold = float64(l.config.CeilingTokens)
 	l.flights = map[string]*flight{}
 	l.lastCut, l.evidence = now, now
+	l.warm = 0
 }
 
 // Limit returns the tokens that may be in flight.
@@ -138,14 +148,20 @@
 		if !f.overdue {
 			l.cut(now, late)
 		}
-	case late <= onTimeFactor && f.utilised:
-		l.grow(f)
+	case late <= onTimeFactor:
+		l.warm += f.prompt
+		if f.utilised {
+			l.grow(f)
+		}
 	}
 }
 
 func (l *Limiter) grow(f *flight) {
 	step := float64(f.cost)
-	if l.limit >= l.threshold {
+	switch {
+	case l.warm < l.config.WarmEvidence:
+		step = coldGain * float64(f.prompt)
+	case l.limit >= l.threshold:
 		step *= min(step/l.limit, 1)
 	}
 	l.limit = min(l.limit+step, float64(l.config.CeilingTokens))
@@ -155,7 +171,7 @@
 	if now.Sub(l.lastCut) < cutInterval {
 		return
 	}
-	l.lastCut, l.evidence = now, now
+	l.lastCut, l.evidence, l.warm = now, now, 0
 	l.threshold = max(l.limit/2, float64(l.config.FloorTokens))
 	l.limit = l.threshold
 	if late > farLateFactor {
@@ -178,13 +194,12 @@
 	l.rate += rateWeight * (bounded - l.rate)
 }
 
-// Ended forgets an item. A failure of the engine returns the limit to the
-// floor.
+// Ended forgets an item. A failure of the engine lowers the limit, because a
+// cold endpoint fails under load that a warm one takes.
 func (l *Limiter) Ended(now time.Time, id string, engineFailed bool) {
 	delete(l.flights, id)
 	if engineFailed {
-		l.limit = float64(l.config.FloorTokens)
-		l.lastCut, l.evidence = now, now
+		l.cut(now, lateFactor)
 	}
 }
 
@@ -201,6 +216,6 @@
 	if len(l.flights) > 0 || now.Sub(l.evidence) < l.config.IdleHalving {
 		return
 	}
-	l.evidence = now
+	l.evidence, l.warm = now, 0
 	l.limit = max(l.limit/2, float64(l.config.FloorTokens))
 }
--- a/sidecar/control/attempt.go
+++ b/sidecar/control/attempt.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"siskinstand.example/coord/admission"
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/coord/memory"
+	"siskinstand.example/coord/suspect"
 	"siskinstand.example/coord/verdict"
 )
 
@@ -28,6 +31,9 @@
 	BodyFollows bool
 	// Revision is the configuration revision of the gateway.
 	Revision uint64
+	// HoldID and HeldTokens are this endpoint's part of a group.
+	HoldID     string
+	HeldTokens int64
 }
 
 // ID identifies the attempt on its endpoint.
@@ -39,11 +45,16 @@
 func (o Offer) StartRequired() bool { return !o.Repeatable || o.BodyFollows }
 
 func (o Offer) item() admission.Item {
-	return admission.Item{
+	item := admission.Item{
 		ID: o.ID(), Account: o.Account, Weight: o.Weight,
 		PromptTokens: max(o.PromptTokens, 1), OutputTokens: o.MaxOutputTokens,
 		Deadline: o.Deadline, Fingerprint: o.Fingerprint, Isolated: o.Isolated,
 	}
+	if o.HoldID != "" {
+		item.Held = true
+		item.PromptTokens, item.OutputTokens = o.HeldTokens, 0
+	}
+	return item
 }
 
 type stage int
@@ -52,6 +63,7 @@
 	stageQueued stage = iota
 	stageAdmitted
 	stageRunning
+	stageFailing
 	stageEnded
 )
 
@@ -59,7 +71,9 @@
 // admission that has not started.
 type Decision struct {
 	Refusal    *verdict.Error
+	Suspects   []suspect.Report
 	AdmittedAt time.Time
+	Priority   int
 }
 
 // Ticket is an attempt known to the loop. Only the loop uses the fields below
@@ -67,21 +81,30 @@
 type Ticket struct {
 	Offer Offer
 
-	decisions  chan Decision
-	stage      stage
+	decisions chan Decision
+	aborted   chan struct{}
+	stage     stage
+	ran       bool
+	overdue   bool
+	// dead means that the engine died while it ran the attempt.
+	dead       bool
 	admittedAt time.Time
+	firstToken time.Time
 }
 
 // Decisions delivers the admission or refusal, and possibly the withdrawal of
 // an admission.
 func (t *Ticket) Decisions() <-chan Decision { return t.decisions }
 
+// Aborted is closed when the engine that runs the attempt has died.
+func (t *Ticket) Aborted() <-chan struct{} { return t.aborted }
+
 // decide never blocks: a ticket gets at most an admission and one refusal.
 func (t *Ticket) decide(d Decision) { t.decisions <- d }
 
 // Offer asks for admission. The decision arrives on the ticket.
 func (l *Loop) Offer(o Offer) (*Ticket, error) {
-	t := &Ticket{Offer: o, decisions: make(chan Decision, 2)}
+	t := &Ticket{Offer: o, decisions: make(chan Decision, 2), aborted: make(chan struct{})}
 	return t, l.send(offerMessage{t})
 }
 
@@ -89,27 +112,23 @@
 
 func (m offerMessage) apply(l *Loop, now time.Time) {
 	t := m.ticket
-	id := t.Offer.ID()
 	if refusal := l.gate(now, t); refusal != nil {
-		t.stage = stageEnded
-		t.decide(Decision{Refusal: refusal})
+		l.refuse(t, refusal)
 		return
 	}
-	l.attempts[id] = t
-	if refusal := l.queue.Offer(now, t.Offer.item()); refusal != nil {
-		l.refuse(t, refusal)
+	if l.suspects.Status(now, suspect.Fingerprint(t.Offer.Fingerprint)) == suspect.StatusIsolate {
+		t.Offer.Isolated = true
 	}
-}
-
-// gate refuses what may not be admitted at present.
-func (l *Loop) gate(_ time.Time, t *Ticket) *verdict.Error {
-	if l.state != StateServing {
-		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "endpoint is %s", l.state)
+	if refusal := l.takeHold(now, t); refusal != nil {
+		l.refuse(t, refusal)
+		return
 	}
-	if l.attempts[t.Offer.ID()] != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "attempt %s is already here", t.Offer.ID())
+	l.refreshCapacity()
+	l.attempts[t.Offer.ID()] = t
+	if refusal := l.queue.Offer(now, t.Offer.item()); refusal != nil {
+		l.refuse(t, refusal)
+		l.endHold(t)
 	}
-	return nil
 }
 
 // Dispatch asks for permission to hand an admitted attempt to the engine. An
@@ -128,29 +147,63 @@
 	answer chan<- *verdict.Error
 }
 
-func (m dispatchMessage) apply(l *Loop, now time.Time) { m.answer <- l.dispatch(now, m.ticket) }
+func (m dispatchMessage) apply(l *Loop, now time.Time) {
+	refusal := l.mayStart(now, m.ticket)
+	if refusal != nil {
+		l.drop(now, m.ticket)
+	} else {
+		l.startRun(now, m.ticket)
+	}
+	m.answer <- refusal
+}
 
-func (l *Loop) dispatch(now time.Time, t *Ticket) *verdict.Error {
-	if t.stage != stageAdmitted {
+// mayStart is the last check before an attempt runs.
+func (l *Loop) mayStart(now time.Time, t *Ticket) *verdict.Error {
+	switch {
+	case t.stage != stageAdmitted:
 		return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "attempt is no longer admitted")
-	}
-	if t.Offer.StartRequired() && now.Sub(t.admittedAt) > StartLimit {
-		l.drop(now, t)
+	case t.Offer.StartRequired() && now.Sub(t.admittedAt) > StartLimit:
 		return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "start arrived later than %s", StartLimit)
+	case !now.Before(t.Offer.Deadline):
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline passed before the start")
+	case !t.Offer.Repeatable && l.seen.has(now, t.Offer.RequestID):
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "another attempt of the request was dispatched")
 	}
+	return l.open()
+}
+
+// startRun records the dispatch of an attempt. From here on it may have run.
+func (l *Loop) startRun(now time.Time, t *Ticket) {
+	l.checkPlacement(now, t)
+	again := !t.Offer.Repeatable && l.seen.has(now, t.Offer.RequestID)
+	l.config.Invariants.Check(!again && !t.ran, invariant.AtMostOnce, "request %s is dispatched again", t.Offer.RequestID)
 	t.stage = stageRunning
-	return nil
+	t.ran = true
+	l.seen.add(now, t.Offer.ID())
+	if !t.Offer.Repeatable {
+		l.seen.add(now, t.Offer.RequestID)
+	}
+	item := t.Offer.item()
+	l.limiter.Admitted(now, item.ID, item.PromptTokens, item.Cost(), l.queue.Load().ReservedTokens)
+	l.ledger.Put(now, memory.Entry{
+		ID: item.ID, Kind: memory.KindRunning, Owner: item.ID, Tokens: item.Cost(), Expires: t.Offer.Deadline.Add(outcomeGrace),
+	})
 }
 
 // drop ends a ticket that did not run.
 func (l *Loop) drop(now time.Time, t *Ticket) {
-	if t.stage == stageQueued {
-		l.queue.Cancel(t.Offer.ID())
-	} else {
-		l.queue.Finish(now, t.Offer.ID(), 0)
+	id := t.Offer.ID()
+	switch t.stage {
+	case stageQueued:
+		l.queue.Cancel(id)
+	case stageAdmitted:
+		l.queue.Finish(now, id, 0)
+	default:
+		return
 	}
 	t.stage = stageEnded
-	delete(l.attempts, t.Offer.ID())
+	delete(l.attempts, id)
+	l.endHold(t)
 }
 
 // Cancel ends an attempt that is not running. It reports whether the attempt
@@ -167,13 +220,8 @@
 }
 
 func (m cancelMessage) apply(l *Loop, now time.Time) {
-	switch m.ticket.stage {
-	case stageQueued, stageAdmitted:
-		l.drop(now, m.ticket)
-		m.answer <- true
-	default:
-		m.answer <- m.ticket.stage == stageEnded
-	}
+	l.drop(now, m.ticket)
+	m.answer <- !m.ticket.ran
 }
 
 // FirstToken reports that the engine has begun to answer.
@@ -182,22 +230,10 @@
 type firstTokenMessage struct{ ticket *Ticket }
 
 func (m firstTokenMessage) apply(l *Loop, now time.Time) {
+	if m.ticket.stage != stageRunning {
+		return
+	}
+	m.ticket.firstToken = now
 	l.queue.FirstToken(now, m.ticket.Offer.ID())
-}
-
-// Done ends a dispatched attempt.
-func (l *Loop) Done(t *Ticket, outputTokens int64, err error) {
-	_ = l.send(doneMessage{t, outputTokens, err})
-}
-
-type doneMessage struct {
-	ticket       *Ticket
-	outputTokens int64
-	err          error
-}
-
-func (m doneMessage) apply(l *Loop, now time.Time) {
-	l.queue.Finish(now, m.ticket.Offer.ID(), m.outputTokens)
-	m.ticket.stage = stageEnded
-	delete(l.attempts, m.ticket.Offer.ID())
+	l.limiter.FirstToken(now, m.ticket.Offer.ID())
 }
--- a/sidecar/control/control.go
+++ b/sidecar/control/control.go
@@ -5,11 +5,18 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"siskinstand.example/coord/admission"
+	"siskinstand.example/coord/group"
 	"siskinstand.example/coord/invariant"
+	"siskinstand.example/coord/memory"
+	"siskinstand.example/coord/ramp"
+	"siskinstand.example/coord/suspect"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform/engine"
 )
@@ -29,7 +36,28 @@
 	Incarnation uint64
 	Engine      engine.Engine
 	Admission   admission.Config
+	Memory      memory.Config
+	Suspect     suspect.Config
+	Holds       group.Config
 	Invariants  *invariant.Registry
+	Scope       tally.Scope
+	// TotalTokens replaces the engine's own report of its memory if that is 0.
+	TotalTokens int64
+	// PrefillRate is the expected speed in tokens a second; 0 takes the
+	// engine's report.
+	PrefillRate float64
+	// Ramped endpoints start with a low concurrency limit. Plain services give
+	// no evidence of their speed by prompt length and are not ramped.
+	Ramped bool
+}
+
+// DefaultConfig returns a configuration without identity, engine and metrics.
+func DefaultConfig() Config {
+	return Config{
+		Admission: admission.DefaultConfig(), Memory: memory.DefaultConfig(),
+		Suspect: suspect.DefaultConfig(), Holds: group.DefaultConfig(),
+		Scope: tally.NoopScope, Ramped: true,
+	}
 }
 
 // Loop is the control loop.
@@ -38,12 +66,39 @@
 	inbox    chan message
 	stopped  chan struct{}
 	snapshot atomic.Pointer[Snapshot]
+	// background counts calls to the engine that the loop has started.
+	background sync.WaitGroup
+	ctx        context.Context
 
-	state    State
+	phase    phase
+	draining bool
+	slice    Slice
+	outSince time.Time
+	goneFrom time.Time
 	queue    *admission.Queue
+	limiter  *ramp.Limiter
+	ledger   *memory.Ledger
+	suspects *suspect.Book
+	holds    *group.Holds
 	attempts map[string]*Ticket
+	seen     *seen
+	watch    watch
+	decode   float64
+	lastTick time.Time
+	reported *Snapshot
+	drained  []chan struct{}
+	metrics  loopMetrics
 }
 
+// phase is the relation between the loop and its engine.
+type phase int
+
+const (
+	phaseStarting phase = iota
+	phaseServing
+	phaseDown
+)
+
 // message is one event for the loop.
 type message interface {
 	apply(l *Loop, now time.Time)
@@ -56,9 +111,14 @@
 		config:   c,
 		inbox:    make(chan message, inboxSize),
 		stopped:  make(chan struct{}),
-		state:    StateStarting,
 		queue:    admission.New(c.Admission),
+		limiter:  ramp.New(time.Now(), ramp.DefaultConfig(0, 0)),
+		ledger:   memory.New(c.Memory),
+		suspects: suspect.New(c.Suspect),
+		holds:    group.NewHolds(c.Holds),
 		attempts: map[string]*Ticket{},
+		seen:     newSeen(),
+		metrics:  newLoopMetrics(c.Scope),
 	}
 	l.snapshot.Store(&Snapshot{State: StateStarting, Changed: make(chan struct{})})
 	return l
@@ -66,53 +126,104 @@
 
 // Run processes messages until the context ends.
 func (l *Loop) Run(ctx context.Context) error {
+	defer l.background.Wait()
 	defer close(l.stopped)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.ctx = ctx
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	go l.reconcile(ctx)
 	for {
+		now := time.Now()
+		if now.Sub(l.lastTick) >= tickInterval {
+			l.lastTick = now
+			l.tick(now)
+		}
+		l.settle(now)
 		select {
 		case <-ctx.Done():
+			l.checkShutdown()
 			return nil
 		case m := <-l.inbox:
 			m.apply(l, time.Now())
 		case <-ticker.C:
 		}
-		l.settle(time.Now())
 	}
 }
 
+// tick starts what is due by time.
+func (l *Loop) tick(now time.Time) {
+	l.limiter.Tick(now)
+	l.expireHolds(now)
+	l.watchEngine(now)
+	l.checkOutcomes(now)
+}
+
 // settle ends the waits that the last event has decided and publishes the
 // result.
 func (l *Loop) settle(now time.Time) {
-	if l.state == StateServing {
+	l.refreshCapacity()
+	if l.phase == phaseServing && l.open() == nil {
 		l.conclude(now, l.queue.Admit(now))
 	}
-	l.publish(now)
+	l.finishDrain()
+	l.publish()
 }
 
 func (l *Loop) conclude(now time.Time, outcomes []admission.Outcome) {
 	for _, o := range outcomes {
 		t := l.attempts[o.Item.ID]
 		if t == nil {
+			l.queue.Finish(now, o.Item.ID, 0)
 			continue
 		}
 		if o.Refusal != nil {
 			l.refuse(t, o.Refusal)
+			l.endHold(t)
 			continue
 		}
-		t.stage = stageAdmitted
-		t.admittedAt = now
-		t.decide(Decision{AdmittedAt: now})
+		l.admit(now, t, o)
 	}
 }
 
+func (l *Loop) admit(now time.Time, t *Ticket, o admission.Outcome) {
+	l.checkPlacement(now, t)
+	load, limit := l.queue.Load(), l.limiter.Limit()
+	l.config.Invariants.Check(load.ReservedTokens <= limit || load.RunningItems == 1 || o.Item.Held, invariant.RampLimit,
+		"%d tokens are in flight after the admission of %s, above the limit of %d", load.ReservedTokens, t.Offer.ID(), limit)
+	t.stage = stageAdmitted
+	t.admittedAt = now
+	l.metrics.admitted(o.Waited)
+	t.decide(Decision{AdmittedAt: now, Priority: o.Priority})
+}
+
+// refuse ends a ticket that did not run.
 func (l *Loop) refuse(t *Ticket, refusal *verdict.Error) {
-	l.config.Invariants.Check(refusal.Verdict != verdict.NotRun || t.stage != stageRunning,
-		invariant.NotRunTrue, "attempt %s was dispatched and is refused as not run", t.Offer.ID())
-	delete(l.attempts, t.Offer.ID())
+	l.config.Invariants.Check(refusal.Verdict != verdict.NotRun || !t.ran, invariant.NotRunTrue,
+		"attempt %s was dispatched and is refused as not run", t.Offer.ID())
+	l.metrics.refused(refusal)
+	if l.attempts[t.Offer.ID()] == t {
+		delete(l.attempts, t.Offer.ID())
+	}
 	t.stage = stageEnded
-	t.decide(Decision{Refusal: refusal})
+	t.decide(Decision{Refusal: refusal, Suspects: l.suspectsFor(refusal)})
+}
+
+// refreshCapacity tells admission what memory and the ramp allow at present.
+func (l *Loop) refreshCapacity() {
+	free := max(l.watch.total-l.holds.Tokens()-l.ledger.Foreign(), 0)
+	l.queue.SetCapacity(admission.Capacity{
+		MemoryTokens: free,
+		LimitTokens:  max(l.limiter.Limit()-l.holds.Tokens(), 0),
+		PrefillRate:  l.limiter.PrefillRate(),
+		DecodeRate:   l.decode,
+	})
+}
+
+// start runs a call to the engine outside the loop.
+func (l *Loop) start(call func(ctx context.Context)) {
+	ctx := l.ctx
+	l.background.Go(func() { call(ctx) })
 }
 
 // send hands a message to the loop. It fails once the loop has stopped.
--- a/sidecar/control/snapshot.go
+++ b/sidecar/control/snapshot.go
@@ -1,17 +1,17 @@
 package control
 
 import (
-	"context"
 	"time"
 
 	"siskinstand.example/coord/admission"
-	"siskinstand.example/platform/engine"
+	"siskinstand.example/coord/suspect"
 )
 
 // State is the state of the endpoint as gateways see it.
 type State string
 
-// The states of an endpoint.
+// The states of an endpoint. A draining one takes no new work because the
+// sidecar stops, the zone is out or the host is leaving.
 const (
 	StateStarting   State = "starting"
 	StateServing    State = "serving"
@@ -19,53 +19,79 @@
 	StateEngineDown State = "engine_down"
 )
 
+// significantShare is the change of load, as a share of the endpoint's memory,
+// that gateways hear of before the next regular report.
+const significantShare = 0.1
+
+// suspectRefresh is the time after which published suspects are collected
+// again, so that their ages stay right.
+const suspectRefresh = time.Second
+
 // Snapshot is what traffic goroutines may know of the loop.
 type Snapshot struct {
-	State State
-	Load  admission.Load
-	// Capacity is what admission may use.
+	State    State
+	Load     admission.Load
 	Capacity admission.Capacity
-	Model    string
-	Revision uint64
-	// Changed is closed when a snapshot that differs significantly follows.
+	// TotalTokens is the engine's memory, HeldTokens the part held for groups.
+	TotalTokens int64
+	HeldTokens  int64
+	Model       string
+	Slice       Slice
+	Suspects    []suspect.Report
+	// Changed is closed when a snapshot that differs significantly from this
+	// one follows.
 	Changed chan struct{}
+
+	suspectsAt time.Time
 }
 
 // Snapshot returns the latest snapshot.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
-func (l *Loop) publish(_ time.Time) {
-	old := l.snapshot.Load()
-	next := *old
-	next.State = l.state
-	next.Load = l.queue.Load()
-	significant := next.State != old.State
-	if significant {
-		next.Changed = make(chan struct{})
-	}
-	l.snapshot.Store(&next)
-	if significant {
-		close(old.Changed)
+func (l *Loop) state() State {
+	switch {
+	case l.phase == phaseDown:
+		return StateEngineDown
+	case l.draining || l.slice.ZoneOut || l.slice.HostLeaving:
+		return StateDraining
+	case l.phase == phaseStarting:
+		return StateStarting
+	default:
+		return StateServing
 	}
 }
 
-func (l *Loop) reconcile(ctx context.Context) {
-	for ctx.Err() == nil {
-		state, err := l.config.Engine.State(ctx)
-		if err == nil && state.Ready {
-			_ = l.send(engineMessage{state})
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
+func (l *Loop) publish() {
+	now := time.Now()
+	old := l.snapshot.Load()
+	next := &Snapshot{
+		State: l.state(), Load: l.queue.Load(), TotalTokens: l.watch.total, HeldTokens: l.holds.Tokens(), Model: l.watch.model,
+		Slice: l.slice, Changed: old.Changed, Suspects: old.Suspects, suspectsAt: old.suspectsAt,
+		Capacity: admission.Capacity{
+			MemoryTokens: max(l.watch.total-l.holds.Tokens()-l.ledger.Foreign(), 0),
+			LimitTokens:  l.limiter.Limit(), PrefillRate: l.limiter.PrefillRate(), DecodeRate: l.decode,
+		},
+	}
+	if now.Sub(old.suspectsAt) >= suspectRefresh || len(old.Suspects) != min(l.suspects.Len(), maxReports) || next.State != old.State {
+		next.Suspects = l.suspects.Reports(now, maxReports)
+		next.suspectsAt = now
+	}
+	if next.differs(l.reported) {
+		next.Changed = make(chan struct{})
+		l.reported = next
+		defer close(old.Changed)
 	}
+	l.snapshot.Store(next)
+	l.metrics.gauges(next)
 }
 
-type engineMessage struct{ state engine.State }
-
-func (m engineMessage) apply(l *Loop, _ time.Time) {
-	l.state = StateServing
-	l.queue.SetCapacity(admission.Capacity{MemoryTokens: m.state.TotalTokens, LimitTokens: m.state.TotalTokens, PrefillRate: 10_000, DecodeRate: 20})
+// differs reports whether gateways should hear of a snapshot at once.
+func (s *Snapshot) differs(old *Snapshot) bool {
+	if old == nil || s.State != old.State || s.Slice != old.Slice || s.Model != old.Model || len(s.Suspects) != len(old.Suspects) {
+		return true
+	}
+	tokens := func(l admission.Load) int64 { return l.QueuedTokens + l.ReservedTokens }
+	change := max(tokens(s.Load)-tokens(old.Load), tokens(old.Load)-tokens(s.Load))
+	limit := max(s.Capacity.LimitTokens-old.Capacity.LimitTokens, old.Capacity.LimitTokens-s.Capacity.LimitTokens)
+	return float64(max(change, limit)) > significantShare*float64(s.TotalTokens)
 }
--- a/sidecar/gateway/attempt.go
+++ b/sidecar/gateway/attempt.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"time"
 
+	"siskinstand.example/coord/invariant"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
@@ -14,6 +13,12 @@
 
 type attemptStream = peerpb.Sidecar_AttemptServer
 
+// cancelTimeout bounds the order to cancel a run that has failed here.
+const cancelTimeout = 2 * time.Second
+
+// maxBudget bounds the remaining time that an offer may state.
+const maxBudget = 24 * time.Hour
+
 // Attempt runs one attempt of one request.
 func (s *Server) Attempt(stream attemptStream) error {
 	first, err := stream.Recv()
@@ -21,56 +26,78 @@
 		return err
 	}
 	a := &attempt{server: s, stream: stream, offer: first.GetOffer()}
-	if a.offer == nil {
-		return a.refuse(verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "first message must be an offer"))
-	}
-	if a.offer.BodyBytes > s.config.MaxBodyBytes {
-		return a.refuse(verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "body exceeds %d bytes", s.config.MaxBodyBytes))
+	if refusal := a.check(); refusal != nil {
+		return a.refuse(refusal, nil)
 	}
 	return a.run()
 }
 
 // attempt is the state of one Attempt stream, used by its handler only.
 type attempt struct {
-	server *Server
-	stream attemptStream
-	offer  *peerpb.Offer
-	ticket *control.Ticket
-	chunks int64
+	server   *Server
+	stream   attemptStream
+	offer    *peerpb.Offer
+	ticket   *control.Ticket
+	arrived  time.Time
+	priority int
+	chunks   int64
+	// lastChunk is the arrival of the chunk before the present one.
+	lastChunk time.Time
+	ended     bool
+}
+
+func (a *attempt) check() *verdict.Error {
+	o := a.offer
+	switch {
+	case o == nil:
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "first message must be an offer")
+	case o.Endpoint != "" && o.Endpoint != a.server.config.Endpoint:
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "offer is for endpoint %s", o.Endpoint)
+	case o.RequestId == "":
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "offer has no request identifier")
+	case o.BodyBytes > a.server.config.MaxBodyBytes || int64(len(o.Body)) > max(o.BodyBytes, 0):
+		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "body of %d bytes is not accepted; limit %d", o.BodyBytes, a.server.config.MaxBodyBytes)
+	}
+	return nil
 }
 
 func (a *attempt) run() error {
-	deadline := time.Now().Add(time.Duration(a.offer.BudgetMs) * time.Millisecond)
-	ctx, cancel := context.WithDeadline(a.stream.Context(), deadline)
-	defer cancel()
-	ticket, err := a.server.config.Loop.Offer(offerOf(a.offer, deadline))
+	a.arrived = time.Now()
+	deadline := a.arrived.Add(min(time.Duration(a.offer.BudgetMs)*time.Millisecond, maxBudget))
+	ctx, stop := context.WithDeadline(a.stream.Context(), deadline)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	own, _, _ := a.othersOf()
+	ticket, err := a.server.config.Loop.Offer(offerOf(a.offer, own, deadline))
 	if err != nil {
-		return a.refuse(asError(err))
+		return a.refuse(asError(err), nil)
 	}
 	a.ticket = ticket
 	in := newInput(a.offer)
 	go in.read(a.stream, cancel)
-	if refusal := a.await(ctx, in); refusal != nil {
-		return a.refuse(refusal)
+	if refused := a.await(ctx, in); refused != nil {
+		return a.refuse(refused.Refusal, refused.Suspects)
 	}
 	if refusal := a.server.config.Loop.Dispatch(ticket); refusal != nil {
-		return a.refuse(refusal)
+		return a.refuse(refusal, nil)
 	}
-	return a.runEngine(ctx, deadline, in)
+	return a.runEngine(ctx, cancel, deadline, in)
 }
 
-// await returns once the attempt may be dispatched, or why it may not be.
-func (a *attempt) await(ctx context.Context, in *input) *verdict.Error {
+// await returns nil once the attempt may be dispatched, or why it may not be.
+func (a *attempt) await(ctx context.Context, in *input) *control.Decision {
 	ready := (<-chan struct{})(nil)
 	expired := (<-chan time.Time)(nil)
 	for {
 		select {
 		case d := <-a.ticket.Decisions():
 			if d.Refusal != nil {
-				return d.Refusal
+				return &d
 			}
+			a.priority = d.Priority
 			if err := a.sendAdmitted(); err != nil {
-				return a.giveUp("gateway is gone")
+				return a.giveUp(verdict.ReasonCancelled, "gateway is gone")
 			}
 			if !a.ticket.Offer.StartRequired() {
 				return nil
@@ -80,100 +107,94 @@
 		case <-ready:
 			return nil
 		case <-expired:
-			return a.giveUp("no start within " + control.StartLimit.String())
+			return a.giveUp(verdict.ReasonCancelled, "no start within "+control.StartLimit.String())
 		case <-ctx.Done():
-			return a.giveUp("attempt was cancelled or its deadline passed")
+			return a.giveUp(a.whyEnded(ctx))
 		}
 	}
 }
 
+func (a *attempt) whyEnded(ctx context.Context) (verdict.Reason, string) {
+	if ctx.Err() == context.DeadlineExceeded {
+		return verdict.ReasonDeadlinePast, "deadline passed in the queue"
+	}
+	return verdict.ReasonCancelled, "gateway cancelled the attempt"
+}
+
 // giveUp ends an attempt that was not dispatched.
-func (a *attempt) giveUp(message string) *verdict.Error {
+func (a *attempt) giveUp(reason verdict.Reason, message string) *control.Decision {
+	v := verdict.MayHaveRun
 	if a.server.config.Loop.Cancel(a.ticket) {
-		return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "%s", message)
+		v = verdict.NotRun
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "%s", message)
+	return &control.Decision{Refusal: verdict.New(v, reason, "%s", message)}
 }
 
-func (a *attempt) runEngine(ctx context.Context, deadline time.Time, in *input) error {
-	loop := a.server.config.Loop
-	result, err := a.server.config.Engine.Run(ctx, a.request(deadline, in), func(c engine.Chunk) error {
-		if a.chunks == 0 {
-			loop.FirstToken(a.ticket)
+func (a *attempt) runEngine(ctx context.Context, cancel context.CancelCauseFunc, deadline time.Time, in *input) error {
+	watched := make(chan struct{})
+	defer close(watched)
+	go func() {
+		select {
+		case <-a.ticket.Aborted():
+			cancel(verdict.New(verdict.MayHaveRun, verdict.ReasonEngineDown, "engine died"))
+		case <-watched:
 		}
-		return a.sendChunk(c)
-	})
+	}()
+	release := a.leadGroup(ctx, cancel)
+	result, err := a.callEngine(ctx, deadline, in)
+	a.ended = true
+	release()
 	if err != nil {
-		cancelCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+		err = causeOf(ctx, err)
+		cancelCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 		_ = a.server.config.Engine.Cancel(cancelCtx, a.ticket.Offer.ID())
-		cancel()
+		stop()
 	}
-	loop.Done(a.ticket, result.OutputTokens, err)
+	suspects := a.server.config.Loop.Done(a.ticket, result.OutputTokens, err)
+	a.server.burn.answered(a, err)
 	if err != nil {
-		return a.fail(err)
+		return a.fail(err, suspects)
 	}
 	return a.sendFinal(result)
 }
 
+func (a *attempt) callEngine(ctx context.Context, deadline time.Time, in *input) (engine.Result, error) {
+	own, _, members := a.othersOf()
+	if own != nil {
+		// The run reserves the memory itself and would not find it free.
+		_ = a.server.config.Engine.Free(ctx, own.HoldId)
+	}
+	request := a.request(deadline, in)
+	request.Members = members
+	return a.server.config.Engine.Run(ctx, request, func(c engine.Chunk) error {
+		a.measure()
+		if !a.server.config.Invariants.Check(!a.ended, invariant.StreamIdentity, "chunk of attempt %s after its end", a.ticket.Offer.ID()) {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "chunk after the end")
+		}
+		return a.sendChunk(c)
+	})
+}
+
+// measure counts the service level of one chunk.
+func (a *attempt) measure() {
+	now := time.Now()
+	if a.chunks == 0 {
+		a.server.config.Loop.FirstToken(a.ticket)
+		a.server.burn.firstToken(a)
+	} else {
+		a.server.burn.tokenGap(a, now.Sub(a.lastChunk))
+	}
+	a.lastChunk = now
+}
+
 func (a *attempt) request(deadline time.Time, in *input) engine.Request {
 	r := engine.Request{
 		AttemptID: a.ticket.Offer.ID(), Model: a.offer.Model, Method: a.offer.Method, Path: a.offer.Path,
 		Body: in.body, PromptTokens: a.offer.PromptTokens, MaxOutputTokens: a.offer.MaxOutputTokens,
-		ResumeText: a.offer.ResumeText, Deadline: deadline,
+		Priority: a.priority, ResumeText: a.offer.ResumeText, Deadline: deadline,
 	}
 	for _, h := range a.offer.Headers {
 		r.Header = append(r.Header, engine.Header{Name: h.Name, Value: h.Value})
 	}
 	return r
 }
-
-// cancelTimeout bounds the order to cancel a run that has failed here.
-const cancelTimeout = 2 * time.Second
-
-// input collects the messages that follow the offer.
-type input struct {
-	body    []byte
-	want    int64
-	started bool
-	whole   bool
-	ready   chan struct{}
-}
-
-func newInput(o *peerpb.Offer) *input {
-	inline := int64(len(o.Body)) >= o.BodyBytes
-	return &input{body: o.Body, want: o.BodyBytes, whole: inline, ready: make(chan struct{})}
-}
-
-// read runs until the stream ends. The body is published by closing ready, so
-// no other goroutine reads it before.
-func (in *input) read(stream attemptStream, cancel context.CancelFunc) {
-	signalled := false
-	for {
-		m, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil || m.GetCancel() != nil || !in.accept(m, signalled) {
-			cancel()
-			return
-		}
-		if in.started && in.whole && !signalled {
-			signalled = true
-			close(in.ready)
-		}
-	}
-}
-
-func (in *input) accept(m *peerpb.AttemptRequest, signalled bool) bool {
-	if m.GetStart() != nil {
-		in.started = true
-		return true
-	}
-	body := m.GetBody()
-	if body == nil || signalled || in.whole || int64(len(in.body)+len(body.Data)) > in.want {
-		return false
-	}
-	in.body = append(in.body, body.Data...)
-	in.whole = body.Last
-	return !in.whole || int64(len(in.body)) == in.want
-}
--- a/sidecar/gateway/attempt_test.go
+++ b/sidecar/gateway/attempt_test.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"siskinstand.example/coord/admission"
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/sidecar/control"
@@ -18,19 +17,32 @@
 type fixture struct {
 	engine     *memoryEngine
 	loop       *control.Loop
+	members    *fakeMembers
 	client     peerpb.SidecarClient
+	peer       peerpb.PeerClient
 	invariants *invariant.Registry
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{engine: newMemoryEngine(), invariants: invariant.NewRegistry(nil)}
-	f.loop = control.New(control.Config{
-		Endpoint: "e1", Zone: "z1", ProcessID: "p1", Incarnation: 1, Engine: f.engine,
-		Admission: admission.DefaultConfig(), Invariants: f.invariants,
-	})
+	return newFixtureWith(t, func(*memoryEngine) {})
+}
+
+func newFixtureWith(t *testing.T, prepare func(*memoryEngine)) *fixture {
+	t.Helper()
+	f := &fixture{engine: newMemoryEngine(), invariants: invariant.NewRegistry(nil), members: &fakeMembers{}}
+	prepare(f.engine)
+	c := control.DefaultConfig()
+	c.Endpoint, c.Zone, c.ProcessID, c.Incarnation = "e1", "z1", "p1", 1
+	c.Engine, c.Invariants = f.engine, f.invariants
+	f.loop = control.New(c)
 	server := grpc.NewServer()
-	peerpb.RegisterSidecarServer(server, New(Config{Loop: f.loop, Engine: f.engine, ProcessID: "p1", Incarnation: 1, Zone: "z1", MaxBodyBytes: 1 << 20}))
+	service := New(Config{
+		Loop: f.loop, Engine: f.engine, Invariants: f.invariants, Members: f.members, Endpoint: "e1", EngineAddress: "127.0.0.1:1",
+		ProcessID: "p1", Incarnation: 1, Zone: "z1", MaxBodyBytes: 1 << 20,
+	})
+	peerpb.RegisterSidecarServer(server, service)
+	peerpb.RegisterPeerServer(server, service)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -42,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.client = peerpb.NewSidecarClient(conn)
+	f.client, f.peer = peerpb.NewSidecarClient(conn), peerpb.NewPeerClient(conn)
 	t.Cleanup(func() {
 		conn.Close()
 		server.Stop()
--- a/sidecar/gateway/engine_test.go
+++ b/sidecar/gateway/engine_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"siskinstand.example/coord/group"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform/engine"
 )
@@ -24,6 +25,28 @@
 	block chan struct{}
 }
 
+// fakeMembers answers for the other members of a group.
+type fakeMembers struct {
+	mu       sync.Mutex
+	lost     bool
+	renewed  int
+	released int
+}
+
+func (m *fakeMembers) Renew(context.Context, group.Member, string, time.Duration) (bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.renewed++
+	return !m.lost, nil
+}
+
+func (m *fakeMembers) Release(context.Context, group.Member) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.released++
+	return nil
+}
+
 func newMemoryEngine() *memoryEngine {
 	return &memoryEngine{runs: map[string]int{}, pieces: map[string]engine.Piece{}}
 }
@@ -113,3 +136,17 @@
 }
 
 func (e *memoryEngine) Apply(context.Context, engine.Order) error { return nil }
+
+// crash loses everything that runs and comes back as another incarnation.
+func (e *memoryEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation++
+	e.pieces = map[string]engine.Piece{}
+}
+
+func (e *memoryEngine) ran(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
--- a/sidecar/gateway/events.go
+++ b/sidecar/gateway/events.go
@@ -4,19 +4,24 @@
 	"errors"
 	"time"
 
+	"siskinstand.example/coord/suspect"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
 	"siskinstand.example/sidecar/control"
 )
 
-func offerOf(o *peerpb.Offer, deadline time.Time) control.Offer {
-	return control.Offer{
+func offerOf(o *peerpb.Offer, own *peerpb.GroupMember, deadline time.Time) control.Offer {
+	offer := control.Offer{
 		RequestID: o.RequestId, Attempt: o.Attempt, Account: o.Account, Weight: o.AccountWeight,
 		PromptTokens: o.PromptTokens, MaxOutputTokens: o.MaxOutputTokens, Deadline: deadline,
 		Fingerprint: o.Fingerprint, Repeatable: o.Repeatable, Isolated: o.Isolated,
 		BodyFollows: int64(len(o.Body)) < o.BodyBytes, Revision: o.GetSender().GetConfigRevision(),
 	}
+	if own != nil {
+		offer.HoldID = own.HoldId
+	}
+	return offer
 }
 
 func asError(err error) *verdict.Error {
@@ -29,15 +34,16 @@
 
 func (a *attempt) event() *peerpb.AttemptEvent {
 	return &peerpb.AttemptEvent{
-		Sender: a.server.sender(), Load: a.server.load(),
+		Sender: a.server.sender(), Load: loadOf(a.server.config.Loop.Snapshot()),
 		RequestId: a.offer.GetRequestId(), Attempt: a.offer.GetAttempt(),
 	}
 }
 
-func (a *attempt) refuse(e *verdict.Error) error {
+func (a *attempt) refuse(e *verdict.Error, suspects []suspect.Report) error {
 	event := a.event()
 	event.Kind = &peerpb.AttemptEvent_Refused{Refused: &peerpb.Refused{
 		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds(),
+		Suspects: suspectsOf(suspects),
 	}}
 	return a.stream.Send(event)
 }
@@ -70,11 +76,12 @@
 	return a.stream.Send(event)
 }
 
-func (a *attempt) fail(err error) error {
+func (a *attempt) fail(err error, suspects []suspect.Report) error {
 	e := asError(err)
 	event := a.event()
 	event.Kind = &peerpb.AttemptEvent_Failed{Failed: &peerpb.Failed{
 		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message,
+		Suspects: suspectsOf(suspects),
 	}}
 	return a.stream.Send(event)
 }
--- /dev/null
+++ b/sidecar/gateway/hold.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"siskinstand.example/coord/group"
+	"siskinstand.example/peerpb"
+)
+
+// Hold reserves memory for one member of a group.
+func (s *Server) Hold(ctx context.Context, r *peerpb.HoldRequest) (*peerpb.HoldResponse, error) {
+	hold := group.Hold{ID: r.HoldId, Group: r.GroupId, Account: r.Account, Tokens: r.Tokens}
+	response := &peerpb.HoldResponse{EngineAddress: s.config.EngineAddress}
+	refusal := s.config.Loop.Hold(ctx, hold, time.Duration(r.TtlMs)*time.Millisecond)
+	response.Sender = s.sender()
+	if refusal != nil {
+		response.Reason = string(refusal.Reason)
+		response.RetryAfterMs = refusal.RetryAfter.Milliseconds()
+		return response, nil
+	}
+	response.Held = true
+	return response, nil
+}
+
+// ReleaseHold ends a hold.
+func (s *Server) ReleaseHold(_ context.Context, r *peerpb.ReleaseHoldRequest) (*peerpb.ReleaseHoldResponse, error) {
+	s.config.Loop.ReleaseHold(r.HoldId)
+	return &peerpb.ReleaseHoldResponse{Sender: s.sender()}, nil
+}
--- /dev/null
+++ b/sidecar/gateway/peer.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"context"
+
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/peerpb"
+)
+
+// Status describes this sidecar and its endpoint to the operators' command.
+func (s *Server) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	snapshot := s.config.Loop.Snapshot()
+	response := &peerpb.StatusResponse{
+		Sender: s.sender(), Role: "sidecar", State: string(snapshot.State),
+		Endpoints: []*peerpb.EndpointStatus{{
+			Endpoint: s.config.Endpoint, Zone: s.config.Zone, Pool: snapshot.Slice.Pool,
+			State: string(snapshot.State), Load: loadOf(snapshot), ConfigRevision: snapshot.Slice.Revision,
+		}},
+	}
+	for _, name := range invariant.Names() {
+		if n := s.config.Invariants.Count(name); n > 0 {
+			response.Alarms = append(response.Alarms, &peerpb.Alarm{
+				Name: string(name), Message: s.config.Invariants.Last(name), Count: n,
+			})
+		}
+	}
+	return response, nil
+}
+
+// Burn returns the service levels measured at this endpoint.
+func (s *Server) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
+	return &peerpb.BurnResponse{Sender: s.sender(), Series: s.burn.series()}, nil
+}
--- a/sidecar/gateway/server.go
+++ b/sidecar/gateway/server.go
@@ -2,6 +2,7 @@
 package gateway
 
 import (
+	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
 	"siskinstand.example/sidecar/control"
@@ -9,37 +10,43 @@
 
 // Config builds a Server.
 type Config struct {
-	Loop         *control.Loop
-	Engine       engine.Engine
-	ProcessID    string
-	Incarnation  uint64
-	Zone         string
-	MaxBodyBytes int64
+	Loop          *control.Loop
+	Engine        engine.Engine
+	Members       Members
+	Invariants    *invariant.Registry
+	Endpoint      string
+	EngineAddress string
+	ProcessID     string
+	Incarnation   uint64
+	Zone          string
+	MaxBodyBytes  int64
 }
 
-// Server implements the Sidecar service.
+// Server implements the Sidecar service and the Status and Burn calls of Peer.
 type Server struct {
 	peerpb.UnimplementedSidecarServer
+	peerpb.UnimplementedPeerServer
 	config Config
+	burn   *burn
 }
 
 // New returns a server.
-func New(c Config) *Server { return &Server{config: c} }
+func New(c Config) *Server { return &Server{config: c, burn: newBurn()} }
 
 func (s *Server) sender() *peerpb.Sender {
 	return &peerpb.Sender{
 		ProcessId: s.config.ProcessID, Incarnation: s.config.Incarnation, Zone: s.config.Zone,
-		ConfigRevision: s.config.Loop.Snapshot().Revision,
+		ConfigRevision: s.config.Loop.Snapshot().Slice.Revision,
 	}
 }
 
-func (s *Server) load() *peerpb.Load {
-	snapshot := s.config.Loop.Snapshot()
+func loadOf(s *control.Snapshot) *peerpb.Load {
+	used := s.Load.ReservedTokens
 	return &peerpb.Load{
-		QueuedTokens: snapshot.Load.QueuedTokens, RunningTokens: snapshot.Load.ReservedTokens,
-		QueuedRequests: int32(snapshot.Load.QueuedItems), RunningRequests: int32(snapshot.Load.RunningItems),
-		MemoryTotalTokens: snapshot.Capacity.MemoryTokens, LimitTokens: snapshot.Capacity.LimitTokens,
-		MemoryFreeTokens:       max(snapshot.Capacity.MemoryTokens-snapshot.Load.ReservedTokens, 0),
-		PrefillTokensPerSecond: int64(snapshot.Capacity.PrefillRate),
+		QueuedTokens: s.Load.QueuedTokens, RunningTokens: used,
+		QueuedRequests: int32(s.Load.QueuedItems), RunningRequests: int32(s.Load.RunningItems),
+		MemoryTotalTokens: s.TotalTokens, LimitTokens: s.Capacity.LimitTokens,
+		MemoryFreeTokens:       max(s.Capacity.MemoryTokens-used, 0),
+		PrefillTokensPerSecond: int64(s.Capacity.PrefillRate),
 	}
 }
