--- a/sidecar/gateway/group.go
+++ b/sidecar/gateway/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -120,7 +121,8 @@
 
 // causeOf returns the verdict with which a run was cancelled here, if any.
 func causeOf(ctx context.Context, err error) error {
-	if e, ok := context.Cause(ctx).(*verdict.Error); ok {
+	var e *verdict.Error
+	if errors.As(context.Cause(ctx), &e) {
 		return e
 	}
 	return err
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -1,4 +1,49 @@
-// Command siskin-sidecar is part of siskinstand.
+// Command siskin-sidecar admits work to the endpoint on its host.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"siskinstand.example/service/logging"
+	"siskinstand.example/sidecar/config"
+)
+
+type options struct {
+	Config string `long:"config" value-name:"FILE" default:"sidecar.ini" description:"settings file"`
+	Check  bool   `long:"check" description:"check the settings file and exit"`
+	Sample bool   `long:"sample" description:"print a commented settings file and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := start(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func start(o options) error {
+	if o.Sample {
+		fmt.Print(config.Sample())
+		return nil
+	}
+	s, err := config.Load(o.Config)
+	if err != nil || o.Check {
+		return err
+	}
+	if err := logging.Setup(s.Logging); err != nil {
+		return err
+	}
+	return run(s)
+}
--- /dev/null
+++ b/sidecar/run_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/service/metrics"
+	"siskinstand.example/sidecar/admin"
+	"siskinstand.example/sidecar/config"
+	"siskinstand.example/sidecar/control"
+)
+
+// Guards against a --check that accepts what the program would refuse.
+func TestCheckNamesTheMistake(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "sidecar.ini")
+	text := strings.Replace(config.Sample(), "# kind = model", "kind = something", 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err := start(options{Config: path, Check: true})
+	if err == nil || !strings.Contains(err.Error(), "accepted: model, plain") {
+		t.Errorf("start() = %v, want the accepted values", err)
+	}
+}
+
+// Guards against a sidecar that is ready before its engine answers, and
+// against a violation that no metric shows.
+func TestAdminShowsStateAndViolations(t *testing.T) {
+	m, err := metrics.New(metrics.Config{Prefix: "sidecar", ProcessID: "p", Zone: "z"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	invariants := newInvariants("e1", m)
+	c := control.DefaultConfig()
+	c.Invariants = invariants
+	handler := admin.NewHandler(control.New(c), m.Handler)
+	get := func(path string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequestWithContext(context.Background(), http.MethodGet, path, nil))
+		return recorder
+	}
+	if code := get("/readyz").Code; code != http.StatusServiceUnavailable {
+		t.Errorf("/readyz = %d before the engine was seen, want 503", code)
+	}
+	if code := get("/healthz").Code; code != http.StatusOK {
+		t.Errorf("/healthz = %d, want 200", code)
+	}
+	invariants.Check(false, invariant.ZoneOut, "violated on purpose")
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if body := get("/metrics").Body.String(); !strings.Contains(body, `sidecar_invariant_violations{name="zone_out"`) {
+		t.Errorf("/metrics lacks the violation:\n%s", body)
+	}
+}
