--- /dev/null
+++ b/coord/admission/queue_test.go
@@ -0,0 +1,164 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+)
+
+var start = time.Unix(1_000, 0)
+
+func newQueue(c Capacity) *Queue {
+	q := New(DefaultConfig())
+	q.SetCapacity(c)
+	return q
+}
+
+func item(id, account string, prompt int64) Item {
+	return Item{ID: id, Account: account, PromptTokens: prompt, OutputTokens: 100, Deadline: start.Add(time.Hour), Weight: 1}
+}
+
+func offerAll(t *testing.T, q *Queue, now time.Time, items ...Item) {
+	t.Helper()
+	for _, i := range items {
+		if refusal := q.Offer(now, i); refusal != nil {
+			t.Fatalf("offer %s: %v", i.ID, refusal)
+		}
+	}
+}
+
+// serve runs the queue with one running item at a time and returns the tokens
+// that each account gets until the total is reached.
+func serve(q *Queue, total int64) map[string]int64 {
+	served := map[string]int64{}
+	now := start
+	for sum := int64(0); sum < total; now = now.Add(time.Millisecond) {
+		for _, o := range q.Admit(now) {
+			served[o.Item.Account] += o.Item.Cost()
+			sum += o.Item.Cost()
+			q.Finish(now, o.Item.ID, 0)
+		}
+	}
+	return served
+}
+
+// Guards against an account that gains by many or by long requests.
+func TestAccountsShareByWeight(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 70_000, LimitTokens: 70_000})
+	for i := range 1_000 {
+		heavy := item(fmt.Sprint("heavy", i), "heavy", 3_900)
+		light := item(fmt.Sprint("light", i), "light", 900)
+		light.Weight = 2
+		offerAll(t, q, start, heavy, light)
+	}
+	served := serve(q, 900_000)
+	if ratio := float64(served["light"]) / float64(served["heavy"]); ratio < 1.8 || ratio > 2.2 {
+		t.Errorf("served %v, want twice as much for light", served)
+	}
+}
+
+// Guards against long work that keeps short work out of memory, or that does
+// not borrow what short work leaves.
+func TestLongWorkBorrowsButYields(t *testing.T) {
+	c := Capacity{MemoryTokens: 1_000_000, LimitTokens: 1_000_000}
+	q := newQueue(c)
+	offerAll(t, q, start, item("l1", "a", 300_000))
+	if got := len(q.Admit(start)); got != 1 {
+		t.Fatalf("admitted %d, want the long item", got)
+	}
+	q.FirstToken(start, "l1")
+	q.SetCapacity(Capacity{MemoryTokens: 1_000_000, LimitTokens: 300_500})
+	offerAll(t, q, start, item("l2", "a", 300_000), item("s1", "b", 1_000))
+	q.SetCapacity(c)
+	now := start.Add(time.Second)
+	if out := q.Admit(now); len(out) != 2 || out[0].Item.ID != "s1" {
+		t.Fatalf("admitted %+v, want s1 and then l2 by borrowing", out)
+	}
+}
+
+// Guards against a long item that waits without bound below sustained short
+// load.
+func TestAgedLongItemGetsMemory(t *testing.T) {
+	const step, arrivals, finishes = 20 * time.Millisecond, 30, 20
+	q := newQueue(Capacity{MemoryTokens: 1_000_000, LimitTokens: 1_000_000})
+	running := []string{}
+	for n := range 2_000 {
+		now := start.Add(time.Duration(n) * step)
+		for i := range arrivals {
+			s := item(fmt.Sprint("s", n, "/", i), "b", 4_000)
+			s.Deadline = now.Add(2 * time.Second)
+			_ = q.Offer(now, s)
+		}
+		if n == 100 {
+			offerAll(t, q, now, item("long", "a", 700_000))
+		}
+		for _, o := range q.Admit(now) {
+			if o.Item.ID == "long" && o.Waited <= q.config.AgeBound+5*time.Second {
+				return
+			}
+			if o.Refusal == nil {
+				running = append(running, o.Item.ID)
+				q.FirstToken(now, o.Item.ID)
+			}
+		}
+		for _, id := range running[:min(finishes, len(running))] {
+			q.Finish(now, id, 100)
+		}
+		running = running[min(finishes, len(running)):]
+	}
+	t.Error("the long item was not admitted within 5 s of the age bound")
+}
+
+// Guards against work that is queued although it cannot meet its deadline.
+func TestOfferRefusesHopelessWork(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 100_000, PrefillRate: 1_000, DecodeRate: 10})
+	tests := map[string]struct {
+		item   Item
+		reason verdict.Reason
+	}{
+		"past":       {Item{ID: "1", PromptTokens: 1, Deadline: start}, verdict.ReasonDeadlinePast},
+		"slow":       {Item{ID: "2", PromptTokens: 50_000, Deadline: start.Add(40 * time.Second)}, verdict.ReasonDeadlineTooNear},
+		"too long":   {Item{ID: "3", PromptTokens: 100_001, Deadline: start.Add(time.Hour)}, verdict.ReasonTooLong},
+		"no tokens":  {Item{ID: "4", Deadline: start.Add(time.Hour)}, verdict.ReasonBadRequest},
+		"overflow":   {Item{ID: "5", PromptTokens: 1 << 62, OutputTokens: 1 << 62, Deadline: start.Add(time.Hour)}, verdict.ReasonBadRequest},
+		"known":      {Item{ID: "here", PromptTokens: 10, Deadline: start.Add(time.Hour)}, verdict.ReasonDuplicate},
+		"no backlog": {Item{ID: "6", Account: "z", PromptTokens: 10, Deadline: start.Add(time.Second)}, ""},
+	}
+	offerAll(t, q, start, item("here", "a", 50_000))
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := verdict.Reason("")
+			if refusal := q.Offer(start, tc.item); refusal != nil {
+				got = refusal.Reason
+			}
+			if got != tc.reason {
+				t.Errorf("reason = %q, want %q", got, tc.reason)
+			}
+		})
+	}
+}
+
+// Guards against refused callers that all return at the same time, and against
+// a prediction that ignores the backlog.
+func TestRefusalsSpreadCallers(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 100_000, PrefillRate: 1_000})
+	for i := range 20 {
+		offerAll(t, q, start, item(fmt.Sprint(i), "a", 4_000))
+	}
+	times := map[time.Duration]bool{}
+	for i := range 50 {
+		late := item("late", "a", 4_000)
+		late.Deadline = start.Add(30 * time.Second)
+		late.Fingerprint = uint64(i)
+		refusal := q.Offer(start, late)
+		if refusal == nil {
+			t.Fatal("an item behind 80 s of prefill was queued with 30 s left")
+		}
+		times[refusal.RetryAfter.Round(time.Second)] = true
+	}
+	if len(times) < 10 {
+		t.Errorf("retry times fall into %d seconds, want at least 10", len(times))
+	}
+}
--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -70,8 +71,10 @@
 	baseline  float64
 	rate      float64
 	flights   map[string]*flight
-	lastCut   time.Time
-	evidence  time.Time
+	// pending sums the prompts of flights by the binary length of the prompt.
+	pending  [65]int64
+	lastCut  time.Time
+	evidence time.Time
 	// warm counts the prompt tokens that came on time since the last cut.
 	warm int64
 }
@@ -99,6 +102,7 @@
 	l.limit = float64(l.config.FloorTokens)
 	l.threshold = float64(l.config.CeilingTokens)
 	l.flights = map[string]*flight{}
+	clear(l.pending[:])
 	l.lastCut, l.evidence = now, now
 	l.warm = 0
 }
@@ -115,17 +119,27 @@
 func (l *Limiter) Admitted(now time.Time, id string, promptTokens, cost, inFlight int64) {
 	f := &flight{admitted: now, prompt: promptTokens, cost: cost, utilised: float64(inFlight) >= l.limit/2}
 	f.work = float64(promptTokens)
-	for _, other := range l.flights {
-		// Longer prompts have a lower priority in the engine.
-		if other.prompt <= 4*promptTokens {
-			f.work += float64(other.prompt)
-		}
+	// Prompts of more than four times the length have a lower priority in the
+	// engine.
+	for _, tokens := range l.pending[:min(sizeOf(promptTokens)+3, len(l.pending))] {
+		f.work += float64(tokens)
 	}
 	f.expected = l.config.BaseLatency
 	if l.baseline > 0 {
 		f.expected += time.Duration(f.work / l.baseline * float64(time.Second))
 	}
+	l.remove(id)
 	l.flights[id] = f
+	l.pending[sizeOf(promptTokens)] += promptTokens
+}
+
+func sizeOf(promptTokens int64) int { return bits.Len64(uint64(max(promptTokens, 0))) }
+
+func (l *Limiter) remove(id string) {
+	if f := l.flights[id]; f != nil {
+		l.pending[sizeOf(f.prompt)] -= f.prompt
+		delete(l.flights, id)
+	}
 }
 
 // FirstToken is the evidence of one item.
@@ -134,7 +148,7 @@
 	if f == nil {
 		return
 	}
-	delete(l.flights, id)
+	l.remove(id)
 	elapsed := now.Sub(f.admitted)
 	known := l.baseline > 0
 	l.learn(f, elapsed)
@@ -197,7 +211,7 @@
 // Ended forgets an item. A failure of the engine lowers the limit, because a
 // cold endpoint fails under load that a warm one takes.
 func (l *Limiter) Ended(now time.Time, id string, engineFailed bool) {
-	delete(l.flights, id)
+	l.remove(id)
 	if engineFailed {
 		l.cut(now, lateFactor)
 	}
--- /dev/null
+++ b/coord/ramp/ramp_test.go
@@ -0,0 +1,133 @@
+package ramp
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var start = time.Unix(1_000, 0)
+
+const tick = 100 * time.Millisecond
+
+// engine answers after the time that its speed gives, and collapses while it
+// is cold and runs more than it can handle.
+type engine struct {
+	l      *Limiter
+	now    time.Time
+	rate   float64
+	cold   int64
+	excess int
+	ticked time.Time
+}
+
+// round admits as many prompts as the limit allows and ends them all.
+func (e *engine) round(prompt int64) {
+	cost := prompt + 96
+	rate := e.rate
+	n := max(e.l.Limit()/cost, 1)
+	if e.cold > 0 && n*cost > e.cold {
+		rate /= 50
+		e.excess++
+	}
+	for i := range n {
+		e.l.Admitted(e.now, fmt.Sprint(i), prompt, cost, (i+1)*cost)
+	}
+	begin := e.now
+	for i := range n {
+		due := begin.Add(time.Duration(float64((i+1)*prompt)/rate*1e9) + 20*time.Millisecond)
+		for e.now.Before(due) {
+			e.now = e.now.Add(min(due.Sub(e.now), tick))
+			if e.now.Sub(e.ticked) >= tick {
+				e.ticked = e.now
+				e.l.Tick(e.now)
+			}
+		}
+		e.l.FirstToken(e.now, fmt.Sprint(i))
+		e.l.Ended(e.now, fmt.Sprint(i), false)
+	}
+}
+
+// Guards against a returning endpoint that gets more than it can handle, or
+// that never reaches its capacity.
+func TestColdEndpointIsNotOverloaded(t *testing.T) {
+	e := &engine{l: New(start, DefaultConfig(600_000, 50_000)), now: start, rate: 50_000, cold: 16_000}
+	for prefilled := int64(0); prefilled < 100_000; prefilled += max(e.l.Limit()/1_096, 1) * 1_000 {
+		e.round(1_000)
+	}
+	if e.excess != 0 {
+		t.Errorf("%d rounds ran above what the cold endpoint handles", e.excess)
+	}
+	e.cold = 0
+	for range 200 {
+		e.round(1_000)
+	}
+	if e.l.Limit() < 300_000 {
+		t.Errorf("limit = %d after 200 rounds on a warm endpoint, want at least half its memory", e.l.Limit())
+	}
+}
+
+// Guards against a limit that stays high when a warm endpoint turns cold.
+func TestWarmEndpointTurnsCold(t *testing.T) {
+	e := &engine{l: New(start, DefaultConfig(600_000, 50_000)), now: start, rate: 50_000}
+	for range 300 {
+		e.round(1_000)
+	}
+	before := e.l.Limit()
+	e.cold = 16_000
+	turned := e.now
+	e.round(1_000)
+	if e.l.Limit() > before/4 {
+		t.Errorf("limit fell from %d to %d within %s, want a quarter at most", before, e.l.Limit(), e.now.Sub(turned))
+	}
+}
+
+// Guards against an expectation that is off by two, as engines and length
+// estimates are, and keeps the limit at the floor.
+func TestNominalRateOffByTwo(t *testing.T) {
+	for _, nominal := range []float64{0, 25_000, 50_000, 100_000} {
+		e := &engine{l: New(start, DefaultConfig(600_000, nominal)), now: start, rate: 50_000}
+		for range 300 {
+			e.round(1_000)
+		}
+		if e.l.Limit() < 100_000 {
+			t.Errorf("nominal rate %g: limit = %d after 300 rounds", nominal, e.l.Limit())
+		}
+	}
+}
+
+// Guards against a limit outside its bounds after any sequence of evidence.
+func TestLimitStaysInBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := DefaultConfig(rapid.Int64Range(1_000, 1_000_000).Draw(t, "memory"), rapid.SampledFrom([]float64{0, 100, 50_000}).Draw(t, "rate"))
+		now := start
+		l := New(now, c)
+		id := func(t *rapid.T) string { return rapid.StringMatching("[a-e]").Draw(t, "id") }
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				prompt := rapid.Int64Range(1, 1_000_000).Draw(t, "prompt")
+				l.Admitted(now, id(t), prompt, prompt+10, rapid.Int64Range(prompt, 2_000_000).Draw(t, "in flight"))
+			},
+			"first": func(t *rapid.T) { l.FirstToken(now, id(t)) },
+			"end":   func(t *rapid.T) { l.Ended(now, id(t), rapid.Bool().Draw(t, "failed")) },
+			"reset": func(*rapid.T) { l.Reset(now) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.Int64Range(0, 400_000).Draw(t, "ms")) * time.Millisecond)
+				l.Tick(now)
+			},
+			"": func(t *rapid.T) {
+				if l.Limit() < c.FloorTokens || l.Limit() > c.CeilingTokens {
+					t.Fatalf("limit %d is outside %d to %d", l.Limit(), c.FloorTokens, c.CeilingTokens)
+				}
+				if r := l.PrefillRate(); r < 0 || r != r {
+					t.Fatalf("prefill rate %g", r)
+				}
+			},
+		})
+	})
+}
