--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -64,24 +64,24 @@
 		t.Errorf("%d rounds ran above what the cold endpoint handles", e.excess)
 	}
 	e.cold = 0
-	for range 200 {
-		e.round(1_000)
+	for range 100 {
+		e.round(4_000)
 	}
 	if e.l.Limit() < 300_000 {
-		t.Errorf("limit = %d after 200 rounds on a warm endpoint, want at least half its memory", e.l.Limit())
+		t.Errorf("limit = %d after 100 rounds on a warm endpoint, want at least half its memory", e.l.Limit())
 	}
 }
 
 // Guards against a limit that stays high when a warm endpoint turns cold.
 func TestWarmEndpointTurnsCold(t *testing.T) {
 	e := &engine{l: New(start, DefaultConfig(600_000, 50_000)), now: start, rate: 50_000}
-	for range 300 {
-		e.round(1_000)
+	for range 150 {
+		e.round(4_000)
 	}
 	before := e.l.Limit()
 	e.cold = 16_000
 	turned := e.now
-	e.round(1_000)
+	e.round(4_000)
 	if e.l.Limit() > before/4 {
 		t.Errorf("limit fell from %d to %d within %s, want a quarter at most", before, e.l.Limit(), e.now.Sub(turned))
 	}
@@ -92,11 +92,11 @@
 func TestNominalRateOffByTwo(t *testing.T) {
 	for _, nominal := range []float64{0, 25_000, 50_000, 100_000} {
 		e := &engine{l: New(start, DefaultConfig(600_000, nominal)), now: start, rate: 50_000}
-		for range 300 {
-			e.round(1_000)
+		for range 150 {
+			e.round(4_000)
 		}
 		if e.l.Limit() < 100_000 {
-			t.Errorf("nominal rate %g: limit = %d after 300 rounds", nominal, e.l.Limit())
+			t.Errorf("nominal rate %g: limit = %d after 150 rounds", nominal, e.l.Limit())
 		}
 	}
 }
