--- a/sidecar/gateway/attempt.go
+++ b/sidecar/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"siskinstand.example/coord/invariant"
@@ -43,7 +44,8 @@
 	chunks   int64
 	// lastChunk is the arrival of the chunk before the present one.
 	lastChunk time.Time
-	ended     bool
+	// ended is read by the engine adapter, which may use its own goroutine.
+	ended atomic.Bool
 }
 
 func (a *attempt) check() *verdict.Error {
@@ -142,7 +144,7 @@
 	}()
 	release := a.leadGroup(ctx, cancel)
 	result, err := a.callEngine(ctx, deadline, in)
-	a.ended = true
+	a.ended.Store(true)
 	release()
 	if err != nil {
 		err = causeOf(ctx, err)
@@ -168,7 +170,7 @@
 	request.Members = members
 	return a.server.config.Engine.Run(ctx, request, func(c engine.Chunk) error {
 		a.measure()
-		if !a.server.config.Invariants.Check(!a.ended, invariant.StreamIdentity, "chunk of attempt %s after its end", a.ticket.Offer.ID()) {
+		if !a.server.config.Invariants.Check(!a.ended.Load(), invariant.StreamIdentity, "chunk of attempt %s after its end", a.ticket.Offer.ID()) {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "chunk after the end")
 		}
 		return a.sendChunk(c)
--- a/sidecar/gateway/attempt_test.go
+++ b/sidecar/gateway/attempt_test.go
@@ -21,6 +21,8 @@
 	client     peerpb.SidecarClient
 	peer       peerpb.PeerClient
 	invariants *invariant.Registry
+	// violated is the number of violations that the test causes on purpose.
+	violated int64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -59,8 +61,8 @@
 		conn.Close()
 		server.Stop()
 		cancel()
-		if n := f.invariants.Total(); n != 0 {
-			t.Errorf("%d invariants were violated", n)
+		if n := f.invariants.Total(); n != f.violated {
+			t.Errorf("%d invariants were violated, want %d", n, f.violated)
 		}
 	})
 	f.waitState(t, control.StateServing)
--- a/sidecar/gateway/engine_test.go
+++ b/sidecar/gateway/engine_test.go
@@ -23,6 +23,8 @@
 	// step is the pause before each chunk; block, if set, holds runs up.
 	step  time.Duration
 	block chan struct{}
+	// deliver is the receiver of the latest run.
+	deliver func(engine.Chunk) error
 }
 
 // fakeMembers answers for the other members of a group.
@@ -55,6 +57,7 @@
 	e.mu.Lock()
 	incarnation, block := e.incarnation, e.block
 	e.runs[r.AttemptID]++
+	e.deliver = deliver
 	e.pieces[r.AttemptID] = engine.Piece{ID: r.AttemptID, Kind: engine.PieceRunning, Owner: r.AttemptID, Tokens: r.PromptTokens + r.MaxOutputTokens}
 	e.mu.Unlock()
 	defer e.drop(r.AttemptID)
--- a/sidecar/gateway/faults_test.go
+++ b/sidecar/gateway/faults_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
 	"siskinstand.example/sidecar/control"
@@ -206,3 +207,19 @@
 		}
 	}
 }
+
+// Guards against a check of the stream's identity that cannot fail: an engine
+// that delivers after it has ended the run violates it.
+func TestStreamIdentityIsViolatedOnPurpose(t *testing.T) {
+	f := newFixture(t)
+	stream := f.open(t, offer("r1"))
+	for next(t, stream).GetFinal() == nil {
+	}
+	if err := f.engine.deliver(engine.Chunk{}); err == nil {
+		t.Error("a chunk after the end was accepted")
+	}
+	if n := f.invariants.Count(invariant.StreamIdentity); n != 1 {
+		t.Errorf("%d violations, want 1", n)
+	}
+	f.violated = 1
+}
