--- a/sidecar/control/property_test.go
+++ b/sidecar/control/property_test.go
@@ -96,8 +96,8 @@
 				perRequest[c.offer.RequestID] += ran
 			}
 		}
-		for _, s := range m.engine.starts {
-			if m.out && s.at.Sub(m.outSince) > placementGrace {
+		for _, at := range m.engine.starts {
+			if m.out && at.Sub(m.outSince) > placementGrace {
 				t.Fatal("work started in a zone that is out")
 			}
 		}
--- a/sidecar/control/world_test.go
+++ b/sidecar/control/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -19,17 +20,12 @@
 	deaf        bool
 	died        chan struct{}
 	runs        map[string]int
-	starts      []engineStart
+	starts      []time.Time
 	pieces      map[string]engine.Piece
 	cancels     map[string]chan struct{}
 	poisonKills int
 }
 
-type engineStart struct {
-	at     time.Time
-	poison bool
-}
-
 const poisonBody = "poison"
 
 func newSimEngine() *simEngine {
@@ -40,7 +36,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[r.AttemptID]++
-	e.starts = append(e.starts, engineStart{at: time.Now()})
+	e.starts = append(e.starts, time.Now())
 	cancelled = make(chan struct{})
 	e.cancels[r.AttemptID] = cancelled
 	e.pieces[r.AttemptID] = engine.Piece{ID: r.AttemptID, Kind: engine.PieceRunning, Owner: r.AttemptID, Tokens: r.PromptTokens}
@@ -256,7 +252,7 @@
 		}
 		return nil
 	})
-	if err != nil && context.Cause(ctx) != context.Canceled {
+	if err != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
 		_ = e.Cancel(ctx, c.offer.ID())
 	}
 	loop.Done(ticket, result.OutputTokens, err)
