--- /dev/null
+++ b/coord/routing/routing.go
@@ -0,0 +1,209 @@
+// Package routing chooses the endpoints of a request. Every gateway computes
+// the same candidates from the same pool, whatever its view of load.
+package routing
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// None is the index of an absent candidate.
+const None = -1
+
+// View is one pool's endpoints, immutable after NewView.
+type View struct {
+	names  []string
+	usable []bool
+	// ranked holds the usable endpoints only, to keep Pick's loop short.
+	ranked []hashed
+}
+
+type hashed struct {
+	hash  uint64
+	index int
+}
+
+// Member is one endpoint of a pool.
+type Member struct {
+	Name string
+	// Usable is false if zone, host, connection or engine rule it out.
+	Usable bool
+}
+
+// NewView returns a view whose indices follow the order of members.
+func NewView(members []Member) *View {
+	v := &View{names: make([]string, len(members)), usable: make([]bool, len(members))}
+	for i, m := range members {
+		v.names[i], v.usable[i] = m.Name, m.Usable
+		if m.Usable {
+			v.ranked = append(v.ranked, hashed{hash: HashName(m.Name), index: i})
+		}
+	}
+	return v
+}
+
+// Len returns the number of endpoints, usable or not.
+func (v *View) Len() int { return len(v.names) }
+
+// Name returns the name of the endpoint with the given index.
+func (v *View) Name(i int) string { return v.names[i] }
+
+// Usable reports whether the endpoint may get new work.
+func (v *View) Usable(i int) bool { return v.usable[i] }
+
+// Keys are the hashes of a request that decide its candidates.
+type Keys struct {
+	// Prefix covers account, model and the start of the prompt.
+	Prefix uint64
+	// Fingerprint covers account, model and the whole body.
+	Fingerprint uint64
+}
+
+// Candidates are the indices of the two endpoints of a request, or None.
+type Candidates struct {
+	Prefix      int
+	Fingerprint int
+}
+
+// Pick returns the rendezvous winners of both keys among the usable endpoints.
+// The second-ranked endpoint of the fingerprint stands in if both coincide.
+// Endpoints named in skip are passed over; it holds those that have already
+// failed for the request and is short.
+func (v *View) Pick(k Keys, skip []string) Candidates {
+	prefix, first, second := None, None, None
+	var prefixScore, firstScore, secondScore uint64
+	prefixScorer, fingerprintScorer := newScorer(k.Prefix), newScorer(k.Fingerprint)
+	for _, e := range v.ranked {
+		if len(skip) > 0 && slices.Contains(skip, v.names[e.index]) {
+			continue
+		}
+		if s := prefixScorer.score(e.hash); s >= prefixScore {
+			prefix, prefixScore = e.index, s
+		}
+		s := fingerprintScorer.score(e.hash)
+		if s < secondScore {
+			continue
+		}
+		if s >= firstScore {
+			second, secondScore = first, firstScore
+			first, firstScore = e.index, s
+		} else {
+			second, secondScore = e.index, s
+		}
+	}
+	if first == prefix {
+		first = second
+	}
+	return Candidates{Prefix: prefix, Fingerprint: first}
+}
+
+// scorer ranks endpoints for one key. One wide multiplication by a factor that
+// depends on the key is cheaper for each endpoint than a full Mix.
+type scorer struct{ key, factor uint64 }
+
+func newScorer(key uint64) scorer { return scorer{key: Mix(key), factor: Mix(^key) | 1} }
+
+func (s scorer) score(hash uint64) uint64 {
+	high, low := bits.Mul64(hash^s.key, s.factor)
+	return high ^ low
+}
+
+// Ranked returns the usable endpoints in rendezvous order of the key, without
+// those named in skip.
+func (v *View) Ranked(key uint64, skip []string) []int {
+	key = Mix(key)
+	list := slices.Clone(v.ranked)
+	if len(skip) > 0 {
+		list = slices.DeleteFunc(list, func(e hashed) bool { return slices.Contains(skip, v.names[e.index]) })
+	}
+	slices.SortFunc(list, func(a, b hashed) int { return cmp.Compare(Mix(b.hash^key), Mix(a.hash^key)) })
+	order := make([]int, len(list))
+	for i, e := range list {
+		order[i] = e.index
+	}
+	return order
+}
+
+// Load is the latest knowledge of an endpoint's queue.
+type Load struct {
+	QueuedTokens int64
+	// UnreportedTokens were sent by this gateway since the latest report.
+	UnreportedTokens int64
+	// TokensPerSecond is the prefill rate; 0 means that it is not known.
+	TokensPerSecond int64
+}
+
+// Policy holds the constants of the order between two candidates.
+type Policy struct {
+	// PrefixShare is the part of a prompt expected in the prefix cache of the
+	// prefix key's endpoint, from 0 to 1.
+	PrefixShare float64
+	// DefaultRate stands in for an unknown rate, in tokens a second.
+	DefaultRate int64
+}
+
+// PredictWait estimates the time until an endpoint has worked off its queue.
+func (p Policy) PredictWait(l Load) time.Duration {
+	return p.duration(l.QueuedTokens+l.UnreportedTokens, l)
+}
+
+func (p Policy) duration(tokens int64, l Load) time.Duration {
+	rate := l.TokensPerSecond
+	if rate <= 0 {
+		rate = max(p.DefaultRate, 1)
+	}
+	return time.Duration(float64(max(tokens, 0)) / float64(rate) * float64(time.Second))
+}
+
+// Order returns the candidates with the shorter predicted wait first. The
+// fingerprint breaks ties, so that gateways with equal views don't all prefer
+// the endpoint that reported idle last.
+func (p Policy) Order(c Candidates, k Keys, promptTokens int64, prefix, fingerprint Load) (first, second int) {
+	if c.Fingerprint == None || c.Prefix == None {
+		return c.Prefix, c.Fingerprint
+	}
+	benefit := p.duration(int64(float64(promptTokens)*p.PrefixShare), prefix)
+	waitPrefix := p.PredictWait(prefix) - benefit
+	waitFingerprint := p.PredictWait(fingerprint)
+	if waitPrefix < waitFingerprint || (waitPrefix == waitFingerprint && Mix(k.Fingerprint)&1 == 0) {
+		return c.Prefix, c.Fingerprint
+	}
+	return c.Fingerprint, c.Prefix
+}
+
+// Subset returns the names of up to n endpoints to which a gateway keeps
+// control streams. Rendezvous by gateway spreads the streams evenly and moves
+// few of them when endpoints come and go.
+func Subset(gateway string, endpoints []string, n int) []string {
+	if len(endpoints) <= n {
+		return endpoints
+	}
+	key := HashName(gateway)
+	ranked := slices.Clone(endpoints)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Mix(HashName(b)^key), Mix(HashName(a)^key)), cmp.Compare(a, b))
+	})
+	return ranked[:n]
+}
+
+// HashName hashes a name with FNV-1a and a final mix, because the raw FNV
+// values of names that differ in the last character are close together.
+func HashName(name string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(name) {
+		h ^= uint64(name[i])
+		h *= 1099511628211
+	}
+	return Mix(h)
+}
+
+// Mix is the finaliser of SplitMix64, a bijection in which every input bit
+// affects every output bit.
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
