--- /dev/null
+++ b/gateway/caller/admit.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/verdict"
+	"siskinstand.example/gateway/control"
+	"siskinstand.example/service/logging"
+)
+
+// Headers of requests and answers.
+const (
+	headerDeadline  = "Siskin-Deadline-Ms"
+	headerRequestID = "Siskin-Request-Id"
+	headerKey       = "Idempotency-Key"
+)
+
+const (
+	maxRequestIDBytes = 128
+	maxKeyBytes       = 256
+	maxDeadline       = 24 * time.Hour
+	// shutdownRetry is the retry time while the gateway shuts down; the
+	// balancer has another gateway by then.
+	shutdownRetry = time.Second
+)
+
+// call is one request with what is known before its body is read.
+type call struct {
+	id       string
+	received time.Time
+	account  config.Account
+	view     *control.View
+	deadline time.Duration
+	key      string
+}
+
+type callHandler func(w http.ResponseWriter, r *http.Request, c *call) error
+
+// admit counts the request, identifies the caller and reads the headers.
+func (s *Server) admit(next callHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &call{id: newRequestID(r.Header.Get(headerRequestID)), received: time.Now()}
+		w.Header().Set(headerRequestID, c.id)
+		switch s.gate.enter() {
+		case gateClosed:
+			w.Header().Set("Connection", "close")
+			s.refuse(w, c, verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "the gateway is shutting down").WithRetryAfter(shutdownRetry))
+			return
+		case gateFull:
+			s.refuse(w, c, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the gateway carries its maximum of requests").WithRetryAfter(shutdownRetry))
+			return
+		}
+		defer s.gate.leave()
+		err := s.identify(r, c)
+		if err == nil {
+			err = next(w, r, c)
+		}
+		if err != nil {
+			s.refuse(w, c, err)
+		}
+		klog.V(2).InfoS("request", logging.FieldRequest, c.id, logging.FieldAccount, c.account.Name, "path", r.URL.Path, "err", err)
+	}
+}
+
+func (s *Server) identify(r *http.Request, c *call) error {
+	c.view = s.config.View()
+	if !c.view.Configured {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoConfig, "the gateway has no configuration yet").WithRetryAfter(shutdownRetry)
+	}
+	token, ok := bearerToken(r.Header.Get("Authorization"))
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "the Authorization header needs a bearer token")
+	}
+	if c.account, ok = c.view.Config.Tables.AccountByToken(config.HashToken(token)); !ok {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "the bearer token belongs to no account")
+	}
+	if c.key = r.Header.Get(headerKey); len(c.key) > maxKeyBytes {
+		return badRequest("%s is longer than %d bytes", headerKey, maxKeyBytes)
+	}
+	deadline, err := parseDeadline(r.Header.Get(headerDeadline))
+	c.deadline = deadline
+	return err
+}
+
+// bearerToken reads an Authorization header; the scheme's case is free.
+func bearerToken(header string) (string, bool) {
+	scheme, token, ok := strings.Cut(header, " ")
+	token = strings.TrimSpace(token)
+	return token, ok && strings.EqualFold(scheme, "Bearer") && token != ""
+}
+
+// parseDeadline returns 0 for an absent header.
+func parseDeadline(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms > maxDeadline.Milliseconds() {
+		return 0, badRequest("%s is not a number of milliseconds up to %d", headerDeadline, maxDeadline.Milliseconds())
+	}
+	if ms <= 0 {
+		return 0, verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "the deadline has passed")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (c *call) until(route config.Route) time.Time {
+	if c.deadline > 0 {
+		return c.received.Add(c.deadline)
+	}
+	return c.received.Add(route.Timeout)
+}
+
+// newRequestID keeps a caller's identifier readable and adds a random part,
+// because two requests with the same identifier must not share a stream.
+func newRequestID(given string) string {
+	var random [12]byte
+	_, _ = rand.Read(random[:])
+	suffix := hex.EncodeToString(random[:])
+	if given == "" || len(given) > maxRequestIDBytes || strings.ContainsFunc(given, notPrintable) {
+		return suffix
+	}
+	return given + "-" + suffix
+}
+
+func notPrintable(r rune) bool { return r <= ' ' || r > '~' }
+
+// body reads the body within its limits. The returned function gives back the
+// memory reserved for it.
+func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
+	limit := s.config.Limits.MaxBodyBytes
+	if r.ContentLength > limit {
+		return nil, nil, bodyTooLarge(limit)
+	}
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = limit
+	}
+	if !s.bodyMemory.TryAcquire(reserved) {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the gateway has no memory for another body").WithRetryAfter(shutdownRetry)
+	}
+	release := func() { s.bodyMemory.Release(reserved) }
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(s.config.Limits.BodyTimeout))
+	data, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		release()
+		return nil, nil, bodyError(err, limit)
+	}
+	return data, release, nil
+}
+
+// readAll reads a body of known length into one allocation, so that a long
+// prompt is held once.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(r, data)
+	return data, err
+}
+
+func bodyError(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return bodyTooLarge(limit)
+	}
+	if errors.Is(err, context.Canceled) {
+		return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the caller went away").WithCause(err)
+	}
+	return badRequest("the body could not be read").WithCause(err)
+}
+
+func bodyTooLarge(limit int64) error {
+	return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body exceeds %d bytes", limit)
+}
+
+func badRequest(format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, format, args...)
+}
--- /dev/null
+++ b/gateway/caller/format.go
@@ -0,0 +1,81 @@
+package caller
+
+import "siskinstand.example/gateway/dispatch"
+
+// format is one of the two forms of the completions interface.
+type format string
+
+const (
+	chatFormat format = "chat"
+	textFormat format = "text"
+)
+
+func (f format) promptKey() string {
+	if f == chatFormat {
+		return "messages"
+	}
+	return "prompt"
+}
+
+type usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type document struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func usageOf(r dispatch.Result) *usage {
+	return &usage{PromptTokens: r.PromptTokens, CompletionTokens: r.OutputTokens, TotalTokens: r.PromptTokens + r.OutputTokens}
+}
+
+// whole returns an answer that is not streamed.
+func (a *answer) whole(text string, r dispatch.Result) document {
+	c := choice{FinishReason: &r.FinishReason}
+	d := document{ID: "cmpl-" + a.id, Object: "text_completion", Created: a.created, Model: a.model, Usage: usageOf(r)}
+	if a.format == chatFormat {
+		d.ID, d.Object = "chatcmpl-"+a.id, "chat.completion"
+		c.Message = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	d.Choices = []choice{c}
+	return d
+}
+
+// event returns one event of a stream. The role is in the first one only.
+func (a *answer) event(text string, first bool, finish *string) document {
+	c := choice{FinishReason: finish}
+	d := document{ID: "cmpl-" + a.id, Object: "text_completion", Created: a.created, Model: a.model}
+	if a.format == chatFormat {
+		d.ID, d.Object = "chatcmpl-"+a.id, "chat.completion.chunk"
+		c.Delta = &message{Content: text}
+		if first {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &text
+	}
+	d.Choices = []choice{c}
+	return d
+}
--- /dev/null
+++ b/gateway/caller/refusal.go
@@ -0,0 +1,101 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+)
+
+// statusClientClosed is the customary status of a request whose caller has
+// gone away; it appears only in metrics.
+const statusClientClosed = 499
+
+var statusByReason = map[verdict.Reason]int{
+	verdict.ReasonBadRequest:      http.StatusBadRequest,
+	verdict.ReasonUnauthorized:    http.StatusUnauthorized,
+	verdict.ReasonUnknownModel:    http.StatusNotFound,
+	verdict.ReasonUnknownService:  http.StatusNotFound,
+	verdict.ReasonTooLong:         http.StatusBadRequest,
+	verdict.ReasonBodyTooLarge:    http.StatusRequestEntityTooLarge,
+	verdict.ReasonKeyRequired:     http.StatusBadRequest,
+	verdict.ReasonKeyReused:       http.StatusUnprocessableEntity,
+	verdict.ReasonDuplicate:       http.StatusConflict,
+	verdict.ReasonDeadlinePast:    http.StatusGatewayTimeout,
+	verdict.ReasonDeadlineTooNear: http.StatusServiceUnavailable,
+	verdict.ReasonCrashSuspect:    http.StatusUnprocessableEntity,
+	verdict.ReasonEngineFailed:    http.StatusBadGateway,
+	verdict.ReasonConnection:      http.StatusBadGateway,
+	verdict.ReasonCancelled:       statusClientClosed,
+	verdict.ReasonInternal:        http.StatusInternalServerError,
+}
+
+func statusOf(r verdict.Reason) int {
+	if status, ok := statusByReason[r]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Code         verdict.Reason  `json:"code"`
+	Message      string          `json:"message"`
+	Verdict      verdict.Verdict `json:"verdict"`
+	RetryAfterMs int64           `json:"retry_after_ms"`
+}
+
+func refusalOf(err error) (*verdict.Error, refusalBody) {
+	var v *verdict.Error
+	if !errors.As(err, &v) {
+		v = verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "unexpected failure")
+	}
+	return v, refusalBody{Error: refusalError{
+		Code: v.Reason, Message: v.Message, Verdict: v.Verdict, RetryAfterMs: v.RetryAfter.Milliseconds(),
+	}}
+}
+
+// refuse writes a refusal unless the answer has begun.
+func (s *Server) refuse(w http.ResponseWriter, _ *call, err error) {
+	if errors.Is(err, errAnswered) {
+		return
+	}
+	v, body := refusalOf(err)
+	status := statusOf(v.Reason)
+	s.refusals.Tagged(map[string]string{"verdict": string(v.Verdict), "reason": string(v.Reason)}).Counter("refusals").Inc(1)
+	if v.RetryAfter > 0 {
+		seconds := (v.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, s.config.Limits.WriteTimeout, status, body)
+}
+
+// errAnswered says that the answer was begun, so that no refusal can follow.
+var errAnswered = errors.New("answer already begun")
+
+func writeJSON(w http.ResponseWriter, timeout time.Duration, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"error":{"code":"internal","message":"answer not encodable","verdict":"may_have_run","retry_after_ms":0}}`)
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(data, '\n'))
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	body := refusalBody{Error: refusalError{
+		Code: verdict.ReasonBadRequest, Message: "no such path or method: " + r.Method + " " + r.URL.Path, Verdict: verdict.NotRun,
+	}}
+	writeJSON(w, s.config.Limits.WriteTimeout, http.StatusNotFound, body)
+}
--- /dev/null
+++ b/gateway/config/config.go
@@ -0,0 +1,41 @@
+// Package config holds the settings of the gateway, one file per INI section.
+package config
+
+import (
+	"siskinstand.example/service/logging"
+	"siskinstand.example/service/settings"
+)
+
+// Settings are all settings of the gateway.
+type Settings struct {
+	Process  Process        `ini:"process"`
+	Callers  Callers        `ini:"callers"`
+	Admin    Admin          `ini:"admin"`
+	Tables   Tables         `ini:"tables"`
+	Platform Platform       `ini:"platform"`
+	Sidecars Sidecars       `ini:"sidecars"`
+	Routing  Routing        `ini:"routing"`
+	Retry    Retry          `ini:"retry"`
+	Shutdown Shutdown       `ini:"shutdown"`
+	TLS      TLS            `ini:"tls"`
+	Log      logging.Config `ini:"log"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	s, err := settings.Load[Settings](path)
+	if err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+func (s Settings) check() error {
+	if err := s.TLS.check(s.Callers.Address); err != nil {
+		return err
+	}
+	return s.Tables.check()
+}
+
+// Sample returns a commented settings file.
+func Sample() string { return settings.Sample[Settings]() }
--- /dev/null
+++ b/gateway/config/platform.go
@@ -0,0 +1,10 @@
+package config
+
+import "time"
+
+// Platform names the services of the platform.
+type Platform struct {
+	HostList     string        `ini:"host_list" example:"http://127.0.0.1:7001" help:"address of the host list"`
+	HostInterval time.Duration `ini:"host_interval" default:"1s" min:"50ms" max:"1m" help:"time between two reads of the host list"`
+	KVStore      string        `ini:"kv_store" default:"" help:"address of the key-value store; without it, calls that are not repeatable are refused"`
+}
--- /dev/null
+++ b/gateway/config/tls.go
@@ -0,0 +1,43 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// TLS names the keys of both sides. The files are read again when they change.
+type TLS struct {
+	CallerCertificate string        `ini:"caller_certificate" default:"" help:"certificate chain towards callers in PEM; empty disables TLS"`
+	CallerKey         string        `ini:"caller_key" default:"" help:"private key of caller_certificate in PEM"`
+	PeerCertificate   string        `ini:"peer_certificate" default:"" help:"certificate chain towards sidecars and gateways in PEM; empty disables TLS"`
+	PeerKey           string        `ini:"peer_key" default:"" help:"private key of peer_certificate in PEM"`
+	PeerAuthority     string        `ini:"peer_authority" default:"" help:"certificates in PEM that sign the certificates of sidecars and gateways"`
+	AllowPlaintext    bool          `ini:"allow_plaintext" default:"no" help:"serve callers without TLS on an address other than loopback"`
+	Reload            time.Duration `ini:"reload" default:"10s" min:"50ms" max:"1h" help:"time between two checks of the files"`
+}
+
+// Callers reports whether TLS towards callers is on.
+func (t TLS) Callers() bool { return t.CallerCertificate != "" }
+
+// Peers reports whether TLS between processes is on.
+func (t TLS) Peers() bool { return t.PeerCertificate != "" }
+
+func (t TLS) check(callerAddress string) error {
+	if (t.CallerCertificate == "") != (t.CallerKey == "") {
+		return errors.New("[tls]: caller_certificate and caller_key are set together or not at all")
+	}
+	if t.Peers() != (t.PeerKey != "") || t.Peers() != (t.PeerAuthority != "") {
+		return errors.New("[tls]: peer_certificate, peer_key and peer_authority are set together or not at all")
+	}
+	host, _, err := net.SplitHostPort(callerAddress)
+	if err != nil {
+		return fmt.Errorf("[callers] address: %w", err)
+	}
+	ip := net.ParseIP(host)
+	if loopback := host == "localhost" || (ip != nil && ip.IsLoopback()); !loopback && !t.Callers() && !t.AllowPlaintext {
+		return errors.New("[tls] caller_certificate: bearer tokens need TLS on an address other than loopback; set allow_plaintext = yes if another program ends TLS")
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/control/refresh.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"siskinstand.example/coord/membership"
+	"siskinstand.example/coord/routing"
+	"siskinstand.example/gateway/sidecar"
+	pb "siskinstand.example/peerpb"
+)
+
+// refresh brings handles, view, slices and control streams up to date.
+func (l *Loop) refresh(ctx context.Context, now time.Time) {
+	for _, name := range l.table.Expire(now) {
+		delete(l.endpoints, name)
+		delete(l.slices, name)
+	}
+	for e := range l.table.All {
+		l.handleOf(e)
+	}
+	l.publish(now)
+	if l.configured {
+		l.updateSlices()
+		l.updateStreams(ctx, now)
+	}
+}
+
+// handleOf keeps one handle for each address of an endpoint.
+func (l *Loop) handleOf(e membership.Endpoint) {
+	if h, ok := l.endpoints[e.Name]; ok && h.Address == e.Address && h.Zone == e.Zone {
+		return
+	}
+	l.endpoints[e.Name] = sidecar.NewEndpoint(e.Name, e.Zone, e.Address)
+}
+
+func (l *Loop) publish(now time.Time) {
+	v := &View{Config: l.snapshot, Configured: l.configured, Listed: l.listed, Pools: map[string]*PoolView{}}
+	if l.configured {
+		for _, pool := range l.snapshot.Tables.Pools() {
+			var members []poolMember
+			for e := range l.table.All {
+				if e.Service == pool.Service && pool.InZone(e.Zone) {
+					members = append(members, poolMember{endpoint: l.endpoints[e.Name], usable: l.usable(e, now)})
+				}
+			}
+			v.Pools[pool.Name] = newPoolView(pool, members)
+		}
+	}
+	l.view.Store(v)
+}
+
+func (l *Loop) usable(e membership.Endpoint, now time.Time) bool {
+	tables := l.snapshot.Tables
+	return !tables.ZoneOut(e.Zone) && !tables.HostLeaving(e.Name) && l.table.Usable(e.Name, now)
+}
+
+// updateSlices computes what each endpoint needs of the configuration and the
+// revision at which this gateway last saw it change.
+func (l *Loop) updateSlices() {
+	pools := l.snapshot.Tables.Pools()
+	for e := range l.table.All {
+		s := &pb.Slice{
+			Endpoint:    e.Name,
+			ZoneOut:     l.snapshot.Tables.ZoneOut(e.Zone),
+			HostLeaving: l.snapshot.Tables.HostLeaving(e.Name) || e.Leaving,
+		}
+		for _, pool := range pools {
+			if e.Service == pool.Service && pool.InZone(e.Zone) {
+				if s.Pool == "" {
+					s.Pool = pool.Name
+				}
+				s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
+			}
+		}
+		s.Revision, s.ChangedRevision = l.snapshot.Revision, l.snapshot.Revision
+		if old, ok := l.slices[e.Name]; ok && sameSlice(old, s) {
+			s.ChangedRevision = old.ChangedRevision
+		}
+		l.slices[e.Name] = s
+	}
+}
+
+func sameSlice(a, b *pb.Slice) bool {
+	return a.GetPool() == b.GetPool() && a.GetZoneOut() == b.GetZoneOut() &&
+		a.GetHostLeaving() == b.GetHostLeaving() && a.GetMaxPromptTokens() == b.GetMaxPromptTokens()
+}
+
+// updateStreams keeps control streams to the gateway's subset of endpoints.
+func (l *Loop) updateStreams(ctx context.Context, now time.Time) {
+	suspects, version := l.config.Suspects.Known()
+	names := slices.Sorted(maps.Keys(l.endpoints))
+	wanted := map[string]bool{}
+	for _, name := range routing.Subset(l.config.GatewayID, names, l.config.Subset) {
+		wanted[name] = true
+	}
+	for name, s := range l.streams {
+		if !wanted[name] || !l.current(s.endpoint) {
+			s.cancel()
+			delete(l.streams, name)
+		}
+	}
+	for _, name := range names {
+		l.table.SetProbed(name, wanted[name])
+		if !wanted[name] {
+			continue
+		}
+		s, running := l.streams[name]
+		if !running {
+			if !l.table.ProbeDue(name, now) {
+				continue
+			}
+			s = l.startStream(ctx, l.endpoints[name])
+		}
+		s.offer(l.slices[name], suspects, version)
+	}
+}
+
+// controlStream is a running control stream.
+type controlStream struct {
+	endpoint *sidecar.Endpoint
+	cancel   context.CancelFunc
+	requests chan *pb.ControlRequest
+	// sent and version are those of the latest request.
+	sent    *pb.Slice
+	version uint64
+}
+
+// offer hands over the slice and the suspects unless both are unchanged. A
+// request that was not sent yet is replaced by the newer one.
+func (s *controlStream) offer(slice *pb.Slice, suspects []*pb.Suspect, version uint64) {
+	if s.sent != nil && proto.Equal(s.sent, slice) && s.version == version {
+		return
+	}
+	request := &pb.ControlRequest{Slice: slice, Suspects: suspects}
+	s.sent, s.version = slice, version
+	select {
+	case <-s.requests:
+	default:
+	}
+	s.requests <- proto.Clone(request).(*pb.ControlRequest)
+}
+
+func (l *Loop) startStream(loop context.Context, e *sidecar.Endpoint) *controlStream {
+	ctx, cancel := context.WithCancel(loop)
+	s := &controlStream{endpoint: e, cancel: cancel, requests: make(chan *pb.ControlRequest, 1)}
+	l.streams[e.Name] = s
+	go func() {
+		defer cancel()
+		err := l.config.Client.Control(ctx, sidecar.ControlStream{
+			Endpoint: e,
+			Requests: s.requests,
+			OnReport: func(r *pb.ControlReport) { l.onReport(ctx, e, r) },
+		})
+		l.send(loop, streamEnded{endpoint: e, err: err})
+	}()
+	return s
+}
+
+func (l *Loop) onReport(ctx context.Context, e *sidecar.Endpoint, r *pb.ControlReport) {
+	// Suspects come first: a sidecar that reports its engine down names the
+	// requests that must not go to the next endpoint.
+	if len(r.GetSuspects()) > 0 {
+		l.config.Suspects.Learn(e.Name, r.GetSuspects())
+	}
+	l.send(ctx, reported{endpoint: e, process: r.GetSender().GetIncarnation(), state: membership.State(r.GetState())})
+}
--- /dev/null
+++ b/gateway/control/watch.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// watchHosts polls the host list. On errors the latest list stays in force.
+func (l *Loop) watchHosts(ctx context.Context) {
+	var index uint64
+	for {
+		update, err := l.config.Hosts.Since(ctx, index)
+		switch {
+		case err == nil:
+			if update.Full || update.Index != index || len(update.Hosts)+len(update.Removed) > 0 {
+				l.send(ctx, hostsChanged{update})
+			}
+			index = update.Index
+		case ctx.Err() == nil:
+			klog.ErrorS(err, "read host list")
+		}
+		if !sleep(ctx, l.config.HostInterval) {
+			return
+		}
+	}
+}
+
+func (l *Loop) watchConfig(ctx context.Context) {
+	for {
+		// The channel is taken first; a change between both calls is not lost.
+		changed := l.config.Source.Changed()
+		l.send(ctx, configChanged{})
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/daemon/daemon.go
@@ -0,0 +1,225 @@
+// Package daemon puts the parts of the gateway together.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/coord/membership"
+	"siskinstand.example/coord/retry"
+	"siskinstand.example/coord/routing"
+	"siskinstand.example/gateway/admin"
+	"siskinstand.example/gateway/caller"
+	"siskinstand.example/gateway/certs"
+	"siskinstand.example/gateway/config"
+	"siskinstand.example/gateway/control"
+	"siskinstand.example/gateway/dispatch"
+	"siskinstand.example/gateway/sidecar"
+	"siskinstand.example/gateway/suspects"
+	pb "siskinstand.example/peerpb"
+	"siskinstand.example/platform/hostlist"
+	"siskinstand.example/service/logging"
+	"siskinstand.example/service/metrics"
+	"siskinstand.example/service/rungroup"
+)
+
+// Parts are what a gateway gets from outside this package.
+type Parts struct {
+	Source control.ConfigSource
+	Hosts  hostlist.List
+	Claims claim.Book
+	// Extra are further parts that run until the gateway stops.
+	Extra []Part
+}
+
+// Part is a long-running part.
+type Part struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Daemon is one gateway.
+type Daemon struct {
+	settings    config.Settings
+	parts       Parts
+	incarnation uint64
+	metrics     *metrics.Metrics
+	invariants  *invariant.Registry
+	suspects    *suspects.Table
+	connections *sidecar.Connections
+	loop        *control.Loop
+	server      *caller.Server
+	keys        []*certs.Keys
+	callers     net.Listener
+	admin       net.Listener
+}
+
+// New opens the listeners and builds all parts; nothing runs yet.
+func New(s config.Settings, p Parts) (*Daemon, error) {
+	d := &Daemon{settings: s, parts: p, incarnation: uint64(time.Now().UnixNano())}
+	var err error
+	if d.metrics, err = metrics.New(metrics.Config{Prefix: "gateway", ProcessID: s.Process.ID, Zone: s.Process.Zone}); err != nil {
+		return nil, err
+	}
+	d.invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
+		d.metrics.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
+		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
+	})
+	d.suspects = suspects.New(time.Now)
+	callerTLS, peerCredentials, err := d.loadKeys()
+	if err != nil {
+		return nil, err
+	}
+	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, peerCredentials)
+	d.build(callerTLS)
+	if d.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
+	if d.admin, err = net.Listen("tcp", s.Admin.Address); err != nil {
+		d.callers.Close()
+		return nil, eris.Wrap(err, "listen for admin")
+	}
+	return d, nil
+}
+
+func (d *Daemon) build(callerTLS *tls.Config) {
+	s := d.settings
+	client := sidecar.NewClient(d.connections, d.sender)
+	d.loop = control.New(control.Config{
+		GatewayID: s.Process.ID, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
+		Policy: membership.Policy{Silence: s.Sidecars.ForgetAfter, ProbeAfter: s.Sidecars.ProbeAfter, ProbeLimit: s.Sidecars.ProbeLimit},
+		Source: d.parts.Source, Hosts: d.parts.Hosts, Client: client,
+		Invariants: d.invariants, Suspects: d.suspects,
+	})
+	dispatcher := dispatch.New(dispatch.Config{
+		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.parts.Claims, Suspects: d.suspects,
+		Invariants: d.invariants, Scope: d.metrics.Scope,
+		Routing:     routing.Policy{PrefixShare: s.Routing.PrefixShare, DefaultRate: s.Routing.DefaultRate},
+		Retry:       retry.Policy{Share: s.Retry.Share, MinimumPerSecond: s.Retry.MinimumPerSecond, Burst: s.Retry.Burst},
+		MaxAttempts: s.Retry.MaxAttempts, Backoff: s.Retry.Backoff, BackoffLimit: s.Retry.BackoffLimit,
+		RetryAfter: s.Retry.RetryAfter, GroupShare: s.Routing.GroupShare,
+	})
+	d.server = caller.New(caller.Config{
+		Limits: s.Callers, TLS: callerTLS, View: d.loop.View, Dispatcher: dispatcher,
+		Invariants: d.invariants, Scope: d.metrics.Scope,
+	})
+}
+
+func (d *Daemon) loadKeys() (*tls.Config, credentials.TransportCredentials, error) {
+	var callerTLS *tls.Config
+	peer := insecure.NewCredentials()
+	if t := d.settings.TLS; t.Callers() {
+		keys, err := certs.Load(certs.Files{Certificate: t.CallerCertificate, Key: t.CallerKey})
+		if err != nil {
+			return nil, nil, err
+		}
+		d.keys = append(d.keys, keys)
+		callerTLS = keys.Server()
+	}
+	if t := d.settings.TLS; t.Peers() {
+		keys, err := certs.Load(certs.Files{Certificate: t.PeerCertificate, Key: t.PeerKey, Authority: t.PeerAuthority})
+		if err != nil {
+			return nil, nil, err
+		}
+		d.keys = append(d.keys, keys)
+		peer = credentials.NewTLS(keys.Client())
+	}
+	return callerTLS, peer, nil
+}
+
+func (d *Daemon) sender() *pb.Sender {
+	return &pb.Sender{
+		ProcessId: d.settings.Process.ID, Incarnation: d.incarnation, Zone: d.settings.Process.Zone,
+		ConfigRevision: d.loop.View().Config.Revision,
+	}
+}
+
+// Run serves until SIGINT or SIGTERM, then finishes the running requests.
+func (d *Daemon) Run() error {
+	var g rungroup.Group
+	d.addParts(&g)
+	g.AddSignals(d.Drain)
+	return d.run(&g)
+}
+
+func (d *Daemon) run(g *rungroup.Group) error {
+	defer d.close()
+	klog.InfoS("gateway started", "process", d.settings.Process.ID, logging.FieldZone, d.settings.Process.Zone, "callers", d.callers.Addr(), "admin", d.admin.Addr())
+	return g.Run()
+}
+
+func (d *Daemon) addParts(g *rungroup.Group) {
+	g.Add("control", d.loop.Run)
+	g.Add("callers", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { d.callers.Close() })
+		defer stop()
+		if err := d.server.Serve(d.callers); err != nil {
+			return err
+		}
+		// After a drain, the group ends with the signals part.
+		<-ctx.Done()
+		return nil
+	})
+	g.Add("admin", func(ctx context.Context) error {
+		return admin.Serve(ctx, d.admin, admin.Handler(admin.Config{Ready: d.Ready, Metrics: d.metrics.Handler}))
+	})
+	for _, keys := range d.keys {
+		g.Add("keys", func(ctx context.Context) error {
+			keys.Watch(ctx, d.settings.TLS.Reload)
+			return nil
+		})
+	}
+	for _, p := range d.parts.Extra {
+		g.Add(p.Name, p.Run)
+	}
+}
+
+// Drain refuses new requests and waits for the running ones.
+func (d *Daemon) Drain(ctx context.Context) {
+	klog.InfoS("shutdown begins", "process", d.settings.Process.ID)
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Shutdown.Limit)
+	defer cancel()
+	d.server.Shutdown(ctx, d.settings.Shutdown.Notice)
+}
+
+// Ready returns an empty text, or the reason why the gateway is not ready.
+func (d *Daemon) Ready() string {
+	v := d.loop.View()
+	switch {
+	case d.server.Draining():
+		return "shutting down"
+	case !v.Configured:
+		return "no configuration"
+	case !v.Listed:
+		return "no host list"
+	}
+	return ""
+}
+
+// CallerAddress returns the address that callers connect to.
+func (d *Daemon) CallerAddress() string { return d.callers.Addr().String() }
+
+// AdminAddress returns the address of the admin listener.
+func (d *Daemon) AdminAddress() string { return d.admin.Addr().String() }
+
+func (d *Daemon) close() {
+	d.connections.Close()
+	if err := d.metrics.Close(); err != nil {
+		klog.ErrorS(err, "close metrics")
+	}
+}
+
+// CheckKeys reads the TLS files without opening a listener.
+func CheckKeys(t config.TLS) error {
+	_, _, err := (&Daemon{settings: config.Settings{TLS: t}}).loadKeys()
+	return err
+}
--- /dev/null
+++ b/gateway/daemon/daemon_test.go
@@ -0,0 +1,269 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"siskinstand.example/coord/claim"
+	tables "siskinstand.example/coord/config"
+	"siskinstand.example/gateway/config"
+	"siskinstand.example/platform/hostlist"
+	"siskinstand.example/service/rungroup"
+	"siskinstand.example/service/settings"
+)
+
+const (
+	testToken = "secret"
+	chatBody  = `{"model":"m1","messages":[{"role":"user","content":"hello"}]}`
+	chatPath  = "/v1/chat/completions"
+)
+
+// fixture is a running gateway in front of test sidecars.
+type fixture struct {
+	t       *testing.T
+	daemon  *Daemon
+	source  *testSource
+	claims  *testClaims
+	stopped chan struct{}
+	cancel  context.CancelFunc
+}
+
+type testSource struct {
+	mu       sync.Mutex
+	snapshot tables.Snapshot
+	changed  chan struct{}
+}
+
+func (s *testSource) Current() (tables.Snapshot, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot, true
+}
+
+func (s *testSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *testSource) set(t *testing.T, revision uint64, pools string) {
+	t.Helper()
+	hash := fmt.Sprintf("%x", tables.HashToken(testToken))
+	routes := "[account a1]\ntoken_sha256 = " + hash + "\n[route r1]\naccounts = a1\nmodel = m1\npool = p1\n" +
+		"[route r2]\naccounts = a1\nservice = book\npool = p2\nrepeatable = no\n" +
+		"[route r3]\naccounts = a1\nservice = quote\npool = p2\n"
+	parsed, err := tables.Parse(tables.File{Name: "routes", Text: []byte(routes)}, tables.File{Name: "pools", Text: []byte(testPools + pools)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot = tables.Snapshot{Revision: revision, Tables: parsed}
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+const testPools = "[pool p1]\nkind = model\nservice = llm\nmodel = m1\n[pool p2]\nkind = plain\nservice = llm\n"
+
+type testHosts []hostlist.Host
+
+func (h testHosts) Since(_ context.Context, index uint64) (hostlist.Update, error) {
+	if index > 0 {
+		return hostlist.Update{Index: 1}, nil
+	}
+	return hostlist.Update{Index: 1, Full: true, Hosts: h}, nil
+}
+
+// testClaims is a book in memory.
+type testClaims struct {
+	mu      sync.Mutex
+	records map[claim.Key]claim.Record
+}
+
+func (c *testClaims) Claim(_ context.Context, k claim.Key, id string, bodyHash uint64) (claim.Record, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.records[k]; ok {
+		return r, nil
+	}
+	c.records[k] = claim.Record{State: claim.StateHeld, Holder: id, BodyHash: bodyHash}
+	return claim.Record{State: claim.StateClaimed}, nil
+}
+
+func (c *testClaims) Release(_ context.Context, k claim.Key, _ string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.records, k)
+	return nil
+}
+
+func (c *testClaims) Complete(_ context.Context, k claim.Key, _ string, result claim.Result) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.records[k]
+	r.State, r.Result = claim.StateDone, result
+	c.records[k] = r
+	return nil
+}
+
+// startGateway runs a gateway; extra holds further settings by section.
+func startGateway(t *testing.T, extra string, sidecars ...*testSidecar) *fixture {
+	t.Helper()
+	text := "[process]\nid = g1\nzone = z1\n[callers]\naddress = 127.0.0.1:0\nwrite_timeout = 500ms\n[admin]\naddress = 127.0.0.1:0\n" +
+		"[platform]\nhost_list = test\nhost_interval = 50ms\n[shutdown]\nnotice = 100ms\nlimit = 5s\n" + extra
+	s, err := settings.Parse[config.Settings]("test.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hosts testHosts
+	for _, sc := range sidecars {
+		hosts = append(hosts, hostlist.Host{Name: sc.name, Zone: "zone-" + sc.name, Role: hostlist.RoleEndpoint, Service: "llm", Address: sc.addr, State: hostlist.Live})
+	}
+	f := &fixture{t: t, source: &testSource{}, claims: &testClaims{records: map[claim.Key]claim.Record{}}, stopped: make(chan struct{})}
+	f.source.set(t, 1, "")
+	if f.daemon, err = New(s, Parts{Source: f.source, Hosts: hosts, Claims: f.claims}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go func() {
+		defer close(f.stopped)
+		f.daemon.runUntil(ctx)
+	}()
+	t.Cleanup(f.stop)
+	eventually(t, "reports of all sidecars", func() bool {
+		pool, ok := f.daemon.loop.View().Pools["p1"]
+		if !ok || len(pool.Endpoints) != len(sidecars) {
+			return false
+		}
+		for _, e := range pool.Endpoints {
+			if e.Reported() == nil {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fixture) stop() {
+	f.cancel()
+	<-f.stopped
+	if n := f.daemon.invariants.Total(); n != 0 {
+		f.t.Errorf("%d invariant violations", n)
+	}
+}
+
+func (f *fixture) request(method, path, body string, header map[string]string) *http.Request {
+	f.t.Helper()
+	r, err := http.NewRequest(method, "http://"+f.daemon.CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+func (f *fixture) call(method, path, body string, header map[string]string) (int, string, http.Header) {
+	f.t.Helper()
+	response, err := http.DefaultClient.Do(f.request(method, path, body, header))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response.StatusCode, string(data), response.Header
+}
+
+// streamText joins the text of a stream and reports whether it was ended.
+func streamText(t *testing.T, body string) (text string, done bool) {
+	t.Helper()
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var event struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.NewDecoder(bytes.NewReader([]byte(data))).Decode(&event); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range event.Choices {
+			text += c.Delta.Content
+		}
+	}
+	return text, false
+}
+
+func assertRefusal(t *testing.T, status int, body string, wantStatus int, wantCode, wantVerdict string) {
+	t.Helper()
+	var got struct {
+		Error struct{ Code, Message, Verdict string }
+	}
+	if err := json.Unmarshal([]byte(body), &got); err != nil {
+		t.Fatalf("refusal %q: %v", body, err)
+	}
+	type refusal struct {
+		Status        int
+		Code, Verdict string
+	}
+	want := refusal{wantStatus, wantCode, wantVerdict}
+	if diff := cmp.Diff(want, refusal{status, got.Error.Code, got.Error.Verdict}); diff != "" {
+		t.Errorf("refusal differs (-want +got):\n%s%s", diff, body)
+	}
+}
+
+// Guards against a broken path from HTTP over gRPC and back.
+func TestAnswer(t *testing.T) {
+	f := startGateway(t, "", startSidecar(t, "e1", answer("Hel", "lo"), nil), startSidecar(t, "e2", answer("Hel", "lo"), nil))
+	status, body, _ := f.call("POST", chatPath, chatBody, nil)
+	if want := `"message":{"role":"assistant","content":"Hello"},"finish_reason":"stop"`; status != 200 || !strings.Contains(body, want) {
+		t.Errorf("answer = %d %s, want %s", status, body, want)
+	}
+	_, body, _ = f.call("POST", chatPath, strings.Replace(chatBody, "{", `{"stream":true,`, 1), nil)
+	if text, done := streamText(t, body); text != "Hello" || !done {
+		t.Errorf("stream = %q, done %v", text, done)
+	}
+	_, body, _ = f.call("GET", "/v1/models", "", nil)
+	if !strings.Contains(body, `"id":"m1"`) {
+		t.Errorf("models = %s", body)
+	}
+}
+
+// runUntil is Run with a context in place of the signals.
+func (d *Daemon) runUntil(ctx context.Context) {
+	var g rungroup.Group
+	d.addParts(&g)
+	g.Add("test", func(group context.Context) error {
+		select {
+		case <-ctx.Done():
+			d.Drain(group)
+		case <-group.Done():
+		}
+		return nil
+	})
+	if err := d.run(&g); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/gateway/daemon/failure_test.go
@@ -0,0 +1,308 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	pb "siskinstand.example/peerpb"
+)
+
+var streamBody = strings.Replace(chatBody, "{", `{"stream":true,`, 1)
+
+// onceThen runs first for the first offer of all sidecars and then the other.
+func onceThen(first, then script) script {
+	var used atomic.Bool
+	return func(o *pb.Offer, s *scriptedStream) error {
+		if used.CompareAndSwap(false, true) {
+			return first(o, s)
+		}
+		return then(o, s)
+	}
+}
+
+// dieAfter delivers the first words and then kills the whole sidecar.
+func dieAfter(words ...string) script {
+	return func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.admitted(false); err != nil {
+			return err
+		}
+		for i, w := range words {
+			if err := s.chunk(int64(i), w); err != nil {
+				return err
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		go s.sidecar.server.Stop()
+		<-s.stream.Context().Done()
+		return s.stream.Context().Err()
+	}
+}
+
+// Guards against a lost, repeated or missing piece when a sidecar dies before
+// or after its first chunk, and against a retry that runs beside other work
+// although the request may have killed the endpoint.
+func TestSidecarDies(t *testing.T) {
+	tests := map[string]script{
+		"before the first chunk": dieAfter(),
+		"after the first chunk":  dieAfter("Hel"),
+		"before the final":       dieAfter("Hel", "lo", "!"),
+	}
+	for name, die := range tests {
+		t.Run(name, func(t *testing.T) {
+			run := onceThen(die, answer("Hel", "lo", "!"))
+			e1, e2 := startSidecar(t, "e1", run, nil), startSidecar(t, "e2", run, nil)
+			f := startGateway(t, "", e1, e2)
+			_, body, _ := f.call("POST", chatPath, streamBody, nil)
+			if text, done := streamText(t, body); text != "Hello!" || !done {
+				t.Errorf("stream = %q, done %v, want Hello! and the end", text, done)
+			}
+			if n := e1.offerCount() + e2.offerCount(); n != 2 {
+				t.Errorf("%d offers, want 2", n)
+			}
+			retried := e1.lastOffer()
+			if e2.lastOffer().GetAttempt() == 2 {
+				retried = e2.lastOffer()
+			}
+			if !retried.GetIsolated() {
+				t.Error("the retry of a suspect is not isolated")
+			}
+		})
+	}
+}
+
+// Guards against an answer without its final marker being shown as complete.
+func TestEveryAttemptFails(t *testing.T) {
+	fail := func(o *pb.Offer, s *scriptedStream) error {
+		if err := s.chunk(o.GetResumePosition(), "x"); err != nil {
+			return err
+		}
+		return s.send(&pb.AttemptEvent{Kind: &pb.AttemptEvent_Failed{Failed: &pb.Failed{Verdict: "may_have_run", Reason: "engine_failed"}}})
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", fail, nil), startSidecar(t, "e2", fail, nil))
+	status, body, _ := f.call("POST", chatPath, chatBody, nil)
+	assertRefusal(t, status, body, http.StatusBadGateway, "engine_failed", "may_have_run")
+	_, body, _ = f.call("POST", chatPath, streamBody, nil)
+	if text, done := streamText(t, body); text != "xx" || done || !strings.Contains(body, `"verdict":"may_have_run"`) {
+		t.Errorf("stream = %q, done %v: %s", text, done, body)
+	}
+}
+
+// Guards against a third candidate, a lost retry time or a wrong verdict when
+// both candidates refuse.
+func TestBothCandidatesRefuse(t *testing.T) {
+	var all []*testSidecar
+	for _, name := range []string{"e1", "e2", "e3"} {
+		all = append(all, startSidecar(t, name, refuse("not_run", "overloaded"), nil))
+	}
+	f := startGateway(t, "", all...)
+	status, body, header := f.call("POST", chatPath, chatBody, nil)
+	assertRefusal(t, status, body, http.StatusServiceUnavailable, "overloaded", "not_run")
+	if header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+	if n := all[0].offerCount() + all[1].offerCount() + all[2].offerCount(); n != 2 {
+		t.Errorf("%d offers, want 2", n)
+	}
+}
+
+// Guards against not_run after an attempt that may have run.
+func TestVerdictRemembersEarlierAttempt(t *testing.T) {
+	run := onceThen(dieAfter(), refuse("not_run", "overloaded"))
+	f := startGateway(t, "", startSidecar(t, "e1", run, nil), startSidecar(t, "e2", run, nil))
+	status, body, _ := f.call("POST", chatPath, chatBody, nil)
+	assertRefusal(t, status, body, http.StatusServiceUnavailable, "overloaded", "may_have_run")
+}
+
+// Guards against chunks of other attempts, duplicates and reordered chunks
+// reaching the caller.
+func TestLateChunks(t *testing.T) {
+	run := func(o *pb.Offer, s *scriptedStream) error {
+		stale := chunkEvent(0, "stale")
+		stale.RequestId, stale.Attempt = o.GetRequestId(), o.GetAttempt()+1
+		foreign := chunkEvent(0, "foreign")
+		foreign.RequestId, foreign.Attempt = "another", o.GetAttempt()
+		for _, e := range []*pb.AttemptEvent{stale, foreign, chunkEvent(1, "lo"), chunkEvent(1, "lo"), chunkEvent(0, "Hel"), chunkEvent(0, "Hel")} {
+			if err := s.send(e); err != nil {
+				return err
+			}
+		}
+		return s.final(2)
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", run, nil), startSidecar(t, "e2", run, nil))
+	_, body, _ := f.call("POST", chatPath, streamBody, nil)
+	if text, done := streamText(t, body); text != "Hello" || !done {
+		t.Errorf("stream = %q, done %v", text, done)
+	}
+}
+
+// Guards against a second run of a call that may not be repeated.
+func TestUnrepeatableCall(t *testing.T) {
+	started := make(chan struct{}, 4)
+	die := func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.admitted(true); err != nil {
+			return err
+		}
+		if m, err := s.stream.Recv(); err != nil || m.GetStart() == nil {
+			return err
+		}
+		started <- struct{}{}
+		go s.sidecar.server.Stop()
+		<-s.stream.Context().Done()
+		return s.stream.Context().Err()
+	}
+	e1, e2 := startSidecar(t, "e1", die, nil), startSidecar(t, "e2", die, nil)
+	f := startGateway(t, "", e1, e2)
+	key := map[string]string{"Idempotency-Key": "k1"}
+	status, body, _ := f.call("POST", "/services/book/seat?x=1", "{}", nil)
+	assertRefusal(t, status, body, http.StatusBadRequest, "idempotency_key_required", "not_run")
+	status, body, _ = f.call("POST", "/services/book/seat", "{}", key)
+	assertRefusal(t, status, body, http.StatusBadGateway, "connection_lost", "may_have_run")
+	status, body, _ = f.call("POST", "/services/book/seat", "{}", key)
+	assertRefusal(t, status, body, http.StatusConflict, "duplicate_request", "may_have_run")
+	status, body, _ = f.call("POST", "/services/book/seat", "{2}", key)
+	assertRefusal(t, status, body, http.StatusUnprocessableEntity, "idempotency_key_reused", "not_run")
+	if n := e1.offerCount() + e2.offerCount(); n != 1 || len(started) != 1 {
+		t.Errorf("%d offers, %d starts, want 1", n, len(started))
+	}
+}
+
+// Guards against a lost or repeated answer of a plain service.
+func TestPlainService(t *testing.T) {
+	var path atomic.Value
+	run := func(o *pb.Offer, s *scriptedStream) error {
+		path.Store(o.GetMethod() + " " + o.GetPath())
+		first := chunkEvent(0, "no")
+		first.GetChunk().HttpStatus = http.StatusTeapot
+		first.GetChunk().Headers = []*pb.Header{{Name: "Content-Type", Value: "text/x"}, {Name: "Connection", Value: "x"}}
+		if err := s.send(first); err != nil {
+			return err
+		}
+		if err := s.chunk(1, "te"); err != nil {
+			return err
+		}
+		return s.final(2)
+	}
+	e := startSidecar(t, "e1", run, nil)
+	f := startGateway(t, "", e)
+	key := map[string]string{"Idempotency-Key": "k1"}
+	for range 2 {
+		status, body, header := f.call("PUT", "/services/book/a%2Fb/c?d=1", "{}", key)
+		if status != http.StatusTeapot || body != "note" || header.Get("Content-Type") != "text/x" || header.Get("Content-Length") != "4" {
+			t.Errorf("answer = %d %q %v", status, body, header)
+		}
+	}
+	if got := path.Load(); got != "PUT /a%2Fb/c?d=1" || e.offerCount() != 1 {
+		t.Errorf("%d offers of %v", e.offerCount(), got)
+	}
+}
+
+// Guards against a slow caller that holds an endpoint or memory for ever.
+func TestSlowCaller(t *testing.T) {
+	ended := make(chan struct{})
+	run := func(_ *pb.Offer, s *scriptedStream) error {
+		defer close(ended)
+		text := strings.Repeat("x", 32<<10)
+		for i := int64(0); ; i++ {
+			if err := s.chunk(i, text); err != nil {
+				return err
+			}
+		}
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", run, nil))
+	conn, err := net.Dial("tcp", f.daemon.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := f.request("POST", chatPath, streamBody, nil).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the stream to a caller that reads nothing did not end")
+	}
+}
+
+// hang admits the request and waits until the gateway cancels it.
+func hang(cancelled chan<- struct{}) script {
+	return func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.chunk(0, "x"); err != nil {
+			return err
+		}
+		<-s.stream.Context().Done()
+		close(cancelled)
+		return s.stream.Context().Err()
+	}
+}
+
+// Guards against work that goes on after its caller has hung up, and against a
+// request without an answer at its deadline.
+func TestHangUpAndDeadline(t *testing.T) {
+	t.Run("hang-up", func(t *testing.T) {
+		cancelled := make(chan struct{})
+		f := startGateway(t, "", startSidecar(t, "e1", hang(cancelled), nil))
+		ctx, cancel := context.WithCancel(t.Context())
+		response, err := http.DefaultClient.Do(f.request("POST", chatPath, streamBody, nil).WithContext(ctx))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		cancel()
+		<-cancelled
+	})
+	t.Run("deadline", func(t *testing.T) {
+		cancelled := make(chan struct{})
+		f := startGateway(t, "", startSidecar(t, "e1", hang(cancelled), nil))
+		status, body, _ := f.call("POST", chatPath, chatBody, map[string]string{"Siskin-Deadline-Ms": "200"})
+		assertRefusal(t, status, body, http.StatusGatewayTimeout, "deadline_exceeded", "may_have_run")
+		<-cancelled
+	})
+}
+
+// Guards against a shutdown that interrupts a stream or admits new work.
+func TestShutdownInMidStream(t *testing.T) {
+	proceed := make(chan struct{})
+	run := func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.chunk(0, "Hel"); err != nil {
+			return err
+		}
+		<-proceed
+		if err := s.chunk(1, "lo"); err != nil {
+			return err
+		}
+		return s.final(2)
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", run, nil))
+	response, err := http.DefaultClient.Do(f.request("POST", chatPath, streamBody, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	first, err := reader.ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.cancel()
+	eventually(t, "the shutdown", func() bool { return f.daemon.Ready() == "shutting down" })
+	status, body, _ := f.call("POST", chatPath, chatBody, nil)
+	assertRefusal(t, status, body, http.StatusServiceUnavailable, "shutting_down", "not_run")
+	time.Sleep(300 * time.Millisecond)
+	close(proceed)
+	rest, err := io.ReadAll(reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, done := streamText(t, first+string(rest)); text != "Hello" || !done {
+		t.Errorf("stream = %q, done %v", text, done)
+	}
+	<-f.stopped
+}
--- /dev/null
+++ b/gateway/dispatch/claimed.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/verdict"
+	pb "siskinstand.example/peerpb"
+	"siskinstand.example/service/logging"
+)
+
+const (
+	// maxRecordedBytes is the largest answer that is recorded with its claim.
+	maxRecordedBytes = 4 << 10
+	// recordTimeout bounds the write after a call. It doesn't depend on the
+	// caller, who may have gone away.
+	recordTimeout = 3 * time.Second
+	contentType   = "Content-Type"
+)
+
+// runClaimed runs a call that may not be repeated. The claim is in the store
+// before the call is dispatched.
+func (d *Dispatcher) runClaimed(ctx context.Context, r *Request, sink Sink) (Result, error) {
+	if r.CallerKey == "" {
+		return Result{}, verdict.New(verdict.NotRun, verdict.ReasonKeyRequired, "route %s needs the Idempotency-Key header", r.Route.Name)
+	}
+	key := claim.NewKey(r.Account.Name, r.Route.Name, r.CallerKey)
+	claimID := d.config.ProcessID + "/" + r.ID
+	bodyHash := xxhash.Sum64(r.Body)
+	record, err := d.config.Claims.Claim(ctx, key, claimID, bodyHash)
+	if err != nil {
+		refusal := verdict.New(verdict.NotRun, verdict.ReasonStoreDown, "the claim for the call could not be stored").WithCause(err)
+		return Result{}, refusal.WithRetryAfter(d.config.RetryAfter)
+	}
+	if record.State != claim.StateClaimed {
+		return d.answerClaimed(record, bodyHash, sink)
+	}
+	recorder := &recordingSink{Sink: sink}
+	result, err := d.execute(ctx, r, recorder)
+	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err == nil {
+		d.noteError(r, d.config.Claims.Complete(after, key, claimID, recorder.result()))
+		return result, nil
+	}
+	if verdict.Of(err) == verdict.NotRun {
+		d.noteError(r, d.config.Claims.Release(after, key, claimID))
+	}
+	return result, err
+}
+
+// answerClaimed answers a request whose key was claimed before.
+func (d *Dispatcher) answerClaimed(record claim.Record, bodyHash uint64, sink Sink) (Result, error) {
+	switch {
+	case record.State == claim.StateReleased:
+		refusal := verdict.New(verdict.NotRun, verdict.ReasonDuplicate, "the claim for the key was just released")
+		return Result{}, refusal.WithRetryAfter(d.config.RetryAfter)
+	case record.BodyHash != bodyHash:
+		return Result{}, verdict.New(verdict.NotRun, verdict.ReasonKeyReused, "the Idempotency-Key was used for another body")
+	case record.State != claim.StateDone:
+		return Result{}, verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "a call with the key was claimed by %s at %s and may have run", record.Holder, record.Since.UTC().Format(time.RFC3339))
+	case record.Result.Truncated:
+		return Result{}, verdict.New(verdict.Ran, verdict.ReasonDuplicate, "the call has run with status %d; its answer was too large to be recorded", record.Result.HTTPStatus)
+	}
+	piece := Piece{Data: record.Result.Body, Status: record.Result.HTTPStatus}
+	if record.Result.ContentType != "" {
+		piece.Header = []*pb.Header{{Name: contentType, Value: record.Result.ContentType}}
+	}
+	if err := sink.Deliver(piece); err != nil {
+		return Result{}, verdict.New(verdict.Ran, verdict.ReasonCancelled, "the caller stopped reading").WithCause(err)
+	}
+	return Result{}, nil
+}
+
+func (d *Dispatcher) noteError(r *Request, err error) {
+	if err != nil {
+		// The claim stays, so a repeat is answered may_have_run.
+		klog.ErrorS(err, "update claim", logging.FieldRequest, r.ID, logging.FieldAccount, r.Account.Name)
+	}
+}
+
+// recordingSink keeps a small answer for its claim.
+type recordingSink struct {
+	Sink
+	recorded claim.Result
+}
+
+// Deliver passes the piece on and keeps a copy.
+func (s *recordingSink) Deliver(p Piece) error {
+	if p.Status != 0 {
+		s.recorded.HTTPStatus = p.Status
+		for _, h := range p.Header {
+			if h.GetName() == contentType {
+				s.recorded.ContentType = h.GetValue()
+			}
+		}
+	}
+	if len(s.recorded.Body)+len(p.Data) > maxRecordedBytes {
+		s.recorded.Truncated = true
+	} else if !s.recorded.Truncated {
+		s.recorded.Body = append(s.recorded.Body, p.Data...)
+	}
+	return s.Sink.Deliver(p)
+}
+
+func (s *recordingSink) result() claim.Result {
+	if s.recorded.Truncated {
+		s.recorded.Body = nil
+	}
+	return s.recorded
+}
--- /dev/null
+++ b/gateway/dispatch/dispatcher.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"siskinstand.example/coord/assembly"
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/coord/retry"
+	"siskinstand.example/coord/verdict"
+)
+
+// lateMargin is the time after a deadline at which an answer counts as late;
+// it covers the scheduling of a busy machine.
+const lateMargin = 250 * time.Millisecond
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	config  Config
+	metrics *counters
+	mu      sync.Mutex
+	budgets map[string]retry.Budget
+}
+
+// New returns a dispatcher with full retry budgets.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{config: c, metrics: newCounters(c.Scope), budgets: map[string]retry.Budget{}}
+}
+
+// Run carries a request to its end. Every error is a *verdict.Error.
+func (d *Dispatcher) Run(ctx context.Context, r *Request, sink Sink) (Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	var result Result
+	var err error
+	if r.Route.Repeatable {
+		result, err = d.execute(ctx, r, sink)
+	} else {
+		result, err = d.runClaimed(ctx, r, sink)
+	}
+	late := time.Since(r.Deadline)
+	d.config.Invariants.Check(late < lateMargin, invariant.RequestOutcome, "request %s ended %v after its deadline", r.ID, late)
+	d.metrics.outcome(err)
+	return result, err
+}
+
+func (d *Dispatcher) execute(ctx context.Context, r *Request, sink Sink) (Result, error) {
+	d.firstAttempt(r.Pool.Name)
+	x := &execution{d: d, r: r, sink: sink, assembler: assembly.New(r.ID), started: time.Now()}
+	result, failure := x.run(ctx)
+	if failure != nil {
+		return Result{}, x.finalError(ctx, failure)
+	}
+	return result, nil
+}
+
+func (d *Dispatcher) firstAttempt(pool string) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budgets[pool] = d.budget(pool, now).FirstAttempt(d.config.Retry, now)
+}
+
+// takeRetry reports whether the pool's budget allows one more attempt.
+func (d *Dispatcher) takeRetry(pool string) bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.budget(pool, now).Take(d.config.Retry, now)
+	d.budgets[pool] = b
+	return ok
+}
+
+func (d *Dispatcher) budget(pool string, now time.Time) retry.Budget {
+	b, ok := d.budgets[pool]
+	if !ok {
+		b = retry.NewBudget(d.config.Retry, now)
+	}
+	return b
+}
+
+// asFailure returns the verdict error in err.
+func asFailure(err error) *verdict.Error {
+	var v *verdict.Error
+	if errors.As(err, &v) {
+		return v
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "unexpected failure").WithCause(err)
+}
--- /dev/null
+++ b/gateway/sidecar/endpoint.go
@@ -0,0 +1,86 @@
+// Package sidecar communicates with the sidecars beside the endpoints.
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"siskinstand.example/coord/routing"
+	pb "siskinstand.example/peerpb"
+)
+
+// responseInterval is the shortest time between two notes to the control
+// goroutine that an endpoint responded.
+const responseInterval = time.Second
+
+// Endpoint is a gateway's handle of one incarnation of an endpoint. It is safe
+// for concurrent use. All that it knows of load is a hint.
+type Endpoint struct {
+	Name    string
+	Zone    string
+	Address string
+
+	load       atomic.Pointer[pb.Load]
+	observed   atomic.Int64
+	unreported atomic.Int64
+	noted      atomic.Int64
+	lost       context.Context
+	markLost   context.CancelFunc
+}
+
+// NewEndpoint returns a handle without any report.
+func NewEndpoint(name, zone, address string) *Endpoint {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Endpoint{Name: name, Zone: zone, Address: address, lost: ctx, markLost: cancel}
+}
+
+// Observe records the load in a message from the sidecar.
+func (e *Endpoint) Observe(load *pb.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	e.load.Store(load)
+	e.observed.Store(now.UnixNano())
+	e.unreported.Store(0)
+}
+
+// Dispatched counts tokens that the latest load doesn't contain yet.
+func (e *Endpoint) Dispatched(tokens int64) { e.unreported.Add(tokens) }
+
+// Load returns what routing needs to know of the queue.
+func (e *Endpoint) Load(now time.Time) routing.Load {
+	l := routing.Load{UnreportedTokens: e.unreported.Load()}
+	reported := e.load.Load()
+	if reported == nil {
+		return l
+	}
+	l.QueuedTokens = reported.GetQueuedTokens()
+	l.TokensPerSecond = reported.GetPrefillTokensPerSecond()
+	// Without further reports, the engine works off what was sent since.
+	age := now.Sub(time.Unix(0, e.observed.Load()))
+	l.UnreportedTokens = max(0, l.UnreportedTokens-int64(age.Seconds()*float64(l.TokensPerSecond)))
+	return l
+}
+
+// Reported returns the latest load message, or nil.
+func (e *Endpoint) Reported() *pb.Load { return e.load.Load() }
+
+// ObservedAt returns the time of the latest load message, or zero.
+func (e *Endpoint) ObservedAt() time.Time {
+	if n := e.observed.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// NoteResponse reports whether the control goroutine should be told of a
+// response, which is at most once a responseInterval.
+func (e *Endpoint) NoteResponse(now time.Time) bool {
+	last := e.noted.Load()
+	return now.UnixNano()-last >= int64(responseInterval) && e.noted.CompareAndSwap(last, now.UnixNano())
+}
+
+// MarkLost ends all attempts on the endpoint, because its sidecar is silent or
+// a successor has replaced it.
+func (e *Endpoint) MarkLost() { e.markLost() }
