gateway: keep suspects in coord/suspect

Cause: the gateway's own table counted a sidecar's echo of one death as a second strike, so it could refuse a request that had crashed one endpoint.

A broken stream counts as the loss of the sidecar only if the connection broke. Stream windows are fixed at 256 KiB.

Conclusion: one death is one strike, whoever reports it.

--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -40,7 +40,8 @@
 
 // SuspectExchange passes suspects from and to sidecars.
 type SuspectExchange interface {
-	// Learn takes suspects that the named endpoint reported.
+	// Learn takes suspects that a sidecar reported. Endpoint names the one
+	// whose engine has died, or is empty.
 	Learn(endpoint string, suspects []*pb.Suspect)
 	// Known lists the suspects to send to sidecars. The version changes with
 	// the list, but not with the suspects' age.
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -164,8 +164,10 @@
 func (l *Loop) onReport(ctx context.Context, e *sidecar.Endpoint, r *pb.ControlReport) {
 	// Suspects come first: a sidecar that reports its engine down names the
 	// requests that must not go to the next endpoint.
-	if len(r.GetSuspects()) > 0 {
-		l.config.Suspects.Learn(e.Name, r.GetSuspects())
+	state, died := membership.State(r.GetState()), ""
+	if state == membership.StateEngineDown {
+		died = e.Name
 	}
-	l.send(ctx, reported{endpoint: e, process: r.GetSender().GetIncarnation(), state: membership.State(r.GetState())})
+	l.config.Suspects.Learn(died, r.GetSuspects())
+	l.send(ctx, reported{endpoint: e, process: r.GetSender().GetIncarnation(), state: state})
 }
--- a/gateway/dispatch/attempt.go
+++ b/gateway/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/sidecar"
+	"siskinstand.example/gateway/suspects"
 	pb "siskinstand.example/peerpb"
 )
 
@@ -29,6 +30,8 @@
 	renewal  *renewal
 	admitted bool
 	received bool
+	// process is the incarnation of the sidecar that answered.
+	process uint64
 }
 
 // attempt sends one offer and carries its answer.
@@ -95,6 +98,7 @@
 		if err != nil {
 			return Result{}, s.broken(ctx, asFailure(err))
 		}
+		s.process = event.GetSender().GetIncarnation()
 		s.x.d.config.Control.Responded(s.target.endpoint)
 		if event.GetRequestId() != s.x.r.ID || event.GetAttempt() != s.number {
 			s.x.d.metrics.dropped(assembly.DropOtherRequest)
@@ -141,7 +145,10 @@
 // failed turns the sidecar's refusal or failure into an error. A sidecar that
 // has sent a part of the answer cannot say that the request did not run.
 func (s *attemptState) failed(v, reason, message string, retryAfterMs int64, list []*pb.Suspect) *verdict.Error {
-	s.x.d.config.Suspects.Learn(s.target.endpoint.Name, list)
+	s.x.d.config.Suspects.Learn("", list)
+	if verdict.Reason(reason) == verdict.ReasonEngineFailed && verdict.Parse(v) != verdict.NotRun {
+		s.x.d.config.Suspects.Struck(s.x.r.Keys.Fingerprint, s.target.endpoint.Name)
+	}
 	e := verdict.New(verdict.Parse(v), verdict.Reason(reason), "endpoint %s: %s", s.target.endpoint.Name, message)
 	e.RetryAfter = time.Duration(max(retryAfterMs, 0)) * time.Millisecond
 	ok := e.Verdict != verdict.NotRun || !s.received
@@ -233,14 +240,19 @@
 }
 
 // broken draws the conclusions from a stream that ended without an answer. A
-// request that was running becomes a suspect, unless its caller ended it.
+// request that was running becomes a suspect if the sidecar was lost.
 func (s *attemptState) broken(ctx context.Context, failure *verdict.Error) *verdict.Error {
 	if ctx.Err() != nil {
 		return failure.WithCause(fmt.Errorf("%w: %w", context.Cause(ctx), failure.Err))
 	}
+	if !s.stream.SidecarLost(failure) {
+		return failure
+	}
 	s.x.d.config.Control.Unreachable(ctx, s.target.endpoint)
 	if s.admitted || s.received {
-		s.x.d.config.Suspects.Strike(s.x.r.Keys.Fingerprint, s.target.endpoint.Name)
+		s.x.d.config.Suspects.Strike(s.x.r.Keys.Fingerprint, suspects.Death{
+			Endpoint: s.target.endpoint.Name, Incarnation: s.process, Alone: s.target.isolated,
+		})
 	}
 	return failure
 }
--- a/gateway/dispatch/execution.go
+++ b/gateway/dispatch/execution.go
@@ -10,10 +10,10 @@
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/coord/retry"
 	"siskinstand.example/coord/routing"
+	"siskinstand.example/coord/suspect"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/control"
 	"siskinstand.example/gateway/sidecar"
-	"siskinstand.example/gateway/suspects"
 )
 
 // maxRefusals is the number of candidates of a request.
@@ -87,9 +87,9 @@
 		return target{}, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "pool %s no longer exists", x.r.Pool.Name)
 	}
 	standing := x.d.config.Suspects.Standing(x.r.Keys.Fingerprint)
-	if standing.Strikes >= suspects.RefuseStrikes {
-		refusal := verdict.New(verdict.NotRun, verdict.ReasonCrashSuspect, "%d endpoints died while they ran this request", standing.Strikes)
-		return target{}, refusal.WithRetryAfter(suspects.Expiry - standing.Age)
+	if standing.Status == suspect.StatusRefuse {
+		refusal := verdict.New(verdict.NotRun, verdict.ReasonCrashSuspect, "%d endpoints died while they ran this request", suspect.RefuseStrikes)
+		return target{}, refusal.WithRetryAfter(standing.Until)
 	}
 	skip := append(slices.Clone(x.skip), standing.Endpoints...)
 	g, failure := x.planGroup(pool, skip)
@@ -97,14 +97,14 @@
 		return target{}, failure
 	}
 	if g != nil {
-		return target{endpoint: g.members[0].endpoint, isolated: standing.Strikes > 0, group: g}, nil
+		return target{endpoint: g.members[0].endpoint, isolated: standing.Isolated(), group: g}, nil
 	}
 	e := x.pick(pool, skip)
 	if e == nil {
 		return target{}, x.noEndpoint(pool)
 	}
 	x.checkPlace(view, e)
-	return target{endpoint: e, isolated: standing.Strikes > 0}, nil
+	return target{endpoint: e, isolated: standing.Isolated()}, nil
 }
 
 func (x *execution) pick(pool *control.PoolView, skip []string) *sidecar.Endpoint {
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -73,8 +73,9 @@
 // Suspects holds requests that may have crashed an endpoint.
 type Suspects interface {
 	Standing(fingerprint uint64) suspects.Standing
-	Strike(fingerprint uint64, endpoint string)
+	Strike(fingerprint uint64, d suspects.Death)
 	Clear(fingerprint uint64)
+	Struck(fingerprint uint64, endpoint string)
 	Learn(endpoint string, list []*pb.Suspect)
 }
 
--- a/gateway/sidecar/attempt.go
+++ b/gateway/sidecar/attempt.go
@@ -6,6 +6,9 @@
 	"io"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"siskinstand.example/coord/verdict"
 	pb "siskinstand.example/peerpb"
 )
@@ -103,6 +106,11 @@
 	a.release()
 }
 
+// SidecarLost reports whether the connection broke, not only this stream.
+func (a *Attempt) SidecarLost(err error) bool {
+	return a.endpoint.lost.Err() != nil || status.Code(errors.Unwrap(err)) == codes.Unavailable
+}
+
 // CloseAfter ends the stream if the sidecar doesn't do so within d.
 func (a *Attempt) CloseAfter(d time.Duration) { time.AfterFunc(d, a.cancel) }
 
--- a/gateway/sidecar/connections.go
+++ b/gateway/sidecar/connections.go
@@ -13,6 +13,13 @@
 	"google.golang.org/grpc/credentials"
 )
 
+// streamWindowBytes bounds what a sidecar can send ahead of a caller that does
+// not read. A fixed window also turns off gRPC's growth of windows to 16 MiB.
+const streamWindowBytes = 256 << 10
+
+// connectionWindowBytes lets 16 streams fill their windows at a time.
+const connectionWindowBytes = 16 * streamWindowBytes
+
 // maxMessageBytes bounds one message from a sidecar; chunks are far smaller.
 const maxMessageBytes = 4 << 20
 
@@ -73,6 +80,8 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 		grpc.WithIdleTimeout(0),
+		grpc.WithInitialWindowSize(streamWindowBytes),
+		grpc.WithInitialConnWindowSize(connectionWindowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
--- a/gateway/suspects/suspects.go
+++ b/gateway/suspects/suspects.go
@@ -1,5 +1,6 @@
-// Package suspects holds the requests that were running when an engine or a
-// sidecar died. One of them may crash every endpoint that runs it.
+// Package suspects keeps the gateway's book of requests that were running when
+// an engine or a sidecar died. One of them may crash every endpoint that runs
+// it.
 package suspects
 
 import (
@@ -7,164 +8,165 @@
 	"sync"
 	"time"
 
+	"siskinstand.example/coord/routing"
+	"siskinstand.example/coord/suspect"
 	pb "siskinstand.example/peerpb"
 )
 
 const (
-	// Expiry is the time for which a suspect is remembered.
-	Expiry = time.Hour
-	// RefuseStrikes is the number of strikes at which a request is refused.
-	RefuseStrikes = 2
-	// maxEntries bounds the table; the oldest suspect gives way.
-	maxEntries = 4096
+	// maxExchanged bounds the suspects in one message.
+	maxExchanged = 1024
+	// maxStruck bounds the requests whose endpoint is remembered.
+	maxStruck = 4096
 )
 
 // Standing is what is known of one request.
 type Standing struct {
-	Strikes int
-	// Endpoints are those that died while they ran the request.
+	Status suspect.Status
+	// Endpoints are those that are known to have died while they ran it.
 	Endpoints []string
-	// Age is the time since the latest strike.
-	Age time.Duration
+	// Until is the time until the request is forgotten.
+	Until time.Duration
 }
 
-type entry struct {
-	reported  int
-	endpoints []string
-	at        time.Time
+// Isolated reports whether the request may only run alone.
+func (s Standing) Isolated() bool { return s.Status == suspect.StatusIsolate }
+
+// Death is the loss of a sidecar process while it ran a request.
+type Death struct {
+	Endpoint    string
+	Incarnation uint64
+	// Alone says that the request ran isolated, because of an earlier strike.
+	Alone bool
 }
 
-func (e *entry) strikes() int { return max(e.reported, len(e.endpoints)) }
+// event is the same at all gateways that lost the same process.
+func (d Death) event() suspect.Event {
+	return suspect.Event(routing.Mix(routing.HashName(d.Endpoint) ^ d.Incarnation))
+}
 
 // Table is safe for concurrent use.
 type Table struct {
 	now     func() time.Time
 	mu      sync.Mutex
-	entries map[uint64]*entry
-	cleared map[uint64]time.Time
+	book    *suspect.Book
+	struck  map[suspect.Fingerprint][]string
 	version uint64
 }
 
 // New returns an empty table that reads the time from now.
 func New(now func() time.Time) *Table {
-	return &Table{now: now, entries: map[uint64]*entry{}, cleared: map[uint64]time.Time{}}
+	return &Table{now: now, book: suspect.New(suspect.DefaultConfig()), struck: map[suspect.Fingerprint][]string{}}
 }
 
 // Standing returns what is known of a request.
 func (t *Table) Standing(fingerprint uint64) Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.entries[fingerprint]
-	if !ok || t.now().Sub(e.at) >= Expiry {
-		return Standing{}
+	f, now := suspect.Fingerprint(fingerprint), t.now()
+	s := Standing{Status: t.book.Status(now, f)}
+	if s.Status != suspect.StatusClear {
+		s.Endpoints, s.Until = slices.Clone(t.struck[f]), t.book.Until(now, f)
 	}
-	return Standing{Strikes: e.strikes(), Endpoints: slices.Clone(e.endpoints), Age: t.now().Sub(e.at)}
+	return s
 }
 
-// Strike records that an endpoint died while it ran the request. The same
-// endpoint counts once, because a sidecar and a gateway may both report it.
-func (t *Table) Strike(fingerprint uint64, endpoint string) {
+// Strike records that a sidecar was lost while it ran the request.
+func (t *Table) Strike(fingerprint uint64, d Death) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.strike(fingerprint, endpoint, 1, t.now())
+	f, now := suspect.Fingerprint(fingerprint), t.now()
+	if d.Alone {
+		t.book.MarkAlone(now, f, d.event())
+	} else {
+		t.book.Mark(now, f, d.event())
+	}
+	t.version++
+	t.remember(now, f, d.Endpoint)
+}
+
+func (t *Table) remember(now time.Time, f suspect.Fingerprint, endpoint string) {
+	if len(t.struck) >= maxStruck {
+		for old := range t.struck {
+			if t.book.Status(now, old) == suspect.StatusClear {
+				delete(t.struck, old)
+			}
+		}
+	}
+	if len(t.struck) < maxStruck && !slices.Contains(t.struck[f], endpoint) {
+		t.struck[f] = append(t.struck[f], endpoint)
+	}
 }
 
-// Clear forgets a request that has finished.
+// Clear records that a request has finished.
 func (t *Table) Clear(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.clear(fingerprint)
+	f := suspect.Fingerprint(fingerprint)
+	if t.book.Status(t.now(), f) != suspect.StatusIsolate {
+		return
+	}
+	t.book.Clear(t.now(), f)
+	delete(t.struck, f)
+	t.version++
 }
 
-// Learn takes suspects that a sidecar reported.
-func (t *Table) Learn(endpoint string, list []*pb.Suspect) {
+// Struck records where a request was running when the engine died. The strike
+// itself comes from the engine's sidecar.
+func (t *Table) Struck(fingerprint uint64, endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
-	for _, s := range list {
-		at := now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
-		if s.GetCleared() {
-			t.clear(s.GetFingerprint())
-			continue
-		}
-		// A report that is older than the clearing doesn't bring it back.
-		if cleared, ok := t.cleared[s.GetFingerprint()]; ok && !at.After(cleared) {
-			continue
-		}
-		t.strike(s.GetFingerprint(), endpoint, int(s.GetStrikes()), at)
-	}
+	t.remember(t.now(), suspect.Fingerprint(fingerprint), endpoint)
 }
 
-// Known lists all suspects; the version changes with their strikes.
-func (t *Table) Known() ([]*pb.Suspect, uint64) {
+// Learn takes suspects that another process reported. Endpoint names the one
+// whose engine has just died, or is empty: a sidecar also passes on suspects
+// of other endpoints, so its own name alone doesn't tell where they ran.
+func (t *Table) Learn(endpoint string, list []*pb.Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire()
 	now := t.now()
-	list := make([]*pb.Suspect, 0, len(t.entries)+len(t.cleared))
-	for f, e := range t.entries {
-		list = append(list, &pb.Suspect{Fingerprint: f, Strikes: uint32(e.strikes()), AgeMs: now.Sub(e.at).Milliseconds()})
-	}
-	for f, at := range t.cleared {
-		list = append(list, &pb.Suspect{Fingerprint: f, Cleared: true, AgeMs: now.Sub(at).Milliseconds()})
-	}
-	return list, t.version
-}
-
-func (t *Table) strike(fingerprint uint64, endpoint string, strikes int, at time.Time) {
-	e, ok := t.entries[fingerprint]
-	if !ok {
-		t.makeRoom()
-		e = &entry{}
-		t.entries[fingerprint] = e
-	}
-	before := e.strikes()
-	e.reported = max(e.reported, strikes)
-	// A report of two strikes repeats what the sidecar learnt from others.
-	if strikes == 1 && len(e.endpoints) < RefuseStrikes && !slices.Contains(e.endpoints, endpoint) {
-		e.endpoints = append(e.endpoints, endpoint)
-	}
-	if e.strikes() != before {
-		e.at = at
+	for _, r := range reportsOf(list) {
+		if t.book.Merge(now, []suspect.Report{r}) == 0 {
+			continue
+		}
 		t.version++
-		delete(t.cleared, fingerprint)
+		if endpoint != "" && !r.Cleared {
+			t.remember(now, r.Fingerprint, endpoint)
+		}
 	}
 }
 
-func (t *Table) clear(fingerprint uint64) {
-	if _, ok := t.entries[fingerprint]; !ok {
-		return
-	}
-	delete(t.entries, fingerprint)
-	t.cleared[fingerprint] = t.now()
-	t.version++
-}
-
-func (t *Table) expire() {
-	now := t.now()
-	for f, e := range t.entries {
-		if now.Sub(e.at) >= Expiry {
-			delete(t.entries, f)
-			t.version++
+func reportsOf(list []*pb.Suspect) []suspect.Report {
+	list = list[:min(len(list), maxExchanged)]
+	reports := make([]suspect.Report, 0, len(list))
+	for _, s := range list {
+		r := suspect.Report{
+			Fingerprint: suspect.Fingerprint(s.GetFingerprint()), Strikes: s.GetStrikes(),
+			Age: time.Duration(s.GetAgeMs()) * time.Millisecond, Cleared: s.GetCleared(),
 		}
-	}
-	for f, at := range t.cleared {
-		if now.Sub(at) >= time.Minute {
-			delete(t.cleared, f)
+		for _, e := range s.GetEvents() {
+			r.Events = append(r.Events, suspect.Event(e))
 		}
+		reports = append(reports, r)
 	}
+	return reports
 }
 
-func (t *Table) makeRoom() {
-	if len(t.entries) < maxEntries {
-		return
-	}
-	var oldest uint64
-	var at time.Time
-	for f, e := range t.entries {
-		if at.IsZero() || e.at.Before(at) {
-			oldest, at = f, e.at
+// Known lists the latest suspects. The version changes with the list, but not
+// with the suspects' age.
+func (t *Table) Known() ([]*pb.Suspect, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*pb.Suspect
+	for _, r := range t.book.Reports(t.now(), maxExchanged) {
+		s := &pb.Suspect{
+			Fingerprint: uint64(r.Fingerprint), Strikes: r.Strikes, AgeMs: r.Age.Milliseconds(), Cleared: r.Cleared,
 		}
+		for _, e := range r.Events {
+			s.Events = append(s.Events, uint64(e))
+		}
+		list = append(list, s)
 	}
-	delete(t.entries, oldest)
+	return list, t.version
 }
--- /dev/null
+++ b/gateway/suspects/suspects_test.go
@@ -0,0 +1,51 @@
+package suspects
+
+import (
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/suspect"
+)
+
+// Guards against a sidecar's echo of one death being counted as a second one,
+// which refused requests that had crashed nothing twice.
+func TestEchoIsNoStrike(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(func() time.Time { return now })
+	table.Strike(7, Death{Endpoint: "e1", Incarnation: 1})
+	echo, version := table.Known()
+	now = now.Add(time.Second)
+	table.Learn("", echo)
+	table.Strike(7, Death{Endpoint: "e1", Incarnation: 1})
+	if s := table.Standing(7); !s.Isolated() || len(s.Endpoints) != 1 || s.Endpoints[0] != "e1" {
+		t.Errorf("standing after an echo = %+v, want isolated", s)
+	}
+	if _, after := table.Known(); after != version+1 {
+		t.Errorf("version %d, want %d", after, version+1)
+	}
+	table.Strike(7, Death{Endpoint: "e2", Incarnation: 1, Alone: true})
+	if s := table.Standing(7); s.Status != suspect.StatusRefuse || s.Until != time.Hour {
+		t.Errorf("standing after two deaths = %+v, want refused for an hour", s)
+	}
+}
+
+// Guards against a finished request that stays a suspect.
+func TestClear(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table, other := New(func() time.Time { return now }), New(func() time.Time { return now })
+	table.Strike(7, Death{Endpoint: "e1"})
+	struck, _ := table.Known()
+	other.Learn("e1", struck)
+	if s := other.Standing(7); len(s.Endpoints) != 1 || s.Endpoints[0] != "e1" {
+		t.Errorf("standing after a report = %+v, want struck at e1", s)
+	}
+	now = now.Add(time.Second)
+	table.Clear(7)
+	cleared, _ := table.Known()
+	other.Learn("e2", cleared)
+	for name, s := range map[string]Standing{"own": table.Standing(7), "other": other.Standing(7)} {
+		if s.Status != suspect.StatusClear || len(s.Endpoints) != 0 {
+			t.Errorf("%s standing = %+v, want clear", name, s)
+		}
+	}
+}
