kvstore: add the etcd gateway adapter and a fake store

Cause: configuration, claims and leases need the platform's store behind platform/kvstore, and tests need a store that fails on demand.

Change: adapter for the published etcd v3 JSON gateway protocol and a fake with compare-and-swap, leases, watches, rate limits, counters, outage, slow answers, lost answers and restart with older data. A write's failure is ErrUnavailable only if nothing can have been written.

Conclusion: lost and refused writes can be told apart by their error.

--- /dev/null
+++ b/fakes/kvstore/adapter_test.go
@@ -0,0 +1,226 @@
+package kvstore_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	fake "siskinstand.example/fakes/kvstore"
+	"siskinstand.example/fakes/server"
+	"siskinstand.example/platform/kvstore"
+)
+
+type fixture struct {
+	fake    *fake.Store
+	adapter *kvstore.HTTP
+}
+
+func start(t *testing.T) *fixture { return startWith(t, 3*time.Second) }
+
+func startWith(t *testing.T, callTimeout time.Duration) *fixture {
+	t.Helper()
+	var s *server.Server
+	f := &fixture{}
+	f.fake = fake.New(fake.Config{OnDown: func(d time.Duration) { s.Down(d) }})
+	s, err := server.Start("127.0.0.1:0", f.fake.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	limits := kvstore.DefaultLimits()
+	limits.CallTimeout = callTimeout
+	limits.WatchTimeout = 200 * time.Millisecond
+	f.adapter = kvstore.NewHTTP(s.Address(), limits)
+	return f
+}
+
+func (f *fixture) set(t *testing.T, s fake.Switches) {
+	t.Helper()
+	if err := f.fake.Set(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fixture) swap(t *testing.T, key, value string, version int64) int64 {
+	t.Helper()
+	next, err := f.adapter.CompareAndSwap(context.Background(), key, []byte(value), version, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func want(t *testing.T, err, target error) {
+	t.Helper()
+	if !errors.Is(err, target) {
+		t.Fatalf("got %v, want %v", err, target)
+	}
+}
+
+// Guards against a lost update, and against a version that repeats after a key
+// was deleted and created again.
+func TestCompareAndSwap(t *testing.T) {
+	ctx, f := context.Background(), start(t)
+	first := f.swap(t, "k", "a", 0)
+	_, err := f.adapter.CompareAndSwap(ctx, "k", []byte("b"), 0, 0)
+	want(t, err, kvstore.ErrConflict)
+	want(t, f.adapter.CompareAndDelete(ctx, "k", first+1), kvstore.ErrConflict)
+	if err := f.adapter.CompareAndDelete(ctx, "k", first); err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.adapter.Get(ctx, "k")
+	want(t, err, kvstore.ErrNotFound)
+	if second := f.swap(t, "k", "c", 0); second <= first {
+		t.Fatalf("version %d after %d", second, first)
+	}
+	_, err = f.adapter.CompareAndSwap(ctx, "big", make([]byte, kvstore.MaxValueBytes+1), 0, 0)
+	want(t, err, kvstore.ErrValueTooLarge)
+	largest := bytes.Repeat([]byte{7}, kvstore.MaxValueBytes)
+	if _, err := f.adapter.CompareAndSwap(ctx, "big", largest, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if pair, err := f.adapter.Get(ctx, "big"); err != nil || !bytes.Equal(pair.Value, largest) {
+		t.Fatalf("%d bytes, %v", len(pair.Value), err)
+	}
+}
+
+// Guards against a list of several pages with missing, foreign or mixed keys.
+func TestListReadsAllPagesOfThePrefix(t *testing.T) {
+	f := start(t)
+	for i := range 40 {
+		f.swap(t, fmt.Sprintf("p/%02d", i), "v", 0)
+	}
+	f.swap(t, "p0", "foreign", 0)
+	list, err := f.adapter.List(context.Background(), "p/")
+	if err != nil || len(list) != 40 || list[0].Key != "p/00" || list[39].Key != "p/39" {
+		t.Fatalf("%d keys, %v", len(list), err)
+	}
+	if all, err := f.adapter.List(context.Background(), ""); err != nil || len(all) != 41 {
+		t.Fatalf("%d keys, %v", len(all), err)
+	}
+}
+
+// Guards against a lost answer that is reported as a failed write.
+func TestLostAnswerIsUnknownAndTheWriteHolds(t *testing.T) {
+	ctx, f := context.Background(), start(t)
+	f.set(t, fake.Switches{LoseAnswers: 1, LosePrefix: "k"})
+	f.swap(t, "other", "v", 0)
+	_, err := f.adapter.CompareAndSwap(ctx, "k", []byte("a"), 0, 0)
+	want(t, err, kvstore.ErrUnknown)
+	if pair, err := f.adapter.Get(ctx, "k"); err != nil || string(pair.Value) != "a" {
+		t.Fatalf("got %+v, %v", pair, err)
+	}
+	if n := f.fake.Counters().Lost; n != 1 {
+		t.Fatalf("%d answers lost", n)
+	}
+}
+
+// Guards against a failure with the wrong certainty about the write.
+func TestFailuresSayWhetherAWriteIsPossible(t *testing.T) {
+	cases := map[string]struct {
+		switches fake.Switches
+		write    error
+	}{
+		"outage":      {fake.Switches{Outage: true}, kvstore.ErrUnknown},
+		"unavailable": {fake.Switches{Unavailable: true}, kvstore.ErrUnknown},
+		"slow":        {fake.Switches{Delay: server.Duration(time.Minute)}, kvstore.ErrUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ctx, f := context.Background(), startWith(t, 500*time.Millisecond)
+			f.set(t, c.switches)
+			_, err := f.adapter.CompareAndSwap(ctx, "k", []byte("a"), 0, 0)
+			want(t, err, c.write)
+			_, err = f.adapter.Get(ctx, "k")
+			want(t, err, kvstore.ErrUnavailable)
+			_, err = f.adapter.Watch(ctx, "k", 0)
+			want(t, err, kvstore.ErrUnavailable)
+		})
+	}
+	t.Run("rate limit", func(t *testing.T) {
+		ctx, f := context.Background(), start(t)
+		f.set(t, fake.Switches{WritesPerSecond: 1})
+		version := f.swap(t, "k", "a", 0)
+		_, err := f.adapter.CompareAndSwap(ctx, "k", []byte("b"), version, 0)
+		want(t, err, kvstore.ErrUnavailable)
+	})
+	t.Run("refused", func(t *testing.T) {
+		ctx, f := context.Background(), start(t)
+		f.fake.Restart(0, time.Hour)
+		_, err := f.adapter.CompareAndSwap(ctx, "k", []byte("a"), 0, 0)
+		want(t, err, kvstore.ErrUnavailable)
+	})
+}
+
+// Guards against a watch that misses a write, a deletion or older data, or that
+// ends before anything changed.
+func TestWatch(t *testing.T) {
+	ctx, f := context.Background(), start(t)
+	first := f.swap(t, "k", "a", 0)
+	f.swap(t, "other", "x", 0)
+	var written atomic.Int64
+	time.AfterFunc(500*time.Millisecond, func() {
+		version, _ := f.adapter.CompareAndSwap(ctx, "k", []byte("b"), first, 0)
+		written.Store(version)
+	})
+	pair, err := f.adapter.Watch(ctx, "k", first)
+	if err != nil || string(pair.Value) != "b" {
+		t.Fatalf("got %+v, %v", pair, err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { _ = f.adapter.CompareAndDelete(ctx, "k", pair.Version) })
+	gone, err := f.adapter.Watch(ctx, "k", pair.Version)
+	if err != nil || gone.Version != 0 {
+		t.Fatalf("got %+v, %v", gone, err)
+	}
+	f.fake.Restart(2, 0)
+	older, err := f.adapter.Watch(ctx, "k", pair.Version)
+	if err != nil || string(older.Value) != "a" || older.Version != first {
+		t.Fatalf("got %+v, %v", older, err)
+	}
+	short, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	_, err = f.adapter.Watch(short, "k", first)
+	want(t, err, context.DeadlineExceeded)
+}
+
+// Guards against a lease that outlives its time, keeps its keys, or has an
+// identifier that does not grow.
+func TestLeases(t *testing.T) {
+	ctx, f := context.Background(), start(t)
+	one, err := f.adapter.GrantLease(ctx, 900*time.Millisecond)
+	if err != nil || one.TimeToLive != time.Second {
+		t.Fatalf("got %+v, %v", one, err)
+	}
+	two, err := f.adapter.GrantLease(ctx, time.Minute)
+	if err != nil || two.ID <= one.ID {
+		t.Fatalf("got %+v after %+v, %v", two, one, err)
+	}
+	for key, id := range map[string]int64{"one": one.ID, "two": two.ID} {
+		if _, err := f.adapter.CompareAndSwap(ctx, key, nil, 0, id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 4 {
+		time.Sleep(400 * time.Millisecond)
+		if _, err := f.adapter.KeepAlive(ctx, one.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(1300 * time.Millisecond)
+	_, err = f.adapter.KeepAlive(ctx, one.ID)
+	want(t, err, kvstore.ErrLeaseLost)
+	_, err = f.adapter.Get(ctx, "one")
+	want(t, err, kvstore.ErrNotFound)
+	_, err = f.adapter.CompareAndSwap(ctx, "one", nil, 0, one.ID)
+	want(t, err, kvstore.ErrLeaseLost)
+	if err := f.adapter.RevokeLease(ctx, two.ID); err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.adapter.Get(ctx, "two")
+	want(t, err, kvstore.ErrNotFound)
+	want(t, f.adapter.RevokeLease(ctx, two.ID), kvstore.ErrLeaseLost)
+}
