platform: add host list and weight store adapters, fakes and siskin-fake

Cause: the remaining outside systems had interfaces only, and tests had no stand-ins for them.

Change: HTTP adapters for the host list and the weight store, fakes for both and for a plain service that counts the runs of each idempotency key, and the program siskin-fake with a subcommand for each fake. Switches are set at start and under /control. net/http sends a request with an Idempotency-Key again when a reused connection breaks; the adapters use a body that it can't send twice.

--- a/fakes/main.go
+++ b/fakes/main.go
@@ -1,4 +1,36 @@
-// Command siskin-fake is part of siskinstand.
+// Command siskin-fake runs the small stand-ins of outside systems that tests
+// and the demo use. Each serves its protocol and, under /control, its switches.
 package main
 
-func main() {}
+import (
+	"errors"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/service/logging"
+)
+
+type options struct {
+	Engine       engineCommand       `command:"engine" description:"model engine"`
+	KVStore      kvstoreCommand      `command:"kvstore" description:"key-value store"`
+	HostList     hostlistCommand     `command:"hostlist" description:"host list"`
+	WeightStore  weightstoreCommand  `command:"weightstore" description:"weight store"`
+	PlainService plainserviceCommand `command:"plainservice" description:"plain service that counts the runs of each idempotency key"`
+}
+
+func main() {
+	if err := logging.Setup(logging.Config{}); err != nil {
+		klog.ErrorS(err, "set up logging")
+		os.Exit(1)
+	}
+	_, err := flags.Parse(&options{})
+	var help *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+	default:
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/fakes/plainservice/adapter_test.go
@@ -0,0 +1,100 @@
+package plainservice_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/verdict"
+	fake "siskinstand.example/fakes/plainservice"
+	"siskinstand.example/platform/engine"
+)
+
+func start(t *testing.T) (*fake.Service, *engine.Plain, *httptest.Server) {
+	t.Helper()
+	service := fake.New(fake.Switches{})
+	s := httptest.NewServer(service.Handler())
+	t.Cleanup(s.Close)
+	limits := engine.DefaultLimits()
+	limits.StallTimeout = 300 * time.Millisecond
+	limits.MaxAnswerBytes = 1 << 10
+	return service, engine.NewPlain(strings.TrimPrefix(s.URL, "http://"), limits), s
+}
+
+func call(adapter *engine.Plain, key, method string, body []byte) (string, int, error) {
+	var text strings.Builder
+	status := 0
+	_, err := adapter.Run(context.Background(), engine.Request{
+		Method: method, Path: "/book?x=1", Body: body,
+		Header: []engine.Header{{Name: "Idempotency-Key", Value: key}, {Name: "Connection", Value: "close"}},
+	}, func(c engine.Chunk) error {
+		status += c.HTTPStatus
+		text.Write(c.Data)
+		return nil
+	})
+	return text.String(), status, err
+}
+
+// Guards against an answer that differs from the service's own.
+func TestForwardsCallAndAnswer(t *testing.T) {
+	service, adapter, _ := start(t)
+	text, status, err := call(adapter, "k", http.MethodPost, []byte("body"))
+	if err != nil || status != http.StatusOK || text != fake.Expected("k", []byte("body")) {
+		t.Fatalf("got %q, %d, %v", text, status, err)
+	}
+	_ = service.Set(fake.Switches{FailStatus: http.StatusConflict})
+	if _, status, err := call(adapter, "k", http.MethodPost, nil); err != nil || status != http.StatusConflict {
+		t.Fatalf("got %d, %v", status, err)
+	}
+	_ = service.Set(fake.Switches{})
+	if long, _, err := call(adapter, strings.Repeat("k", 2<<10), http.MethodPost, nil); err == nil {
+		t.Fatalf("answer of %d bytes accepted", len(long))
+	}
+}
+
+// Guards against net/http sending a call a second time after a reused
+// connection broke, which it does for requests with an Idempotency-Key.
+func TestBrokenConnectionNeverRepeatsACall(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for name, body := range map[string][]byte{"body": []byte("x"), "empty": nil} {
+			service, adapter, _ := start(t)
+			if _, _, err := call(adapter, "first", method, body); err != nil {
+				t.Fatal(err)
+			}
+			_ = service.Set(fake.Switches{BreakAfter: 1})
+			_, _, err := call(adapter, "second", method, body)
+			if verdict.Of(err) != verdict.MayHaveRun || err == nil || service.Runs("second") != 1 {
+				t.Errorf("%s %s: %d runs, %v", method, name, service.Runs("second"), err)
+			}
+			_ = service.Set(fake.Switches{BreakBefore: 1})
+			_, _, err = call(adapter, "third", method, body)
+			if verdict.Of(err) != verdict.MayHaveRun || err == nil || service.Counters().Calls != 3 {
+				t.Errorf("%s %s: %d calls, %v", method, name, service.Counters().Calls, err)
+			}
+		}
+	}
+}
+
+// Guards against a frozen or stopped service with the wrong verdict or state.
+func TestFrozenAndStopped(t *testing.T) {
+	service, adapter, s := start(t)
+	if state, err := adapter.State(context.Background()); err != nil || !state.Ready {
+		t.Fatalf("got %+v, %v", state, err)
+	}
+	_ = service.Set(fake.Switches{Frozen: true})
+	_, _, err := call(adapter, "k", http.MethodPost, nil)
+	if verdict.Of(err) != verdict.MayHaveRun || err == nil {
+		t.Fatalf("got %v", err)
+	}
+	_ = service.Set(fake.Switches{})
+	s.Close()
+	_, _, err = call(adapter, "k", http.MethodPost, nil)
+	var known *verdict.Error
+	if !errors.As(err, &known) || known.Verdict != verdict.NotRun || known.Reason != verdict.ReasonEngineDown {
+		t.Fatalf("got %v", err)
+	}
+}
