platform: accept addresses with a scheme

Cause: the gateway settings give the addresses of the host list and the store with "http://", the sidecar settings without.

--- a/fakes/weightstore/adapter_test.go
+++ b/fakes/weightstore/adapter_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,7 +22,7 @@
 	}
 	s := httptest.NewServer(store.Handler())
 	defer s.Close()
-	adapter := weightstore.NewHTTP(strings.TrimPrefix(s.URL, "http://"), weightstore.DefaultLimits())
+	adapter := weightstore.NewHTTP(s.URL, weightstore.DefaultLimits())
 	if object, err := adapter.Stat(ctx, "a/b m"); err != nil || object != (weightstore.Object{Model: "a/b m", Bytes: 500}) {
 		t.Fatalf("got %+v, %v", object, err)
 	}
