coord: add configuration revisions, spreading and lease rules

Cause: the tables had no revisions, and nothing said how a change reaches every process or when the holder of a lease may act. Change: config splits the tables into rows, shards and a head, plans and resolves edits, derives and applies changes, cuts endpoint slices and keeps the revision in force, which only grows. A document keeps its parsed rows, so a change parses only its own. spread decides on notifications, exchanges, pulls and lease attempts. lease counts the time to live from the request and ends use a third before its end. Conclusion: store and peer adapters can be built on these packages.

--- /dev/null
+++ b/coord/config/document_test.go
@@ -0,0 +1,298 @@
+package config
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"siskinstand.example/coord/invariant"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func zoneEdit(zone, state string) RowEdit {
+	e := RowEdit{RowID: RowID{TablePools, "zone " + zone}}
+	if state != "" {
+		e.Text = "state = " + state + "\n"
+	}
+	return e
+}
+
+func drawRows(t *rapid.T) []RowEdit {
+	byZone := map[string]RowEdit{}
+	for range rapid.IntRange(1, 4).Draw(t, "rows") {
+		zone := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")
+		byZone[zone] = zoneEdit(zone, rapid.SampledFrom([]string{"in", "out", ""}).Draw(t, "state"))
+	}
+	var rows []RowEdit
+	for _, r := range byZone {
+		rows = append(rows, r)
+	}
+	sortRows(rows)
+	return rows
+}
+
+func assertSame(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, want, got *Document) {
+	t.Helper()
+	if diff := cmp.Diff(want.Rows(), got.Rows()); diff != "" || want.Revision() != got.Revision() {
+		t.Fatalf("documents of revision %d and %d differ (-want +got):\n%s", want.Revision(), got.Revision(), diff)
+	}
+}
+
+// Guards against a process that reaches a revision through peers' changes, of
+// whatever history, with other rows than one that read the store.
+func TestChangesEqualStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		registry := invariant.NewRegistry(nil)
+		reader, follower := NewInForce(registry), NewInForce(registry)
+		head, shards := EmptyHead(), map[string][]byte{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			doc := assemble(t, head, shards)
+			plan, err := PlanEdit(head, doc, Edit{ID: fmt.Sprint(i), Author: "a", Base: head.Revision, Rows: drawRows(t)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for digest, value := range plan.Shards {
+				shards[digest] = value
+			}
+			for _, digest := range plan.Retired {
+				delete(shards, digest)
+			}
+			head = recode(t, plan.Head)
+			if rapid.Bool().Draw(t, "read") {
+				reader.Advance(assemble(t, head, shards))
+			}
+			if rapid.Bool().Draw(t, "follow") {
+				follow(t, follower, reader)
+			}
+		}
+		reader.Advance(assemble(t, head, shards))
+		follow(t, follower, reader)
+		assertSame(t, assemble(t, head, shards), follower.Document())
+	})
+}
+
+func follow(t *rapid.T, follower, reader *InForce) {
+	changes, ok := reader.Since(follower.Current().Revision)
+	if !ok {
+		follower.Advance(reader.Document())
+		return
+	}
+	if _, err := follower.Apply(changes); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func assemble(t *rapid.T, h Head, shards map[string][]byte) *Document {
+	if h.Revision == 0 {
+		return EmptyDocument()
+	}
+	d, err := Assemble(h, func(digest string) ([]byte, error) {
+		if value, ok := shards[digest]; ok {
+			return value, nil
+		}
+		return nil, errors.New("no shard " + digest)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func recode(t *rapid.T, h Head) Head {
+	data, err := h.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeHead(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return decoded
+}
+
+// Guards against a process that goes back: the check in publish is violated on
+// purpose, and Advance and Apply never reach it with an older revision.
+func TestMonotonic(t *testing.T) {
+	registry := invariant.NewRegistry(nil)
+	f := NewInForce(registry)
+	doc := func(revision uint64) *Document {
+		d, err := NewDocument(revision, 0, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	f.Advance(doc(5))
+	if f.Advance(doc(4)) || f.Advance(doc(5)) || registry.Total() != 0 {
+		t.Fatal("an older or equal revision moved the configuration")
+	}
+	if f.publish(doc(3)) || registry.Count(invariant.ConfigMonotonic) != 1 || f.Current().Revision != 5 {
+		t.Fatal("a forced move back was not counted, or took effect")
+	}
+}
+
+// Guards against an edit accepted with a change identifier lost from the head.
+func TestResolve(t *testing.T) {
+	h := EmptyHead()
+	h.Revision = 9
+	h.Changes = []HeadChange{{Revision: 8, ID: "x"}, {Revision: 9, ID: "y", Author: "ann"}}
+	for name, tc := range map[string]struct {
+		edit Edit
+		want Outcome
+	}{
+		"found":           {Edit{ID: "x", Base: 7}, Accepted},
+		"head unchanged":  {Edit{ID: "z", Base: 9}, Repeat},
+		"other change":    {Edit{ID: "z", Base: 8}, NotAccepted},
+		"history too old": {Edit{ID: "z", Base: 5}, Unknown},
+		"older store":     {Edit{ID: "z", Base: 12}, Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := h.Resolve(tc.edit)
+			if got != tc.want || (got == NotAccepted) != (err != nil) {
+				t.Errorf("Resolve = %s, %v, want %s", got, err, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a head over the store's value limit after very large edits.
+func TestHeadSize(t *testing.T) {
+	h := EmptyHead()
+	for r := uint64(1); r <= 400; r++ {
+		c := HeadChange{Revision: r, ID: fmt.Sprint(r)}
+		for i := range maxChangeRows {
+			c.Rows = append(c.Rows, RowID{TableRoutes, fmt.Sprintf("account customer-%d", i)})
+		}
+		h.Revision, h.Changes = r, append(h.Changes, c)
+	}
+	data, err := h.Encode()
+	if err != nil || len(data) > maxHeadBytes {
+		t.Fatalf("Encode = %d bytes, %v", len(data), err)
+	}
+	if _, err := DecodeHead(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against rows lost or altered between the operators' files and shards.
+func TestSplitAndRender(t *testing.T) {
+	var rows []RowEdit
+	for table, f := range map[Table]File{TableRoutes: {"r", []byte(goodRoutes)}, TablePools: {"p", []byte(goodPools + "[zone empty]\n")}} {
+		part, err := SplitRows(table, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, part...)
+	}
+	d, err := NewDocument(3, 0, rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, table := range TableNames() {
+		if edits, err := d.EditsTo(table, d.File(table)); err != nil || len(edits) != 0 {
+			t.Errorf("%s: the rendered table differs from itself: %v, %v", table, edits, err)
+		}
+	}
+	if s := d.Slice("quotes", "zilina-b", "h4"); !s.ZoneOut || !s.HostLeaving || s.Pool.Model != "linen-7b" {
+		t.Errorf("Slice = %+v", s)
+	}
+}
+
+// Guards against a sidecar that misses a change of its slice, also a deletion.
+func TestSliceRevision(t *testing.T) {
+	d := EmptyDocument()
+	for i, tc := range []struct {
+		row  RowEdit
+		want uint64
+	}{{zoneEdit("a", "out"), 1}, {zoneEdit("b", "out"), 1}, {zoneEdit("a", "in"), 3}, {zoneEdit("a", ""), 4}} {
+		next, err := d.Apply(Change{Revision: uint64(i + 1), Base: uint64(i), Rows: []RowEdit{tc.row}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d = next
+		if got := d.Slice("p", "a", "h").ChangedRevision; got != tc.want {
+			t.Errorf("revision %d: slice changed at %d, want %d", i+1, got, tc.want)
+		}
+	}
+}
+
+func FuzzDecodeHead(f *testing.F) {
+	h := EmptyHead()
+	h.Revision, h.Changes = 1, []HeadChange{{Revision: 1, ID: "x"}}
+	data, _ := h.Encode()
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := DecodeHead(data)
+		if err != nil {
+			return
+		}
+		again, err := h.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeHead(again); err != nil {
+			t.Fatalf("the encoding of an accepted head is refused: %v", err)
+		}
+	})
+}
+
+func FuzzDecodeShard(f *testing.F) {
+	f.Add([]byte(`{"format":1,"table":"pools","change_id":"x","rows":[{"section":"zone a","text":"state = in\n","revision":1}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		rows, err := DecodeShard(data, Digest(data), TablePools, ShardOf("zone a"))
+		if err == nil {
+			_, _ = NewDocument(1, 0, rows)
+		}
+	})
+}
+
+func FuzzApplyRow(f *testing.F) {
+	f.Add("zone a", "state = in\n")
+	f.Add("zone a]\n[zone b", "")
+	f.Fuzz(func(t *testing.T, section, text string) {
+		d, err := EmptyDocument().Apply(Change{Revision: 1, Rows: []RowEdit{{RowID: RowID{TablePools, section}, Text: text}}})
+		if err != nil || text == "" {
+			return
+		}
+		if len(d.Rows()) != 1 {
+			t.Fatalf("one row became %d", len(d.Rows()))
+		}
+		if _, err := Parse(d.File(TableRoutes), d.File(TablePools)); err != nil {
+			t.Fatalf("an accepted row does not parse again: %v", err)
+		}
+	})
+}
+
+func BenchmarkApply15000Accounts(b *testing.B) {
+	var rows []RowEdit
+	for i := range 15_000 {
+		rows = append(rows, RowEdit{
+			RowID: RowID{TableRoutes, fmt.Sprintf("account customer-%d", i)},
+			Text:  fmt.Sprintf("token_sha256 = %064x\nweight = 2\n", i+1),
+		})
+	}
+	d, err := NewDocument(1, 0, rows)
+	if err != nil {
+		b.Fatal(err)
+	}
+	start := time.Now()
+	for b.Loop() {
+		if _, err := d.Apply(Change{Revision: 2, Base: 1, Rows: []RowEdit{zoneEdit("a", "out")}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(time.Since(start).Milliseconds())/float64(b.N), "ms/op")
+}
--- /dev/null
+++ b/coord/config/edit.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Edit is an operator's request to change rows.
+type Edit struct {
+	ID     string
+	Author string
+	// Base is the revision that the operator saw.
+	Base uint64
+	Time time.Time
+	Rows []RowEdit
+}
+
+// ConflictError says that another change was accepted first.
+type ConflictError struct {
+	Base  uint64
+	Head  uint64
+	Other HeadChange
+}
+
+// Error names the other change.
+func (e *ConflictError) Error() string {
+	if e.Other.ID == "" {
+		return fmt.Sprintf("conflict: the edit is based on revision %d, the store has revision %d", e.Base, e.Head)
+	}
+	return fmt.Sprintf("conflict: the edit is based on revision %d, but change %s by %s made revision %d",
+		e.Base, e.Other.ID, e.Other.Author, e.Other.Revision)
+}
+
+// conflict names the first change after the edit's base.
+func (h Head) conflict(base uint64) *ConflictError {
+	e := &ConflictError{Base: base, Head: h.Revision}
+	for _, c := range h.Changes {
+		if c.Revision > base {
+			e.Other = c
+			break
+		}
+	}
+	return e
+}
+
+// Plan holds the writes of an edit: first the shards, then the head by
+// compare-and-swap, then the deletion of the retired shards.
+type Plan struct {
+	Head    Head
+	Shards  map[string][]byte
+	Retired []string
+}
+
+// PlanEdit checks an edit against the head and its document.
+func PlanEdit(h Head, d *Document, e Edit) (Plan, error) {
+	if e.ID == "" || e.Author == "" || len(e.Rows) == 0 {
+		return Plan{}, eris.New("an edit needs a change identifier, an author and at least one row")
+	}
+	if e.Base != h.Revision || d.revision != h.Revision {
+		return Plan{}, h.conflict(e.Base)
+	}
+	rows := slices.Clone(e.Rows)
+	for i := range rows {
+		rows[i].Revision = h.Revision + 1
+	}
+	next, err := d.Apply(Change{Revision: h.Revision + 1, Base: h.Revision, ID: e.ID, Rows: rows})
+	if err != nil {
+		return Plan{}, err
+	}
+	p := Plan{Head: nextHead(h, next, e), Shards: map[string][]byte{}}
+	touched := map[RowID]bool{}
+	for _, r := range rows {
+		touched[RowID{r.Table, fmt.Sprint(ShardOf(r.Section))}] = true
+	}
+	for _, table := range TableNames() {
+		for index := range ShardsPerTable {
+			if touched[RowID{table, fmt.Sprint(index)}] {
+				if err := p.replaceShard(next, table, index, e.ID); err != nil {
+					return Plan{}, err
+				}
+			}
+		}
+	}
+	return p, nil
+}
+
+func nextHead(h Head, next *Document, e Edit) Head {
+	change := HeadChange{Revision: next.revision, ID: e.ID, Author: e.Author, Base: e.Base, UnixMS: e.Time.UnixMilli()}
+	for _, r := range e.Rows {
+		change.Rows = append(change.Rows, r.RowID)
+	}
+	if len(change.Rows) > maxChangeRows {
+		change.MoreRows = len(change.Rows) - maxChangeRows
+		change.Rows = change.Rows[:maxChangeRows]
+	}
+	shards := maps.Clone(h.Shards)
+	for t := range shards {
+		shards[t] = slices.Clone(shards[t])
+	}
+	return Head{
+		Format: formatVersion, Revision: next.revision, Deleted: next.deleted, Shards: shards,
+		Changes: append(slices.Clone(h.Changes), change),
+	}
+}
+
+func (p *Plan) replaceShard(d *Document, table Table, index int, changeID string) error {
+	s := shard{Format: formatVersion, Table: table, ChangeID: changeID}
+	for id, r := range d.rows {
+		if id.Table == table && ShardOf(id.Section) == index {
+			s.Rows = append(s.Rows, shardRow{Section: id.Section, Text: r.text, Revision: r.revision})
+		}
+	}
+	slices.SortFunc(s.Rows, func(a, b shardRow) int {
+		if a.Section < b.Section {
+			return -1
+		}
+		return 1
+	})
+	if old := p.Head.Shards[table][index]; old != "" {
+		p.Retired = append(p.Retired, old)
+	}
+	p.Head.Shards[table][index] = ""
+	if len(s.Rows) == 0 {
+		return nil
+	}
+	value, err := json.Marshal(s)
+	if err != nil {
+		return eris.Wrap(err, "encode shard")
+	}
+	if len(value) > maxValueBytes {
+		return eris.Errorf("%s: shard %d of %d would hold %d bytes; accepted: up to %d", table, index, ShardsPerTable, len(value), maxValueBytes)
+	}
+	digest := Digest(value)
+	p.Shards[digest] = value
+	p.Head.Shards[table][index] = digest
+	return nil
+}
+
+// Outcome is what is known of an edit whose write got no answer.
+type Outcome string
+
+// The outcomes. Repeat means that the same swap has to be made again.
+const (
+	Accepted    Outcome = "accepted"
+	NotAccepted Outcome = "not_accepted"
+	Repeat      Outcome = "repeat"
+	Unknown     Outcome = "unknown"
+)
+
+// Resolve decides the outcome of an edit from a head read after the lost
+// answer. The error is the conflict of an edit that was not accepted.
+func (h Head) Resolve(e Edit) (Outcome, error) {
+	if _, ok := h.Change(e.ID); ok {
+		return Accepted, nil
+	}
+	if h.Revision == e.Base {
+		return Repeat, nil
+	}
+	if h.Revision < e.Base || len(h.Changes) == 0 || h.Changes[0].Revision > e.Base+1 {
+		return Unknown, nil
+	}
+	return NotAccepted, h.conflict(e.Base)
+}
--- /dev/null
+++ b/coord/config/head.go
@@ -0,0 +1,219 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Layout of the configuration in the key-value store.
+const (
+	HeadKey         = "config/head"
+	ShardPrefix     = "config/shard/"
+	ShardsPerTable  = 64
+	MaxHeadChanges  = 256
+	formatVersion   = 1
+	maxChangeRows   = 2048
+	maxValueBytes   = 1 << 20
+	maxHeadBytes    = maxValueBytes / 2
+	revisionNoEdits = 0
+)
+
+// HeadChange describes one accepted edit in the head. MoreRows counts the rows
+// left out of Rows, which keeps the head within the store's value size.
+type HeadChange struct {
+	Revision uint64  `json:"revision"`
+	ID       string  `json:"change_id"`
+	Author   string  `json:"author"`
+	Base     uint64  `json:"base"`
+	UnixMS   int64   `json:"unix_ms"`
+	Rows     []RowID `json:"rows"`
+	MoreRows int     `json:"more_rows,omitempty"`
+}
+
+// Head names the shards of the newest revision. An empty digest is a shard
+// without rows.
+type Head struct {
+	Format   int                `json:"format"`
+	Revision uint64             `json:"revision"`
+	Deleted  uint64             `json:"deleted_revision"`
+	Shards   map[Table][]string `json:"shards"`
+	// Changes holds the latest edits in ascending order of revision.
+	Changes []HeadChange `json:"changes"`
+}
+
+// EmptyHead stands for a store without a configuration.
+func EmptyHead() Head {
+	h := Head{Format: formatVersion, Shards: map[Table][]string{}}
+	for _, t := range TableNames() {
+		h.Shards[t] = make([]string, ShardsPerTable)
+	}
+	return h
+}
+
+// DecodeHead reads a head and rejects every form that this build does not know.
+func DecodeHead(data []byte) (Head, error) {
+	var h Head
+	if err := decodeStrict(data, &h); err != nil {
+		return Head{}, eris.Wrap(err, HeadKey)
+	}
+	if h.Format != formatVersion {
+		return Head{}, eris.Errorf("%s: format %d is not accepted; accepted: %d", HeadKey, h.Format, formatVersion)
+	}
+	if h.Revision == revisionNoEdits || h.Deleted > h.Revision || len(h.Shards) != len(TableNames()) {
+		return Head{}, eris.Errorf("%s: revision or tables are not valid", HeadKey)
+	}
+	for _, t := range TableNames() {
+		if len(h.Shards[t]) != ShardsPerTable || slices.ContainsFunc(h.Shards[t], badDigest) {
+			return Head{}, eris.Errorf("%s: shards of table %s are not valid", HeadKey, t)
+		}
+	}
+	return h, h.checkChanges()
+}
+
+func (h Head) checkChanges() error {
+	last := uint64(0)
+	for _, c := range h.Changes {
+		if c.Revision <= last || c.Revision > h.Revision || c.ID == "" {
+			return eris.Errorf("%s: change %q at revision %d is out of order", HeadKey, c.ID, c.Revision)
+		}
+		last = c.Revision
+	}
+	if last != h.Revision {
+		return eris.Errorf("%s: no change leads to revision %d", HeadKey, h.Revision)
+	}
+	return nil
+}
+
+func decodeStrict(data []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return err
+	}
+	if decoder.More() {
+		return eris.New("data after the end of the value")
+	}
+	return nil
+}
+
+func badDigest(d string) bool {
+	raw, err := hex.DecodeString(d)
+	return d != "" && (err != nil || len(raw) != sha256.Size || strings.ToLower(d) != d)
+}
+
+// Encode returns the stored form; the oldest changes are left out where the
+// head would grow too large.
+func (h Head) Encode() ([]byte, error) {
+	h.Changes = h.Changes[max(0, len(h.Changes)-MaxHeadChanges):]
+	for {
+		data, err := json.Marshal(h)
+		if err != nil {
+			return nil, eris.Wrap(err, HeadKey)
+		}
+		if len(data) <= maxHeadBytes || len(h.Changes) <= 1 {
+			return data, nil
+		}
+		h.Changes = h.Changes[(len(h.Changes)+1)/2:]
+	}
+}
+
+// Change finds a change by its identifier.
+func (h Head) Change(id string) (HeadChange, bool) {
+	i := slices.IndexFunc(h.Changes, func(c HeadChange) bool { return c.ID == id })
+	if i < 0 {
+		return HeadChange{}, false
+	}
+	return h.Changes[i], true
+}
+
+// Digests lists the shards that the head refers to.
+func (h Head) Digests() []string {
+	var list []string
+	for _, t := range TableNames() {
+		for _, d := range h.Shards[t] {
+			if d != "" {
+				list = append(list, d)
+			}
+		}
+	}
+	return list
+}
+
+type shardRow struct {
+	Section  string `json:"section"`
+	Text     string `json:"text"`
+	Revision uint64 `json:"revision"`
+}
+
+// shard is one stored value. The change identifier makes its digest unique to
+// the edit, so a retired shard can be deleted: no later edit refers to it.
+type shard struct {
+	Format   int        `json:"format"`
+	Table    Table      `json:"table"`
+	ChangeID string     `json:"change_id"`
+	Rows     []shardRow `json:"rows"`
+}
+
+// ShardOf returns the index of a row's shard within its table.
+func ShardOf(section string) int {
+	h := fnv.New32a()
+	h.Write([]byte(section))
+	return int(h.Sum32() % ShardsPerTable)
+}
+
+// Digest returns the digest that names a shard.
+func Digest(value []byte) string {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:])
+}
+
+// DecodeShard reads a shard and checks digest, table and place of each row.
+func DecodeShard(value []byte, digest string, table Table, index int) ([]RowEdit, error) {
+	if Digest(value) != digest {
+		return nil, eris.Errorf("shard %s: the value does not match the digest", digest)
+	}
+	var s shard
+	if err := decodeStrict(value, &s); err != nil {
+		return nil, eris.Wrapf(err, "shard %s", digest)
+	}
+	if s.Format != formatVersion || s.Table != table {
+		return nil, eris.Errorf("shard %s: format %d of table %q is not accepted", digest, s.Format, s.Table)
+	}
+	var rows []RowEdit
+	for _, r := range s.Rows {
+		if ShardOf(r.Section) != index {
+			return nil, eris.Errorf("shard %s: row %q belongs to another shard", digest, r.Section)
+		}
+		rows = append(rows, RowEdit{RowID: RowID{table, r.Section}, Text: r.Text, Revision: r.Revision})
+	}
+	return rows, nil
+}
+
+// Assemble builds the document of a head; get returns the value of a shard.
+func Assemble(h Head, get func(digest string) ([]byte, error)) (*Document, error) {
+	var rows []RowEdit
+	for _, table := range TableNames() {
+		for index, digest := range h.Shards[table] {
+			if digest == "" {
+				continue
+			}
+			value, err := get(digest)
+			if err != nil {
+				return nil, err
+			}
+			part, err := DecodeShard(value, digest, table, index)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, part...)
+		}
+	}
+	return NewDocument(h.Revision, h.Deleted, rows)
+}
--- a/coord/config/parse.go
+++ b/coord/config/parse.go
@@ -26,26 +26,36 @@
 // Parse checks both tables. An error names file, section, key and the accepted
 // values; one bad row makes the whole edit fail, so no row is ever skipped.
 func Parse(routes, pools File) (*Tables, error) {
+	poolSections, err := inifile.Parse(pools.Name, pools.Text)
+	if err != nil {
+		return nil, err
+	}
+	routeSections, err := inifile.Parse(routes.Name, routes.Text)
+	if err != nil {
+		return nil, err
+	}
+	return build(routes.Name, routeSections, pools.Name, poolSections)
+}
+
+// build checks parsed sections; the names are those of the files.
+func build(routes string, routeSections []inifile.Section, pools string, poolSections []inifile.Section) (*Tables, error) {
 	t := &Tables{
 		accounts: map[string]Account{}, byToken: map[TokenHash]string{},
 		routes: map[routeKey][]Route{}, byName: map[string]Route{},
 		pools: map[string]Pool{}, zones: map[string]ZoneState{}, hosts: map[string]HostState{},
 	}
-	err := parseFile(pools, map[string]func(*reader){"pool": t.addPool, "zone": t.addZone, "host": t.addHost})
+	err := addSections(pools, poolSections, map[string]func(*reader){"pool": t.addPool, "zone": t.addZone, "host": t.addHost})
 	if err != nil {
 		return nil, err
 	}
-	if err := parseFile(routes, map[string]func(*reader){"account": t.addAccount, "route": t.addRoute}); err != nil {
+	err = addSections(routes, routeSections, map[string]func(*reader){"account": t.addAccount, "route": t.addRoute})
+	if err != nil {
 		return nil, err
 	}
 	return t, nil
 }
 
-func parseFile(f File, kinds map[string]func(*reader)) error {
-	sections, err := inifile.Parse(f.Name, f.Text)
-	if err != nil {
-		return err
-	}
+func addSections(file string, sections []inifile.Section, kinds map[string]func(*reader)) error {
 	var accepted []string
 	for kind := range kinds {
 		accepted = append(accepted, "["+kind+" NAME]")
@@ -59,9 +69,9 @@
 		kind, name, ok := strings.Cut(s.Name, " ")
 		add := kinds[kind]
 		if !ok || add == nil || name == "" || strings.ContainsAny(name, " \t") {
-			return &inifile.Error{File: f.Name, Line: s.Line, Section: s.Name, Message: "unknown section; accepted: " + strings.Join(accepted, ", ")}
+			return &inifile.Error{File: file, Line: s.Line, Section: s.Name, Message: "unknown section; accepted: " + strings.Join(accepted, ", ")}
 		}
-		r := &reader{file: f.Name, section: s, name: name}
+		r := &reader{file: file, section: s, name: name}
 		add(r)
 		if err := r.finish(); err != nil {
 			return err
--- /dev/null
+++ b/coord/spread/spread_test.go
@@ -0,0 +1,124 @@
+package spread
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"siskinstand.example/coord/config"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// edit is one operator's edit based on the revision they saw. The answer of
+// the swap may be lost; the outcome is then read back.
+func (s *simulation) edit(base config.Head, id, state string) {
+	if !s.store.up || base.Revision > s.store.readHead().Revision {
+		return
+	}
+	e := config.Edit{
+		ID: id, Author: "operator", Base: base.Revision, Time: s.now,
+		Rows: []config.RowEdit{{RowID: config.RowID{Table: config.TablePools, Section: "zone a"}, Text: "state = " + state + "\n"}},
+	}
+	plan, err := config.PlanEdit(s.store.readHead(), s.store.document(), e)
+	if base.Revision != s.store.readHead().Revision {
+		var conflict *config.ConflictError
+		if !errors.As(err, &conflict) || conflict.Other.Revision != base.Revision+1 {
+			s.t.Fatalf("edit of revision %d: error %v, want a conflict that names the other change", base.Revision, err)
+		}
+		return
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for digest, value := range plan.Shards {
+		s.store.shards[digest] = value
+	}
+	if s.random.IntN(2) == 0 {
+		if outcome, _ := s.store.readHead().Resolve(e); outcome != config.Repeat {
+			s.t.Fatalf("outcome of a lost write = %s, want repeat", outcome)
+		}
+	}
+	value, err := plan.Head.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.head, s.store.revision = value, plan.Head.Revision
+	if outcome, _ := s.store.readHead().Resolve(e); outcome != config.Accepted {
+		s.t.Fatalf("outcome after the write = %s, want accepted", outcome)
+	}
+	for _, digest := range plan.Retired {
+		delete(s.store.shards, digest)
+	}
+	s.accepted = append(s.accepted, acceptedEdit{revision: plan.Head.Revision, at: s.now})
+}
+
+func (s *simulation) event(t *rapid.T, i int) {
+	switch rapid.SampledFrom([]string{"edit", "race", "outage", "heal", "restart", "wait"}).Draw(t, "event") {
+	case "edit":
+		s.edit(s.store.readHead(), fmt.Sprintf("c%d", i), "out")
+	case "race":
+		base := s.store.readHead()
+		s.edit(base, fmt.Sprintf("c%d-a", i), "out")
+		s.edit(base, fmt.Sprintf("c%d-b", i), "in")
+	case "outage":
+		s.store.up = false
+	case "heal":
+		if !s.store.up {
+			s.store.up, s.store.upSince = true, s.now
+		}
+	case "restart":
+		s.restart(rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node"))
+	}
+	for range rapid.IntRange(1, 120).Draw(t, "steps") {
+		s.step()
+	}
+}
+
+// Guards against an edit that is not in force everywhere 15 s after the store
+// is reachable, and against a process that goes back to an older revision.
+func TestInForceEverywhere(t *testing.T) {
+	var worst time.Duration
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(0, 30).Draw(t, "loss percent"),
+			rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(1, 6).Draw(t, "gateways per zone"))
+		for i := range 8 {
+			s.event(t, i)
+		}
+		s.store.up, s.store.upSince = true, s.now
+		for range int(bound/simStep) + 2 {
+			s.step()
+		}
+		worst = max(worst, s.worst)
+	})
+	t.Logf("longest time to be in force everywhere: %s", worst)
+}
+
+// Guards against heartbeats too slow for the takeover rule at the design size
+// of 38 gateways in a zone, which would make the zone's gateways write to the
+// store all the time, and measures how fast an edit travels among them.
+func TestLargeZone(t *testing.T) {
+	for seed := range uint64(2) {
+		s := newSimulation(t, seed, 0, 10, 38)
+		for range 200 {
+			s.step()
+		}
+		before, startup := s.store.nextID, s.attempts
+		s.edit(s.store.readHead(), "c", "out")
+		for range 200 {
+			s.step()
+		}
+		if !s.accepted[0].done || s.store.nextID != before {
+			t.Fatalf("in force everywhere: %t; the lease changed its holder %d times without a fault", s.accepted[0].done, s.store.nextID-before)
+		}
+		t.Logf("380 gateways: in force everywhere after %s; lease attempts in the first 10 s: %d, in the next 10 s: %d", s.worst, startup, s.attempts-startup)
+	}
+}
