gateway/kvstore: read the configuration under the zone's lease

Cause: nothing read the configuration from the store. Conclusion: gateway/peer can drive the reader.

--- a/coord/spread/sim_test.go
+++ b/coord/spread/sim_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/fence"
 	"siskinstand.example/coord/invariant"
-	"siskinstand.example/coord/lease"
 )
 
 const (
@@ -85,7 +85,8 @@
 	peer    Peer
 	state   *State
 	inForce *config.InForce
-	lease   lease.Lease
+	lease   *fence.Holder
+	renewAt time.Time
 	born    time.Time
 	// seen is the last revision checked, movedAt the time it came into force.
 	seen    uint64
@@ -138,6 +139,7 @@
 	p := Peer{ID: fmt.Sprintf("g%d-%d", index, s.starts), Zone: zone}
 	return &node{
 		peer: p, born: s.now, inForce: config.NewInForce(s.registry),
+		lease: fence.NewHolder(fence.ModeIgnores),
 		state: New(Config{ID: p.ID, Zone: zone, Seed: s.starts}, s.now),
 	}
 }
@@ -207,26 +209,27 @@
 		n.state.NotReading(s.now)
 		return
 	}
-	n.lease = lease.Granted(id, s.now, leaseTTL)
+	n.lease.Granted(s.now, fence.Lease{Fence: uint64(id), Requested: s.now, TimeToLive: leaseTTL}, 0)
+	n.renewAt = s.now.Add(leaseTTL / 3)
 	n.state.Reading(s.now)
 }
 
 // read is the work of a zone's reader: renewal and the watch on the head.
 func (s *simulation) read(n *node) {
-	if n.lease.Fence == 0 {
+	if n.lease.Check(s.now) == fence.RefusedNoLease {
 		return
 	}
-	if s.store.up && !s.now.Before(n.lease.RenewAt()) {
-		if !s.store.keepAlive(s.now, n.peer.Zone, n.lease.Fence) {
-			n.lease = lease.Lease{}
+	if s.store.up && !s.now.Before(n.renewAt) {
+		if !s.store.keepAlive(s.now, n.peer.Zone, int64(n.lease.Fence())) {
+			n.lease.Lost()
 			n.state.NotReading(s.now)
 			return
 		}
-		n.lease = n.lease.Renewed(s.now, leaseTTL)
-		n.state.Reading(s.now)
+		n.lease.Renewed(n.lease.Fence(), s.now)
+		n.renewAt = s.now.Add(leaseTTL / 3)
 	}
-	if n.lease.Expired(s.now) {
-		n.lease = lease.Lease{}
+	if n.lease.Check(s.now) != fence.Allowed {
+		n.lease.Lost()
 		n.state.NotReading(s.now)
 		return
 	}
--- /dev/null
+++ b/gateway/kvstore/reader.go
@@ -0,0 +1,235 @@
+package kvstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/platform/kvstore"
+)
+
+// DefaultLeaseTTL is the time to live of the reader lease. With the timeout of
+// the heartbeat it bounds the time without a reader (see package spread).
+const DefaultLeaseTTL = 5 * time.Second
+
+// retryInterval is the time between attempts while the store does not answer.
+const retryInterval = 500 * time.Millisecond
+
+// watchTimeout ends a watch, so that a broken connection is noticed.
+const watchTimeout = 30 * time.Second
+
+// ReaderKey returns the lease key of a zone's configuration reader.
+func ReaderKey(zone string) string { return "lease/config_reader/" + zone }
+
+// ReaderConfig names the process and its parts.
+type ReaderConfig struct {
+	Store     kvstore.Store
+	Zone      string
+	ProcessID string
+	// LeaseTTL is DefaultLeaseTTL if zero.
+	LeaseTTL time.Duration
+	InForce  *config.InForce
+	Alarms   *Alarms
+	// Reading is called when the process becomes the zone's reader, when it
+	// ceases to be, and when an attempt has failed. It may be nil.
+	Reading func(reading bool)
+}
+
+// Reader reads the configuration from the store while it holds the lease of
+// its zone.
+type Reader struct {
+	ReaderConfig
+	attempts chan struct{}
+	// shards caches the values of the last head by digest.
+	shards map[string][]byte
+}
+
+// NewReader returns a reader that does not hold the lease.
+func NewReader(c ReaderConfig) *Reader {
+	if c.LeaseTTL == 0 {
+		c.LeaseTTL = DefaultLeaseTTL
+	}
+	if c.Reading == nil {
+		c.Reading = func(bool) {}
+	}
+	if c.Alarms == nil {
+		c.Alarms = &Alarms{}
+	}
+	return &Reader{ReaderConfig: c, attempts: make(chan struct{}, 1), shards: map[string][]byte{}}
+}
+
+// Try asks for one attempt to get the lease. It does not block.
+func (r *Reader) Try() {
+	select {
+	case r.attempts <- struct{}{}:
+	default:
+	}
+}
+
+// Run makes the attempts asked for by Try and reads while the lease is held.
+func (r *Reader) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.attempts:
+		}
+		held, err := acquireLease(ctx, r.Store, ReaderKey(r.Zone), r.ProcessID, r.LeaseTTL)
+		if err != nil {
+			if !errors.Is(err, errHeldElsewhere) {
+				klog.V(1).InfoS("no reader lease", "zone", r.Zone, "err", err)
+			}
+			r.Reading(false)
+			continue
+		}
+		klog.InfoS("configuration reader of the zone", "zone", r.Zone, "fence", held.id)
+		r.Reading(true)
+		r.hold(ctx, held)
+		r.Reading(false)
+	}
+}
+
+// hold reads until the lease is lost or the context ends.
+func (r *Reader) hold(ctx context.Context, held *heldLease) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.watch(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+		held.release()
+	}()
+	next := time.NewTimer(held.interval())
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-next.C:
+		}
+		wait := held.interval()
+		if err := held.renew(ctx); err != nil {
+			r.Alarms.Raise(AlarmStoreDown, "renew reader lease: "+err.Error())
+			wait = retryInterval
+		} else {
+			r.Alarms.Clear(AlarmStoreDown)
+		}
+		if !held.usable() {
+			return
+		}
+		next.Reset(wait)
+	}
+}
+
+// watch follows the head and puts each higher revision in force.
+func (r *Reader) watch(ctx context.Context) {
+	version := int64(0)
+	for ctx.Err() == nil {
+		pair, err := r.next(ctx, version)
+		if err == nil {
+			version = pair.Version
+			err = r.load(ctx, pair)
+		}
+		if err == nil || errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+			continue
+		}
+		if errors.Is(err, kvstore.ErrNotFound) {
+			// A later edit retired a shard of this head; read the head again.
+			version = 0
+		}
+		if ctx.Err() == nil {
+			klog.V(1).InfoS("configuration not read", "err", err)
+		}
+		pause(ctx, retryInterval)
+	}
+}
+
+func (r *Reader) next(ctx context.Context, version int64) (kvstore.Pair, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	if version == 0 {
+		// A watch does not tell that there is no head.
+		pair, err := r.Store.Get(ctx, config.HeadKey)
+		if err == nil {
+			return pair, nil
+		}
+		if !errors.Is(err, kvstore.ErrNotFound) {
+			return kvstore.Pair{}, err
+		}
+		r.checkAge(0, r.InForce.Current().Revision)
+	}
+	return r.Store.Watch(ctx, config.HeadKey, version)
+}
+
+// load puts the head's revision in force if it is higher. A head that this
+// build cannot read raises an alarm and replaces nothing.
+func (r *Reader) load(ctx context.Context, pair kvstore.Pair) error {
+	current := r.InForce.Current().Revision
+	if pair.Version == 0 {
+		r.checkAge(0, current)
+		return nil
+	}
+	head, err := config.DecodeHead(pair.Value)
+	if err != nil {
+		r.Alarms.Raise(AlarmUnreadable, err.Error())
+		return nil
+	}
+	r.checkAge(head.Revision, current)
+	if head.Revision <= current {
+		return nil
+	}
+	if err := r.fetch(ctx, head); err != nil {
+		return err
+	}
+	next, err := config.Assemble(head, func(digest string) ([]byte, error) { return r.shards[digest], nil })
+	if err != nil {
+		r.Alarms.Raise(AlarmUnreadable, err.Error())
+		return nil
+	}
+	r.Alarms.Clear(AlarmUnreadable)
+	if r.InForce.Advance(next) {
+		klog.InfoS("configuration in force", "config_revision", head.Revision)
+	}
+	return nil
+}
+
+func (r *Reader) checkAge(store, current uint64) {
+	if store < current {
+		r.Alarms.Raise(AlarmStoreOlder, fmt.Sprintf("the store has revision %d, revision %d is in force", store, current))
+		return
+	}
+	r.Alarms.Clear(AlarmStoreOlder)
+}
+
+// fetch fills the cache with exactly the shards of the head.
+func (r *Reader) fetch(ctx context.Context, head config.Head) error {
+	next := map[string][]byte{}
+	for _, digest := range head.Digests() {
+		value, ok := r.shards[digest]
+		if !ok {
+			pair, err := r.Store.Get(ctx, config.ShardPrefix+digest)
+			if err != nil {
+				return eris.Wrapf(err, "read shard %s", digest)
+			}
+			value = pair.Value
+		}
+		next[digest] = value
+	}
+	r.shards = next
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/gateway/kvstore/reader_test.go
@@ -0,0 +1,196 @@
+package kvstore
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/invariant"
+)
+
+// accept writes one edit of a zone's state as siskinctl does.
+func accept(t *testing.T, m *memStore, state string) uint64 {
+	t.Helper()
+	ctx := t.Context()
+	head, version := config.EmptyHead(), int64(0)
+	if pair, err := m.Get(ctx, config.HeadKey); err == nil {
+		if head, err = config.DecodeHead(pair.Value); err != nil {
+			t.Fatal(err)
+		}
+		version = pair.Version
+	}
+	doc := config.EmptyDocument()
+	if version != 0 {
+		var err error
+		doc, err = config.Assemble(head, func(digest string) ([]byte, error) {
+			pair, err := m.Get(ctx, config.ShardPrefix+digest)
+			return pair.Value, err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	plan, err := config.PlanEdit(head, doc, config.Edit{
+		ID: fmt.Sprint(version), Author: "a", Base: head.Revision, Time: time.Now(),
+		Rows: []config.RowEdit{{RowID: config.RowID{Table: config.TablePools, Section: "zone a"}, Text: "state = " + state + "\n"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for digest, value := range plan.Shards {
+		if _, err := m.CompareAndSwap(ctx, config.ShardPrefix+digest, value, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	value, _ := plan.Head.Encode()
+	if _, err := m.CompareAndSwap(ctx, config.HeadKey, value, version, 0); err != nil {
+		t.Fatal(err)
+	}
+	return plan.Head.Revision
+}
+
+type runningReader struct {
+	*Reader
+	reading atomic.Bool
+	stop    func()
+}
+
+func startReader(t *testing.T, m *memStore, id string) *runningReader {
+	t.Helper()
+	running := &runningReader{}
+	running.Reader = NewReader(ReaderConfig{
+		Store: m, Zone: "z", ProcessID: id, InForce: config.NewInForce(invariant.NewRegistry(nil)),
+		Reading: func(reading bool) { running.reading.Store(reading) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = running.Run(ctx)
+	}()
+	running.stop = func() { cancel(); <-done }
+	return running
+}
+
+func (r *runningReader) assertRevision(t *testing.T, want uint64) {
+	t.Helper()
+	synctest.Wait()
+	if got := r.InForce.Current().Revision; got != want {
+		t.Errorf("%s: revision %d in force, want %d", r.ProcessID, got, want)
+	}
+}
+
+// Guards against two readers in a zone, and against a lease that stays with a
+// process that stopped.
+func TestReaderLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemStore()
+		accept(t, m, "out")
+		a, b := startReader(t, m, "a"), startReader(t, m, "b")
+		a.Try()
+		synctest.Wait()
+		b.Try()
+		time.Sleep(time.Minute)
+		a.assertRevision(t, 1)
+		b.assertRevision(t, 0)
+		accept(t, m, "in")
+		a.assertRevision(t, 2)
+		a.stop()
+		b.Try()
+		b.assertRevision(t, 2)
+		b.stop()
+	})
+}
+
+// Guards against a reader that holds on, or reverts, across a store outage,
+// and against one that loses edits made afterwards.
+func TestReaderOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemStore()
+		accept(t, m, "out")
+		a := startReader(t, m, "a")
+		a.Try()
+		a.assertRevision(t, 1)
+		m.setDown(true)
+		time.Sleep(10 * time.Second)
+		if a.reading.Load() {
+			t.Error("still reading 10 s into an outage; the lease of 5 s has ended")
+		}
+		a.assertRevision(t, 1)
+		if len(a.Alarms.List()) == 0 {
+			t.Error("no alarm in the outage")
+		}
+		m.setDown(false)
+		accept(t, m, "in")
+		a.Try()
+		a.assertRevision(t, 2)
+		a.stop()
+	})
+}
+
+// Guards against a lost answer of the lease write that leaves a zone without a
+// reader for the time to live of the lease.
+func TestReaderLeaseAnswerLost(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		t.Run(fmt.Sprintf("written %t", written), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemStore()
+				accept(t, m, "out")
+				lose := true
+				m.lose = func() (bool, bool) { defer func() { lose = false }(); return lose, written }
+				a := startReader(t, m, "a")
+				a.Try()
+				synctest.Wait()
+				if a.reading.Load() != written {
+					t.Errorf("reading %t, want %t", a.reading.Load(), written)
+				}
+				a.Try()
+				a.assertRevision(t, 1)
+				a.stop()
+			})
+		})
+	}
+}
+
+// Guards against an older store, one without a head or with an unreadable one
+// that replaces what is in force, and against doing so without an alarm.
+func TestReaderKeepsNewest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		head string
+		want AlarmName
+	}{
+		"older":      {"", AlarmStoreOlder},
+		"no head":    {"none", AlarmStoreOlder},
+		"unreadable": {`{"format":99}`, AlarmUnreadable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemStore()
+				if tc.head != "none" {
+					accept(t, m, "out")
+				}
+				if name == "unreadable" {
+					p := m.pairs[config.HeadKey]
+					p.Value = []byte(tc.head)
+					m.pairs[config.HeadKey] = p
+				}
+				a := startReader(t, m, "a")
+				doc, err := config.NewDocument(7, 0, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				a.InForce.Advance(doc)
+				a.Try()
+				a.assertRevision(t, 7)
+				if alarms := a.Alarms.List(); len(alarms) != 1 || alarms[0].Name != tc.want {
+					t.Errorf("alarms %v, want %s", alarms, tc.want)
+				}
+				a.stop()
+			})
+		})
+	}
+}
