loadgen: add siskin-load run and demo

Cause: the path from callers to engines needs load with checked answers, and people need one command that shows the whole system.

Change: run sends a seeded open-loop mix of prompts and unrepeatable calls, checks every answer and prints a table and an SVG. demo starts stand-ins, sidecars and two gateways as processes, takes a zone out and back with one edit of the pools table each and fails if an invariant was broken. make demo and make run call it.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,14 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+# demo starts everything on loopback, takes a zone out and back and fails if an
+# invariant was broken.
+demo: build
+	bin/siskin-load demo --bin bin --dir out/demo --seed $(SEED) --plot out/demo/first-token.svg
+
+# run does the same and keeps everything running.
+run: build
+	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/loadgen/demo.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"siskinstand.example/loadgen/demo"
+)
+
+// demoCommand are the flags of demo.
+type demoCommand struct {
+	Binaries  string  `long:"bin" default:"bin" description:"directory of the programs"`
+	Directory string  `long:"dir" default:"out/demo" description:"directory for settings, tables and logs"`
+	Rate      float64 `long:"rate" default:"30" description:"requests a second"`
+	Seed      uint64  `long:"seed" default:"1" description:"seed of the mix"`
+	Plot      string  `long:"plot" description:"file for an SVG of the times to first token"`
+	Stay      bool    `long:"stay" description:"keep everything running and print an example call"`
+}
+
+// Execute runs the demo and fails if an invariant was broken.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return demo.Run(ctx, demo.Config{
+		Binaries: c.Binaries, Directory: c.Directory, Rate: c.Rate, Seed: c.Seed,
+		Stay: c.Stay, Plot: c.Plot, Out: os.Stdout,
+	})
+}
--- /dev/null
+++ b/loadgen/demo/process.go
@@ -0,0 +1,161 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// stopLimit is how long a process may take to stop after SIGTERM.
+const stopLimit = 30 * time.Second
+
+// process is one process that the demo started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	// done is closed when the process has ended, with its result in err.
+	done chan struct{}
+	err  error
+}
+
+// processes are all processes of the demo, in order of their start.
+type processes struct {
+	binaries  string
+	directory string
+
+	mu      sync.Mutex
+	running []*process
+	// ended receives a process that ended before stop was called.
+	ended chan *process
+}
+
+func newProcesses(binaries, directory string) *processes {
+	const maxProcesses = 256
+	return &processes{binaries: binaries, directory: directory, ended: make(chan *process, maxProcesses)}
+}
+
+// start runs a program with its output in a log file named after the process.
+func (p *processes) start(name, program string, arguments ...string) error {
+	log, err := os.Create(filepath.Join(p.directory, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(p.binaries, program), arguments...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// Signals from the terminal go to the demo only, which stops its processes
+	// in order.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", name, err)
+	}
+	one := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	p.mu.Lock()
+	p.running = append(p.running, one)
+	p.mu.Unlock()
+	go func() {
+		one.err = cmd.Wait()
+		close(one.done)
+		p.ended <- one
+	}()
+	return nil
+}
+
+// early returns an error if a process has ended before stop was called.
+func (p *processes) early() error {
+	select {
+	case one := <-p.ended:
+		return fmt.Errorf("%s ended early: %w; see %s", one.name, one.err, filepath.Join(p.directory, one.name+".log"))
+	default:
+		return nil
+	}
+}
+
+// stop ends all processes in reverse order of their start, so that gateways
+// drain before the sidecars and engines that they need. It returns an error if
+// a process failed or had to be killed.
+func (p *processes) stop() error {
+	p.mu.Lock()
+	running := p.running
+	p.running = nil
+	p.mu.Unlock()
+	var first error
+	for i := len(running) - 1; i >= 0; i-- {
+		if err := running[i].stop(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (one *process) stop() error {
+	_ = one.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-one.done:
+	case <-time.After(stopLimit):
+		_ = one.cmd.Process.Kill()
+		<-one.done
+		return fmt.Errorf("%s did not stop within %s", one.name, stopLimit)
+	}
+	if one.err != nil {
+		return fmt.Errorf("%s: %w", one.name, one.err)
+	}
+	return nil
+}
+
+// freeAddresses returns loopback addresses with free ports.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		// All listeners stay open until the end, so that no port is given twice.
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// awaitReady waits until GET url answers 200.
+func (p *processes) awaitReady(ctx context.Context, name, url string) error {
+	const limit = 20 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var last error
+	for {
+		if err := p.early(); err != nil {
+			return err
+		}
+		var status int
+		if status, last = probe(ctx, url); status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready after %s: status %d, %w", name, limit, status, last)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func probe(ctx context.Context, url string) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	response.Body.Close()
+	return response.StatusCode, nil
+}
--- /dev/null
+++ b/loadgen/load/client.go
@@ -0,0 +1,219 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"siskinstand.example/fakes/engine"
+	"siskinstand.example/fakes/plainservice"
+	"siskinstand.example/loadgen/mix"
+)
+
+// maxAnswerBytes bounds what the tool reads of one answer.
+const maxAnswerBytes = 64 << 20
+
+type client struct {
+	config Config
+	http   *http.Client
+}
+
+// send makes one request, which was due at a time, and judges its answer.
+func (c *client) send(ctx context.Context, item mix.Item, due time.Time) Result {
+	deadline := c.config.Deadline
+	if item.Class == mix.ClassPlain {
+		deadline = c.config.PlainDeadline
+	}
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, started.Add(deadline+lateGrace))
+	defer cancel()
+	result := Result{Item: item}
+	if item.Class == mix.ClassPlain {
+		c.plain(ctx, item, deadline, &result)
+	} else {
+		c.model(ctx, item, deadline, due, &result)
+	}
+	result.Total = time.Since(due)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Since(started) > deadline+lateGrace {
+		result.Outcome = Late
+	}
+	return result
+}
+
+func (c *client) request(ctx context.Context, item mix.Item, path string, body []byte, deadline time.Duration) (*http.Response, error) {
+	gateway := c.config.Gateways[item.Index%len(c.config.Gateways)]
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, gateway+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.config.Token)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Siskin-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	request.Header.Set("Siskin-Request-Id", item.Key(c.config.RunID))
+	if item.Class == mix.ClassPlain {
+		request.Header.Set("Idempotency-Key", item.Key(c.config.RunID))
+	}
+	return c.http.Do(request)
+}
+
+func (c *client) model(ctx context.Context, item mix.Item, deadline time.Duration, due time.Time, result *Result) {
+	prompt := item.Text()
+	body, _ := json.Marshal(map[string]any{"model": c.config.Model, "prompt": prompt, "max_tokens": item.Output, "stream": true})
+	response, err := c.request(ctx, item, "/v1/completions", body, deadline)
+	if err != nil {
+		transportFailure(err, result)
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		refusal(response, result)
+		return
+	}
+	stream := &stream{onText: func() { result.FirstToken = time.Since(due) }}
+	if err := stream.read(io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
+		result.Outcome, result.Reason = Cut, err.Error()
+		return
+	}
+	if stream.failure != nil {
+		stream.failure.judge(result)
+		return
+	}
+	text, reason := engine.Expected(prompt, item.Output)
+	if stream.text.String() != text || stream.reason != reason {
+		result.Outcome, result.Reason = Wrong, fmt.Sprintf("got %.40q (%s), want %.40q (%s)", stream.text.String(), stream.reason, text, reason)
+		return
+	}
+	result.Outcome = Whole
+}
+
+func (c *client) plain(ctx context.Context, item mix.Item, deadline time.Duration, result *Result) {
+	body := fmt.Appendf(nil, `{"booking":%d}`, item.Seed)
+	response, err := c.request(ctx, item, "/services/"+c.config.Service+"/book", body, deadline)
+	if err != nil {
+		transportFailure(err, result)
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		refusal(response, result)
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		result.Outcome, result.Reason = Cut, err.Error()
+		return
+	}
+	if want := plainservice.Expected(item.Key(c.config.RunID), body); string(data) != want {
+		result.Outcome, result.Reason = Wrong, fmt.Sprintf("got %.60q, want %.60q", data, want)
+		return
+	}
+	result.Outcome = Whole
+}
+
+// transportFailure tells a gateway that takes no connection from one that took
+// the request and did not answer.
+func transportFailure(err error, result *Result) {
+	result.Outcome, result.Reason = Cut, err.Error()
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		result.Outcome = Unsent
+	}
+}
+
+// failure is the error of a refusal or a broken stream.
+type failure struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Verdict string `json:"verdict"`
+}
+
+func (f *failure) judge(result *Result) {
+	result.Reason = f.Code
+	switch Outcome(f.Verdict) {
+	case NotRun, MayHaveRun, Ran:
+		result.Outcome = Outcome(f.Verdict)
+	default:
+		result.Outcome = Unclear
+	}
+}
+
+func refusal(response *http.Response, result *Result) {
+	var body struct {
+		Error failure `json:"error"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&body); err != nil {
+		result.Outcome, result.Reason = Unclear, fmt.Sprintf("status %d without a JSON error", response.StatusCode)
+		return
+	}
+	body.Error.judge(result)
+}
+
+// stream collects a stream of events.
+type stream struct {
+	onText  func()
+	text    strings.Builder
+	reason  string
+	failure *failure
+}
+
+type streamEvent struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *failure `json:"error"`
+}
+
+// read returns an error for a stream that ends without its final marker or an
+// error event.
+func (s *stream) read(r io.Reader) error {
+	const maxEventBytes = 1 << 20
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxEventBytes)
+	for scanner.Scan() {
+		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			if s.reason == "" {
+				return errors.New("final marker without a finish reason")
+			}
+			return nil
+		}
+		var event streamEvent
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return fmt.Errorf("event: %w", err)
+		}
+		if event.Error != nil {
+			s.failure = event.Error
+			return nil
+		}
+		s.add(event)
+	}
+	if err := scanner.Err(); err != nil {
+		return err
+	}
+	return errors.New("no final marker")
+}
+
+func (s *stream) add(event streamEvent) {
+	for _, choice := range event.Choices {
+		if choice.Text != "" && s.text.Len() == 0 {
+			s.onText()
+		}
+		s.text.WriteString(choice.Text)
+		if choice.FinishReason != "" {
+			s.reason = choice.FinishReason
+		}
+	}
+}
--- /dev/null
+++ b/loadgen/load/load.go
@@ -0,0 +1,151 @@
+// Package load sends a mix of requests to gateways as an open loop, that is,
+// at times that don't depend on the answers, and checks every answer.
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinstand.example/loadgen/mix"
+)
+
+// Outcome is how a request ended.
+type Outcome string
+
+// The outcomes. The first five are legal; each other one breaks an invariant.
+const (
+	Whole      Outcome = "whole"
+	NotRun     Outcome = "not_run"
+	MayHaveRun Outcome = "may_have_run"
+	Ran        Outcome = "ran"
+	// Unsent means that the gateway took no connection; as for any caller of a
+	// replaced gateway, nothing follows about the request.
+	Unsent Outcome = "unsent"
+	// Wrong is an answer that differs from the expected one.
+	Wrong Outcome = "wrong"
+	// Cut is an answer or a stream that ended without a final marker or error.
+	Cut Outcome = "cut"
+	// Late is an end after the deadline.
+	Late Outcome = "late"
+	// Unclear is a refusal without a verdict.
+	Unclear Outcome = "unclear"
+)
+
+// Outcomes lists all outcomes.
+func Outcomes() []Outcome {
+	return []Outcome{Whole, NotRun, MayHaveRun, Ran, Unsent, Wrong, Cut, Late, Unclear}
+}
+
+// Legal reports whether the outcome breaks no invariant.
+func (o Outcome) Legal() bool {
+	return o == Whole || o == NotRun || o == MayHaveRun || o == Ran || o == Unsent
+}
+
+// Config describes a run.
+type Config struct {
+	// Gateways are base URLs, used in turn.
+	Gateways []string
+	Token    string
+	Model    string
+	// Service is the plain service for calls that must not be repeated.
+	Service string
+	// RunID makes idempotency keys unique to the run.
+	RunID    string
+	Deadline time.Duration
+	// PlainDeadline is the deadline of plain calls.
+	PlainDeadline time.Duration
+	Duration      time.Duration
+	Mix           mix.Config
+	// MaxOpen bounds the requests in flight; further ones count as Skipped.
+	MaxOpen int
+}
+
+// lateGrace is the time that an answer may take from the gateway to the tool,
+// and the tool to read it, on a busy machine.
+const lateGrace = 2 * time.Second
+
+// Result is what happened to one request.
+type Result struct {
+	Item    mix.Item
+	Outcome Outcome
+	// Reason is the refusal's code or what was wrong.
+	Reason string
+	// FirstToken and Total count from the time that the mix set.
+	FirstToken time.Duration
+	Total      time.Duration
+}
+
+// Run sends the mix for the configured time and returns all results, in order
+// of their ends.
+func Run(ctx context.Context, c Config) []Result {
+	client := newClient(c)
+	results := make(chan Result, 64)
+	go func() {
+		defer close(results)
+		dispatch(ctx, c, client, results)
+	}()
+	var all []Result
+	for r := range results {
+		all = append(all, r)
+	}
+	return all
+}
+
+func dispatch(ctx context.Context, c Config, client *client, results chan<- Result) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	var open atomic.Int64
+	begin := time.Now()
+	items := mix.New(c.Mix)
+	for {
+		item := items.Next()
+		if item.At > c.Duration || !waitUntil(ctx, begin.Add(item.At)) {
+			return
+		}
+		if open.Add(1) > int64(c.MaxOpen) {
+			open.Add(-1)
+			results <- Result{Item: item, Outcome: Unsent, Reason: "tool_limit"}
+			continue
+		}
+		group.Go(func() {
+			defer open.Add(-1)
+			results <- client.send(ctx, item, begin.Add(item.At))
+		})
+	}
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
+
+func newClient(c Config) *client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	return &client{config: c, http: &http.Client{Transport: transport}}
+}
+
+// Check returns an error that names the broken invariants, or nil.
+func Check(results []Result) error {
+	count := map[Outcome]int{}
+	var example string
+	for _, r := range results {
+		if !r.Outcome.Legal() {
+			count[r.Outcome]++
+			example = fmt.Sprintf("request %d (%s): %s", r.Item.Index, r.Item.Class, r.Reason)
+		}
+	}
+	if len(count) == 0 {
+		return nil
+	}
+	return fmt.Errorf("invariants broken: %v; for example %s", count, example)
+}
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -1,4 +1,30 @@
-// Command siskin-load is part of siskinstand.
+// Command siskin-load is the load and experiment tool.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Run  runCommand  `command:"run" description:"send an open-loop load to gateways and check every answer"`
+	Demo demoCommand `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
+}
+
+func main() {
+	parser := flags.NewParser(&options{}, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.Parse()
+	if err == nil {
+		return
+	}
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "siskin-load:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/loadgen/mix/mix_test.go
@@ -0,0 +1,55 @@
+package mix
+
+import (
+	"testing"
+)
+
+// Guards against a mix that differs between runs with one seed or lacks its
+// shares of long prompts and plain calls.
+func TestMixIsSeededAndHasItsShares(t *testing.T) {
+	config := Config{Seed: 7, RatePerSecond: 100, PlainShare: 0.1, MaxOutputTokens: 8, SharedPrefixes: 3}
+	a, b := New(config), New(config)
+	const n = 50_000
+	count := map[Class]int{}
+	long := 0
+	var last Item
+	for range n {
+		last = a.Next()
+		if other := b.Next(); other != last {
+			t.Fatalf("got %+v and %+v", last, other)
+		}
+		count[last.Class]++
+		if last.Tokens > 100_000 {
+			long++
+		}
+		if last.Class != ClassPlain && ClassOf(last.Tokens) != last.Class {
+			t.Fatalf("class of %+v", last)
+		}
+	}
+	within(t, "long prompts", float64(long)/n, 0.018, 0.25)
+	within(t, "plain calls", float64(count[ClassPlain])/n, 0.1, 0.1)
+	within(t, "rate", n/last.At.Seconds(), 100, 0.05)
+	for _, class := range Classes() {
+		if count[class] == 0 {
+			t.Errorf("no item of class %s", class)
+		}
+	}
+}
+
+func within(t *testing.T, what string, got, want, tolerance float64) {
+	t.Helper()
+	if got < want*(1-tolerance) || got > want*(1+tolerance) {
+		t.Errorf("%s: got %g, want %g", what, got, want)
+	}
+}
+
+// Guards against prompts of a wrong length or that share no prefix.
+func TestText(t *testing.T) {
+	one, two := Item{Tokens: 1000, Seed: 1, Prefix: 5}.Text(), Item{Tokens: 1000, Seed: 2, Prefix: 5}.Text()
+	if len(one) != 4000 || one[:sharedPrefixBytes] != two[:sharedPrefixBytes] || one == two {
+		t.Errorf("prompts of %d bytes", len(one))
+	}
+	if short := (Item{Tokens: 10, Seed: 1, Prefix: 5}).Text(); len(short) != 40 {
+		t.Errorf("prompt of %d bytes", len(short))
+	}
+}
--- /dev/null
+++ b/loadgen/report/report_test.go
@@ -0,0 +1,48 @@
+package report
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/loadgen/load"
+	"siskinstand.example/loadgen/mix"
+)
+
+// Guards against a table or plot with the wrong quantiles or counts.
+func TestReport(t *testing.T) {
+	var results []load.Result
+	for i := range 100 {
+		item := mix.Item{Class: mix.Class1k}
+		results = append(results, load.Result{Item: item, Outcome: load.Whole, FirstToken: time.Duration(i+1) * time.Millisecond})
+	}
+	results = append(results, load.Result{Item: mix.Item{Class: mix.ClassPlain}, Outcome: load.NotRun})
+	rows := Summarize(results)
+	if got := rows[0].Quantile(0.95).Round(time.Millisecond); got != 95*time.Millisecond {
+		t.Errorf("p95 is %s", got)
+	}
+	var out bytes.Buffer
+	if err := WriteTable(&out, rows); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(out.String(), "\n")
+	if got := strings.Fields(lines[1]); got[0] != "1k" || got[1] != "100" || got[5] != "100" {
+		t.Errorf("line %q", lines[1])
+	}
+	if got := strings.Fields(lines[2]); got[0] != "plain" || got[2] != "-" || got[6] != "1" {
+		t.Errorf("line %q", lines[2])
+	}
+	path := filepath.Join(t.TempDir(), "plot.svg")
+	if err := SavePlot(path, rows); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := os.ReadFile(path); err != nil || !bytes.Contains(data, []byte("<svg")) {
+		t.Errorf("plot of %d bytes, %v", len(data), err)
+	}
+	if err := SavePlot(path, rows[1:]); err == nil {
+		t.Error("empty plot drawn")
+	}
+}
