models: check claims and configuration with Spin

Cause: at-most-once and the acceptance of changes depend on orders of events that tests rarely reach: lost answers, pauses, late arrivals, crashes, a store that comes back older.

--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,8 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+model:
+	./models/run.sh
+
 clean:
 	rm -rf bin out
