--- /dev/null
+++ b/gateway/peer/node.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/spread"
+	"siskinstand.example/gateway/kvstore"
+	"siskinstand.example/peerpb"
+)
+
+// Limits of one call to a peer.
+const (
+	exchangeTimeout = time.Second
+	snapshotTimeout = 10 * time.Second
+	// maxCalls bounds the calls in flight. A call left out is made up for by
+	// the next periodic exchange.
+	maxCalls = 8
+)
+
+// Suspects connects the exchanges to the gateway's suspects.
+type Suspects interface {
+	Reports() []*peerpb.Suspect
+	Merge(reports []*peerpb.Suspect)
+}
+
+// Permits decides on weight loads. It answers only at the budget's holder.
+type Permits interface {
+	Request(ctx context.Context, process string, bytes int64) (*peerpb.LoadPermitResponse, error)
+}
+
+// Config names the process and its parts. Suspects, Permits, Status and Burn
+// may be nil.
+type Config struct {
+	ID          string
+	Zone        string
+	Incarnation uint64
+	Seed        uint64
+	InForce     *config.InForce
+	Alarms      *kvstore.Alarms
+	// Peers returns the gateways of the host list; it is called every second.
+	Peers func() []spread.Peer
+	// TryRead asks for an attempt to become the zone's configuration reader.
+	TryRead func()
+	// Book appends claims directly to the store.
+	Book        claim.Book
+	DialOptions []grpc.DialOption
+	Suspects    Suspects
+	Permits     Permits
+	Status      func() *peerpb.StatusResponse
+	Burn        func() *peerpb.BurnResponse
+}
+
+// Node exchanges the configuration with other gateways and serves Peer.
+type Node struct {
+	peerpb.UnimplementedPeerServer
+	Config
+	clients *clients
+	events  chan event
+	calls   chan struct{}
+	running sync.WaitGroup
+	peers   atomic.Pointer[map[string]spread.Peer]
+	beat    atomic.Pointer[beat]
+	seen    sightings
+	started time.Time
+}
+
+// beat is the reader's last heartbeat as of a time.
+type beat struct {
+	spread.Beat
+	at time.Time
+}
+
+// event is a message to the control goroutine: heard from a peer, or a change
+// of the reader role.
+type event struct {
+	heard   *heard
+	reading bool
+}
+
+type heard struct {
+	from     spread.Peer
+	revision uint64
+	beat     spread.Beat
+}
+
+// New returns a node; Register and Run start it.
+func New(c Config) *Node {
+	if c.Alarms == nil {
+		c.Alarms = &kvstore.Alarms{}
+	}
+	n := &Node{
+		Config: c, clients: newClients(c.DialOptions),
+		events: make(chan event, 256), calls: make(chan struct{}, maxCalls), started: time.Now(),
+	}
+	n.peers.Store(&map[string]spread.Peer{})
+	n.beat.Store(&beat{})
+	return n
+}
+
+// Register adds the Peer service to a server.
+func (n *Node) Register(s grpc.ServiceRegistrar) { peerpb.RegisterPeerServer(s, n) }
+
+// Current returns the configuration in force; revision 0 means none.
+func (n *Node) Current() config.Snapshot { return n.InForce.Current() }
+
+// Changed returns a channel that is closed when Current next changes.
+func (n *Node) Changed() <-chan struct{} { return n.InForce.Changed() }
+
+// Reading tells the node whether this process is the zone's reader.
+func (n *Node) Reading(reading bool) { n.post(event{reading: reading}) }
+
+// post drops an event when the control goroutine lags; exchanges recur.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	default:
+	}
+}
+
+// Run is the control goroutine. It ends with the context, after its calls.
+func (n *Node) Run(ctx context.Context) error {
+	state := spread.New(spread.Config{ID: n.ID, Zone: n.Zone, Seed: n.Seed}, time.Now())
+	refresh := time.NewTicker(spread.ExchangeInterval)
+	defer refresh.Stop()
+	defer n.clients.keep(nil)
+	defer n.running.Wait()
+	n.refreshPeers(state)
+	for {
+		changed := n.Changed()
+		state.Moved(time.Now(), n.Current().Revision)
+		n.run(ctx, state.Tick(time.Now()))
+		n.beat.Store(&beat{Beat: state.Beat(time.Now()), at: time.Now()})
+		timer := time.NewTimer(time.Until(state.Next()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case e := <-n.events:
+			n.handle(ctx, state, e)
+		case <-refresh.C:
+			n.refreshPeers(state)
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (n *Node) handle(ctx context.Context, state *spread.State, e event) {
+	now := time.Now()
+	switch {
+	case e.heard != nil:
+		n.seen.note(e.heard.from.ID, e.heard.revision)
+		state.Moved(now, n.Current().Revision)
+		n.run(ctx, state.Heard(now, e.heard.from, e.heard.revision, e.heard.beat))
+	case e.reading:
+		state.Reading(now)
+	default:
+		state.NotReading(now)
+	}
+}
+
+func (n *Node) refreshPeers(state *spread.State) {
+	known := map[string]spread.Peer{}
+	var list []spread.Peer
+	for _, p := range n.Peers() {
+		if p.ID != n.ID {
+			known[p.ID] = p
+			list = append(list, p)
+		}
+	}
+	n.peers.Store(&known)
+	n.seen.keep(func(id string) bool { _, ok := known[id]; return ok })
+	state.SetPeers(list)
+	n.clients.keep(list)
+}
+
+func (n *Node) run(ctx context.Context, actions []spread.Action) {
+	for _, a := range actions {
+		if a.Kind == spread.TryLease {
+			n.TryRead()
+			continue
+		}
+		select {
+		case n.calls <- struct{}{}:
+		default:
+			continue
+		}
+		n.running.Go(func() {
+			defer func() { <-n.calls }()
+			if err := n.exchange(ctx, a.Peer); err != nil {
+				klog.V(2).InfoS("exchange failed", "peer", a.Peer.ID, "err", err)
+			}
+		})
+	}
+}
+
+func (n *Node) sender() *peerpb.Sender {
+	return &peerpb.Sender{ProcessId: n.ID, Incarnation: n.Incarnation, Zone: n.Zone, ConfigRevision: n.Current().Revision}
+}
+
+// currentBeat returns the reader's heartbeat with its age as of now.
+func (n *Node) currentBeat() (string, int64) {
+	b := n.beat.Load()
+	return b.Reader, (b.Age + time.Since(b.at)).Milliseconds()
+}
+
+func (n *Node) suspects() []*peerpb.Suspect {
+	if n.Suspects == nil {
+		return nil
+	}
+	return n.Suspects.Reports()
+}
+
+func (n *Node) mergeSuspects(reports []*peerpb.Suspect) {
+	if n.Suspects != nil && len(reports) > 0 {
+		n.Suspects.Merge(reports)
+	}
+}
--- /dev/null
+++ b/gateway/peer/wire.go
@@ -0,0 +1,119 @@
+// Package peer lets gateways exchange configuration revisions, heartbeats,
+// suspects and claims, and answers the operators' command.
+package peer
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/spread"
+	"siskinstand.example/peerpb"
+)
+
+// Bounds of one message, well under gRPC's default limit of 4 MiB.
+const (
+	maxDeltaBytes = 1 << 20
+	maxChunkBytes = 256 << 10
+	// maxSnapshotBytes bounds what a process accepts from one peer. 15,000
+	// accounts need about 2 MB.
+	maxSnapshotBytes = 64 << 20
+)
+
+func encodeRow(r config.RowEdit) *peerpb.RowEdit {
+	return &peerpb.RowEdit{Table: string(r.Table), Section: r.Section, Text: r.Text, Revision: r.Revision}
+}
+
+func decodeRow(r *peerpb.RowEdit) config.RowEdit {
+	return config.RowEdit{
+		RowID: config.RowID{Table: config.Table(r.GetTable()), Section: r.GetSection()},
+		Text:  r.GetText(), Revision: r.GetRevision(),
+	}
+}
+
+// encodeChanges returns false if the changes are too large for one message.
+func encodeChanges(changes []config.Change) ([]*peerpb.Change, bool) {
+	size := 0
+	var list []*peerpb.Change
+	for _, c := range changes {
+		change := &peerpb.Change{Revision: c.Revision, Base: c.Base, ChangeId: c.ID}
+		for _, r := range c.Rows {
+			size += rowBytes(r)
+			change.Rows = append(change.Rows, encodeRow(r))
+		}
+		list = append(list, change)
+	}
+	return list, size <= maxDeltaBytes
+}
+
+// rowBytes bounds the encoded size of a row.
+func rowBytes(r config.RowEdit) int { return len(r.Section) + len(r.Text) + 32 }
+
+func decodeChanges(list []*peerpb.Change) []config.Change {
+	var changes []config.Change
+	for _, c := range list {
+		change := config.Change{Revision: c.GetRevision(), Base: c.GetBase(), ID: c.GetChangeId()}
+		for _, r := range c.GetRows() {
+			change.Rows = append(change.Rows, decodeRow(r))
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// encodeSnapshot cuts a document into messages; the last one is marked.
+func encodeSnapshot(sender *peerpb.Sender, d *config.Document) []*peerpb.SnapshotChunk {
+	next := func() *peerpb.SnapshotChunk {
+		return &peerpb.SnapshotChunk{Sender: sender, Revision: d.Revision(), DeletedRevision: d.Deleted()}
+	}
+	chunk, size := next(), 0
+	var chunks []*peerpb.SnapshotChunk
+	for _, r := range d.Rows() {
+		if size > 0 && size+rowBytes(r) > maxChunkBytes {
+			chunks = append(chunks, chunk)
+			chunk, size = next(), 0
+		}
+		chunk.Rows = append(chunk.Rows, encodeRow(r))
+		size += rowBytes(r)
+	}
+	chunk.Last = true
+	return append(chunks, chunk)
+}
+
+// snapshotReader assembles the chunks of one snapshot.
+type snapshotReader struct {
+	revision uint64
+	deleted  uint64
+	rows     []config.RowEdit
+	bytes    int
+}
+
+// add takes one chunk and reports whether it was the last.
+func (s *snapshotReader) add(c *peerpb.SnapshotChunk) (bool, error) {
+	if s.revision == 0 {
+		s.revision, s.deleted = c.GetRevision(), c.GetDeletedRevision()
+	}
+	if c.GetRevision() != s.revision || c.GetDeletedRevision() != s.deleted || s.deleted > s.revision {
+		return false, eris.Errorf("snapshot of revision %d continues with revision %d", s.revision, c.GetRevision())
+	}
+	for _, r := range c.GetRows() {
+		row := decodeRow(r)
+		s.bytes += rowBytes(row)
+		s.rows = append(s.rows, row)
+	}
+	if s.bytes > maxSnapshotBytes {
+		return false, eris.Errorf("snapshot is larger than %d bytes", maxSnapshotBytes)
+	}
+	return c.GetLast(), nil
+}
+
+func (s *snapshotReader) document() (*config.Document, error) {
+	return config.NewDocument(s.revision, s.deleted, s.rows)
+}
+
+// decodeBeat refuses a negative age, which would make a beat look newer than now.
+func decodeBeat(reader string, ageMS int64) spread.Beat {
+	const longest = int64(time.Hour / time.Millisecond)
+	return spread.Beat{Reader: reader, Age: time.Duration(min(max(ageMS, 0), longest)) * time.Millisecond}
+}
