gateway: implement claim.Book over the store with preferred appenders

Cause: every claim failed, no process appended to the claim log. Change: kvstore.Book batches claims for 50 ms per partition, resolves lost answers by reading back and deletes expired chunks; peer.Claims sends a claim to the partition's preferred gateway and appends locally when that one fails. The reader role reaches the control goroutine by a flag, since a dropped message would have left it wrong.

--- /dev/null
+++ b/gateway/kvstore/book.go
@@ -0,0 +1,114 @@
+package kvstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/platform/kvstore"
+)
+
+// Timing of the appends.
+const (
+	// batchWait is how long the first claim of a batch waits for others.
+	batchWait = 50 * time.Millisecond
+	// writeInterval bounds the writes of 16 partitions to 160 a second.
+	writeInterval = 100 * time.Millisecond
+	// commitTimeout bounds one batch including its repeated writes.
+	commitTimeout = 2 * time.Second
+	// maxBatch bounds the claims of one batch, and maxWaiting those that wait.
+	maxBatch   = 512
+	maxWaiting = 4096
+)
+
+// BookConfig names the process and its store.
+type BookConfig struct {
+	Store     kvstore.Store
+	ProcessID string
+	// Expiry is claim.DefaultExpiry if zero.
+	Expiry     time.Duration
+	Invariants *invariant.Registry
+}
+
+// Book appends claims to the store. It implements claim.Book.
+type Book struct {
+	config     BookConfig
+	partitions [claim.Partitions]*partition
+}
+
+var _ claim.Book = (*Book)(nil)
+
+// NewBook returns a book; Run has to be called for it to answer.
+func NewBook(c BookConfig) *Book {
+	if c.Expiry == 0 {
+		c.Expiry = claim.DefaultExpiry
+	}
+	b := &Book{config: c}
+	for i := range b.partitions {
+		b.partitions[i] = &partition{
+			number: i, store: c.Store, waiting: make(chan *operation, maxWaiting),
+			log: claim.NewLog(i, c.Expiry, c.Invariants),
+		}
+	}
+	return b
+}
+
+// Run appends until the context ends.
+func (b *Book) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, p := range b.partitions {
+		group.Go(func() error {
+			p.run(ctx)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// Claim claims a key for this process.
+func (b *Book) Claim(ctx context.Context, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error) {
+	return b.ClaimFor(ctx, b.config.ProcessID, key, claimID, bodyHash)
+}
+
+// ClaimFor claims a key for another process that prefers this one as appender.
+func (b *Book) ClaimFor(ctx context.Context, holder string, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error) {
+	return b.append(ctx, claim.Entry{Op: claim.OpClaim, Key: key[:], ClaimID: claimID, Holder: holder, BodyHash: bodyHash})
+}
+
+// Release gives up a claim whose call certainly did not run.
+func (b *Book) Release(ctx context.Context, key claim.Key, claimID string) error {
+	_, err := b.append(ctx, claim.Entry{Op: claim.OpRelease, Key: key[:], ClaimID: claimID})
+	return err
+}
+
+// Complete records the answer. A body over claim.MaxResultBytes is left out.
+func (b *Book) Complete(ctx context.Context, key claim.Key, claimID string, result claim.Result) error {
+	if len(result.Body) > claim.MaxResultBytes {
+		result.Body, result.Truncated = nil, true
+	}
+	_, err := b.append(ctx, claim.Entry{Op: claim.OpResult, Key: key[:], ClaimID: claimID, Result: &result})
+	return err
+}
+
+func (b *Book) append(ctx context.Context, e claim.Entry) (claim.Record, error) {
+	e.UnixMS = time.Now().UnixMilli()
+	if err := e.Check(); err != nil {
+		return claim.Record{}, err
+	}
+	o := &operation{entry: e, done: make(chan answer, 1)}
+	select {
+	case b.partitions[claim.Partition(claim.Key(e.Key))].waiting <- o:
+	default:
+		return claim.Record{}, eris.New("too many claims wait for the store")
+	}
+	select {
+	case a := <-o.done:
+		return a.record, a.err
+	case <-ctx.Done():
+		return claim.Record{}, eris.Wrap(ctx.Err(), "claim not answered, it may take effect")
+	}
+}
--- a/gateway/kvstore/memstore_test.go
+++ b/gateway/kvstore/memstore_test.go
@@ -94,8 +94,9 @@
 
 func (m *memStore) CompareAndSwap(_ context.Context, key string, value []byte, version, leaseID int64) (int64, error) {
 	defer m.mu.Unlock()
+	err := m.enter()
 	m.swaps++
-	if err := m.enter(); err != nil {
+	if err != nil {
 		return 0, err
 	}
 	lost, written := false, true
--- /dev/null
+++ b/gateway/peer/claims.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/peerpb"
+)
+
+// forwardTimeout bounds the attempt at the preferred appender; after it the
+// claim is appended here, while the caller still waits.
+const forwardTimeout = 2500 * time.Millisecond
+
+// Outcomes and operations on the wire.
+const (
+	outcomeClaimed  = "claimed"
+	outcomeExists   = "exists"
+	outcomeDone     = "done"
+	outcomeReleased = "released"
+	outcomeOK       = "ok"
+	outcomeError    = "unavailable"
+	opClaim         = "claim"
+	opRelease       = "release"
+	opResult        = "result"
+)
+
+// LocalBook appends claims directly to the store.
+type LocalBook interface {
+	claim.Book
+	// ClaimFor claims a key in the name of another process.
+	ClaimFor(ctx context.Context, holder string, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error)
+}
+
+// Claims is a claim.Book that sends each claim to the partition's preferred
+// gateway, so that claims share writes, and appends here when that one does
+// not answer. Both may append: the claim's identifier makes it one claim.
+type Claims struct{ node *Node }
+
+var _ claim.Book = (*Claims)(nil)
+
+// Claims returns the book of this gateway.
+func (n *Node) Claims() *Claims { return &Claims{node: n} }
+
+// Claim claims a key for this process.
+func (c *Claims) Claim(ctx context.Context, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error) {
+	response, err := c.forward(ctx, key, &peerpb.ClaimRequest{ClaimId: claimID, Op: opClaim, BodyHash: bodyHash})
+	if err == nil {
+		if record, ok := decodeRecord(response); ok {
+			return record, nil
+		}
+	}
+	return c.node.Book.Claim(ctx, key, claimID, bodyHash)
+}
+
+// Release gives up a claim whose call certainly did not run.
+func (c *Claims) Release(ctx context.Context, key claim.Key, claimID string) error {
+	response, err := c.forward(ctx, key, &peerpb.ClaimRequest{ClaimId: claimID, Op: opRelease})
+	if err == nil && response.GetOutcome() == outcomeOK {
+		return nil
+	}
+	return c.node.Book.Release(ctx, key, claimID)
+}
+
+// Complete records the answer.
+func (c *Claims) Complete(ctx context.Context, key claim.Key, claimID string, result claim.Result) error {
+	response, err := c.forward(ctx, key, &peerpb.ClaimRequest{
+		ClaimId: claimID, Op: opResult, Result: result.Body, HttpStatus: int32(result.HTTPStatus),
+		ContentType: result.ContentType, Truncated: result.Truncated,
+	})
+	if err == nil && response.GetOutcome() == outcomeOK {
+		return nil
+	}
+	return c.node.Book.Complete(ctx, key, claimID, result)
+}
+
+var errAppendHere = errors.New("the claim is appended by this process")
+
+func (c *Claims) forward(ctx context.Context, key claim.Key, request *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	address, ok := c.preferred(claim.Partition(key))
+	if !ok {
+		return nil, errAppendHere
+	}
+	client, err := c.node.clients.get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	request.Sender, request.KeyHash = c.node.sender(), key[:]
+	response, err := client.Claim(ctx, request)
+	if err != nil {
+		klog.V(1).InfoS("preferred appender does not answer", "address", address, "err", err)
+	}
+	return response, err
+}
+
+// preferred returns the address of a partition's preferred appender, or false
+// if that is this process.
+func (c *Claims) preferred(partition int) (string, bool) {
+	peers := *c.node.peers.Load()
+	ids := []string{c.node.ID}
+	for id := range peers {
+		ids = append(ids, id)
+	}
+	p, ok := peers[claim.Preferred(partition, ids)]
+	return p.Address, ok
+}
+
+func decodeRecord(r *peerpb.ClaimResponse) (claim.Record, bool) {
+	state, ok := map[string]claim.State{
+		outcomeClaimed: claim.StateClaimed, outcomeExists: claim.StateHeld,
+		outcomeDone: claim.StateDone, outcomeReleased: claim.StateReleased,
+	}[r.GetOutcome()]
+	return claim.Record{
+		State: state, Holder: r.GetHolder(), Since: time.UnixMilli(r.GetClaimedUnixMs()), BodyHash: r.GetBodyHash(),
+		Result: claim.Result{
+			HTTPStatus: int(r.GetHttpStatus()), ContentType: r.GetContentType(),
+			Body: r.GetResult(), Truncated: r.GetTruncated(),
+		},
+	}, ok
+}
+
+func encodeRecord(r claim.Record) *peerpb.ClaimResponse {
+	outcome := map[claim.State]string{
+		claim.StateClaimed: outcomeClaimed, claim.StateHeld: outcomeExists,
+		claim.StateDone: outcomeDone, claim.StateReleased: outcomeReleased,
+	}[r.State]
+	return &peerpb.ClaimResponse{
+		Outcome: outcome, Holder: r.Holder, ClaimedUnixMs: r.Since.UnixMilli(), BodyHash: r.BodyHash,
+		Result: r.Result.Body, HttpStatus: int32(r.Result.HTTPStatus),
+		ContentType: r.Result.ContentType, Truncated: r.Result.Truncated,
+	}
+}
+
+// Claim appends for another gateway.
+func (n *Node) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	if n.Book == nil {
+		return nil, status.Error(codes.FailedPrecondition, "this process has no claim log")
+	}
+	if len(r.GetKeyHash()) != len(claim.Key{}) {
+		return nil, status.Error(codes.InvalidArgument, "key_hash is not 32 bytes long")
+	}
+	key := claim.Key(r.GetKeyHash())
+	response, err := n.appendFor(ctx, key, r)
+	if err != nil {
+		response = &peerpb.ClaimResponse{Outcome: outcomeError, Message: err.Error()}
+	}
+	response.Sender = n.sender()
+	return response, nil
+}
+
+func (n *Node) appendFor(ctx context.Context, key claim.Key, r *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	switch r.GetOp() {
+	case opClaim:
+		record, err := n.Book.ClaimFor(ctx, r.GetSender().GetProcessId(), key, r.GetClaimId(), r.GetBodyHash())
+		if err != nil {
+			return nil, err
+		}
+		return encodeRecord(record), nil
+	case opRelease:
+		return &peerpb.ClaimResponse{Outcome: outcomeOK}, n.Book.Release(ctx, key, r.GetClaimId())
+	case opResult:
+		return &peerpb.ClaimResponse{Outcome: outcomeOK}, n.Book.Complete(ctx, key, r.GetClaimId(), claim.Result{
+			HTTPStatus: int(r.GetHttpStatus()), ContentType: r.GetContentType(), Body: r.GetResult(), Truncated: r.GetTruncated(),
+		})
+	}
+	return nil, eris.Errorf("operation %q is not accepted; accepted: claim, release, result", r.GetOp())
+}
--- a/gateway/peer/exchange.go
+++ b/gateway/peer/exchange.go
@@ -31,10 +31,10 @@
 	if err := n.take(ctx, client, delta); err != nil {
 		return err
 	}
-	n.post(event{heard: &heard{
+	n.post(heard{
 		from: to, revision: delta.GetSender().GetConfigRevision(),
 		beat: decodeBeat(delta.GetReaderProcessId(), delta.GetReaderBeatAgeMs()),
-	}})
+	})
 	return nil
 }
 
@@ -95,7 +95,7 @@
 	revision := d.GetSender().GetConfigRevision()
 	// A sidecar is not in the list of gateways; there is nothing to pull from it.
 	if from, ok := (*n.peers.Load())[d.GetSender().GetProcessId()]; ok {
-		n.post(event{heard: &heard{from: from, revision: revision, beat: decodeBeat(d.GetReaderProcessId(), d.GetReaderBeatAgeMs())}})
+		n.post(heard{from: from, revision: revision, beat: decodeBeat(d.GetReaderProcessId(), d.GetReaderBeatAgeMs())})
 	}
 	reader, age := n.currentBeat()
 	delta := &peerpb.Delta{Sender: n.sender(), ReaderBeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects()}
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
-	"siskinstand.example/coord/claim"
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/spread"
 	"siskinstand.example/gateway/kvstore"
@@ -50,7 +49,7 @@
 	// TryRead asks for an attempt to become the zone's configuration reader.
 	TryRead func()
 	// Book appends claims directly to the store.
-	Book        claim.Book
+	Book        LocalBook
 	DialOptions []grpc.DialOption
 	Suspects    Suspects
 	Permits     Permits
@@ -63,13 +62,16 @@
 	peerpb.UnimplementedPeerServer
 	Config
 	clients *clients
-	events  chan event
+	events  chan heard
 	calls   chan struct{}
 	running sync.WaitGroup
 	peers   atomic.Pointer[map[string]spread.Peer]
 	beat    atomic.Pointer[beat]
 	seen    sightings
 	started time.Time
+	// reading is the reader role; readingSet wakes the control goroutine.
+	reading    atomic.Bool
+	readingSet chan struct{}
 }
 
 // beat is the reader's last heartbeat as of a time.
@@ -78,13 +80,7 @@
 	at time.Time
 }
 
-// event is a message to the control goroutine: heard from a peer, or a change
-// of the reader role.
-type event struct {
-	heard   *heard
-	reading bool
-}
-
+// heard is a message to the control goroutine: what a peer has said.
 type heard struct {
 	from     spread.Peer
 	revision uint64
@@ -98,7 +94,8 @@
 	}
 	n := &Node{
 		Config: c, clients: newClients(c.DialOptions),
-		events: make(chan event, 256), calls: make(chan struct{}, maxCalls), started: time.Now(),
+		events: make(chan heard, 256), calls: make(chan struct{}, maxCalls), started: time.Now(),
+		readingSet: make(chan struct{}, 1),
 	}
 	n.peers.Store(&map[string]spread.Peer{})
 	n.beat.Store(&beat{})
@@ -115,12 +112,18 @@
 func (n *Node) Changed() <-chan struct{} { return n.InForce.Changed() }
 
 // Reading tells the node whether this process is the zone's reader.
-func (n *Node) Reading(reading bool) { n.post(event{reading: reading}) }
+func (n *Node) Reading(reading bool) {
+	n.reading.Store(reading)
+	select {
+	case n.readingSet <- struct{}{}:
+	default:
+	}
+}
 
-// post drops an event when the control goroutine lags; exchanges recur.
-func (n *Node) post(e event) {
+// post drops a message when the control goroutine lags; exchanges recur.
+func (n *Node) post(h heard) {
 	select {
-	case n.events <- e:
+	case n.events <- h:
 	default:
 	}
 }
@@ -143,8 +146,12 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
-		case e := <-n.events:
-			n.handle(ctx, state, e)
+		case h := <-n.events:
+			n.seen.note(h.from.ID, h.revision)
+			state.Moved(time.Now(), n.Current().Revision)
+			n.run(ctx, state.Heard(time.Now(), h.from, h.revision, h.beat))
+		case <-n.readingSet:
+			n.setReading(state)
 		case <-refresh.C:
 			n.refreshPeers(state)
 		case <-changed:
@@ -154,18 +161,12 @@
 	}
 }
 
-func (n *Node) handle(ctx context.Context, state *spread.State, e event) {
-	now := time.Now()
-	switch {
-	case e.heard != nil:
-		n.seen.note(e.heard.from.ID, e.heard.revision)
-		state.Moved(now, n.Current().Revision)
-		n.run(ctx, state.Heard(now, e.heard.from, e.heard.revision, e.heard.beat))
-	case e.reading:
-		state.Reading(now)
-	default:
-		state.NotReading(now)
+func (n *Node) setReading(state *spread.State) {
+	if n.reading.Load() {
+		state.Reading(time.Now())
+		return
 	}
+	state.NotReading(time.Now())
 }
 
 func (n *Node) refreshPeers(state *spread.State) {
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -37,7 +37,7 @@
 	stop func()
 }
 
-func (f *fleet) start(t *testing.T, id string) *member {
+func (f *fleet) start(t *testing.T, id string, book LocalBook) *member {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,7 +47,7 @@
 	f.peers = append(f.peers, spread.Peer{ID: id, Zone: "z", Address: listener.Addr().String()})
 	f.mu.Unlock()
 	n := New(Config{
-		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {},
+		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {}, Book: book,
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
 	})
 	server := grpc.NewServer()
@@ -103,7 +103,7 @@
 	f := &fleet{invariants: invariant.NewRegistry(nil)}
 	var members []*member
 	for i := range 6 {
-		members = append(members, f.start(t, fmt.Sprintf("g%d", i)))
+		members = append(members, f.start(t, fmt.Sprintf("g%d", i), nil))
 	}
 	members[0].InForce.Advance(document(t, 5, 20_000))
 	for _, m := range members {
@@ -117,7 +117,7 @@
 	}
 	members[3].InForce.Advance(changed)
 	members[1].stop()
-	restarted := f.start(t, "g6")
+	restarted := f.start(t, "g6", nil)
 	for _, m := range append(members[2:], members[0], restarted) {
 		m.assertReaches(t, 6)
 		if !m.Current().Tables.ZoneOut("z") || !m.Current().Tables.HostLeaving("h19999") {
@@ -137,7 +137,7 @@
 // in force, and against it going without an alarm.
 func TestUnreadableChange(t *testing.T) {
 	f := &fleet{invariants: invariant.NewRegistry(nil)}
-	m := f.start(t, "g")
+	m := f.start(t, "g", nil)
 	m.InForce.Advance(document(t, 5, 1))
 	err := m.take(t.Context(), nil, &peerpb.Delta{Changes: []*peerpb.Change{{Revision: 6, Base: 5, Rows: []*peerpb.RowEdit{
 		{Table: "pools", Section: "zone a", Text: "state = later\n"},
