gateway: bound the time for bodies that are never read

Cause: after a refusal, net/http reads the rest of a small body before it sends the answer. Without a read deadline a slow caller held its request for ever.

Change: the body's time limit starts with the request and ends only when the body has been read whole.

Conclusion: every request is answered or cut off within the body's time limit.

--- a/gateway/caller/admit.go
+++ b/gateway/caller/admit.go
@@ -52,6 +52,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &call{id: newRequestID(r.Header.Get(headerRequestID)), received: time.Now()}
 		w.Header().Set(headerRequestID, c.id)
+		// The deadline also covers refusals: net/http reads the rest of a small
+		// body before it sends an answer.
+		_ = http.NewResponseController(w).SetReadDeadline(c.received.Add(s.config.Limits.BodyTimeout))
 		switch s.gate.enter() {
 		case gateClosed:
 			w.Header().Set("Connection", "close")
@@ -151,14 +154,14 @@
 		return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the gateway has no memory for another body").WithRetryAfter(shutdownRetry)
 	}
 	release := func() { s.bodyMemory.Release(reserved) }
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(s.config.Limits.BodyTimeout))
 	data, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
 		release()
+		w.Header().Set("Connection", "close")
 		return nil, nil, bodyError(err, limit)
 	}
+	// Without a deadline, net/http notices a hang-up while the request runs.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return data, release, nil
 }
 
