--- a/gateway/caller/server.go
+++ b/gateway/caller/server.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// Requests returns the number of requests in progress.
+func (s *Server) Requests() int64 { return s.gate.count() }
+
 // Draining reports whether a shutdown has begun.
 func (s *Server) Draining() bool { return s.gate.closed() }
 
--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -31,10 +31,7 @@
 }
 
 func (s Settings) check() error {
-	if err := s.TLS.check(s.Callers.Address); err != nil {
-		return err
-	}
-	return s.Tables.check()
+	return s.TLS.check(s.Callers.Address)
 }
 
 // Sample returns a commented settings file.
--- a/gateway/config/platform.go
+++ b/gateway/config/platform.go
@@ -4,7 +4,6 @@
 
 // Platform names the services of the platform.
 type Platform struct {
-	HostList     string        `ini:"host_list" example:"http://127.0.0.1:7001" help:"address of the host list"`
+	HostList     string        `ini:"host_list" example:"127.0.0.1:7001" help:"host and port of the host list"`
 	HostInterval time.Duration `ini:"host_interval" default:"1s" min:"50ms" max:"1m" help:"time between two reads of the host list"`
-	KVStore      string        `ini:"kv_store" default:"" help:"address of the key-value store; without it, calls that are not repeatable are refused"`
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -172,6 +172,7 @@
 	g.Add("admin", func(ctx context.Context) error {
 		return admin.Serve(ctx, d.admin, admin.Handler(admin.Config{Ready: d.Ready, Metrics: d.metrics.Handler}))
 	})
+	g.Add("gauges", d.updateGauges)
 	for _, keys := range d.keys {
 		g.Add("keys", func(ctx context.Context) error {
 			keys.Watch(ctx, d.settings.TLS.Reload)
--- /dev/null
+++ b/gateway/daemon/gauges.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"context"
+	"time"
+)
+
+// gaugeInterval is the time between two updates of the gauges.
+const gaugeInterval = time.Second
+
+// updateGauges publishes the state that is not counted by events.
+func (d *Daemon) updateGauges(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		view := d.loop.View()
+		d.metrics.Scope.Gauge("config_revision").Update(float64(view.Config.Revision))
+		d.metrics.Scope.Gauge("requests_in_progress").Update(float64(d.server.Requests()))
+		d.metrics.Scope.Gauge("sidecar_connections").Update(float64(d.connections.Len()))
+		for name, pool := range view.Pools {
+			scope := d.metrics.Scope.Tagged(map[string]string{"pool": name})
+			scope.Gauge("endpoints").Update(float64(len(pool.Endpoints)))
+			scope.Gauge("usable_endpoints").Update(float64(pool.Usable()))
+		}
+	}
+}
