gateway: rebuild the view only when it can have changed

Cause: the control goroutine rebuilt the view four times a second, and walked all endpoints once for each pool.

Change: the view is rebuilt on events and when a wait or a silence has ended. Endpoints are grouped by service first. Slices are kept for the endpoints with a control stream only. An answer over the limit is no longer reported as a caller that stopped reading.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -139,12 +139,16 @@
 	return true
 }
 
-// Responded applies a response to traffic. It proves a connection, but says
-// nothing of the state of the engine.
-func (t *Table) Responded(name string, now time.Time) {
-	if e, ok := t.endpoints[name]; ok {
-		e.respond(now)
+// Responded applies a response to traffic and reports whether it ended a time
+// of failures. It proves a connection, but says nothing of the engine.
+func (t *Table) Responded(name string, now time.Time) bool {
+	e, ok := t.endpoints[name]
+	if !ok {
+		return false
 	}
+	recovered := e.failures > 0
+	e.respond(now)
+	return recovered
 }
 
 func (e *Endpoint) respond(now time.Time) {
@@ -209,6 +213,22 @@
 	return !e.lastResponse.IsZero() && now.Sub(e.lastResponse) < t.policy.Silence
 }
 
+// Due reports whether an endpoint's use has changed after since by the passing
+// of time alone: a wait before the next try has ended, or an endpoint that the
+// host list no longer names has fallen silent.
+func (t *Table) Due(since, now time.Time) bool {
+	passed := func(at time.Time) bool { return at.After(since) && !at.After(now) }
+	for _, e := range t.endpoints {
+		if e.failures > 0 && passed(e.probeAt) {
+			return true
+		}
+		if !e.Listed && passed(e.lastResponse.Add(t.policy.Silence)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire forgets endpoints that are neither listed nor responsive and returns
 // their names.
 func (t *Table) Expire(now time.Time) []string {
--- a/coord/routing/routing.go
+++ b/coord/routing/routing.go
@@ -181,11 +181,22 @@
 		return endpoints
 	}
 	key := HashName(gateway)
-	ranked := slices.Clone(endpoints)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(Mix(HashName(b)^key), Mix(HashName(a)^key)), cmp.Compare(a, b))
+	type scored struct {
+		score uint64
+		name  string
+	}
+	ranked := make([]scored, len(endpoints))
+	for i, name := range endpoints {
+		ranked[i] = scored{score: Mix(HashName(name) ^ key), name: name}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 	})
-	return ranked[:n]
+	subset := make([]string, n)
+	for i := range subset {
+		subset[i] = ranked[i].name
+	}
+	return subset
 }
 
 // HashName hashes a name with FNV-1a and a final mix, because the raw FNV
--- a/gateway/caller/fuzz_test.go
+++ b/gateway/caller/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -36,7 +37,7 @@
 func testServer(t testing.TB) *Server {
 	t.Helper()
 	hash := tables.HashToken("secret")
-	routes := "[account a]\ntoken_sha256 = " + hexOf(hash[:]) + "\n[route m]\naccounts = a\nmodel = m1\npool = p\n[route s]\naccounts = a\nservice = s1\npool = q\n"
+	routes := "[account a]\ntoken_sha256 = " + hex.EncodeToString(hash[:]) + "\n[route m]\naccounts = a\nmodel = m1\npool = p\n[route s]\naccounts = a\nservice = s1\npool = q\n"
 	pools := "[pool p]\nkind = model\nservice = x\nmodel = m1\n[pool q]\nkind = plain\nservice = x\n"
 	parsed, err := tables.Parse(tables.File{Name: "routes", Text: []byte(routes)}, tables.File{Name: "pools", Text: []byte(pools)})
 	if err != nil {
@@ -52,16 +53,6 @@
 	})
 }
 
-func hexOf(b []byte) string {
-	const digits = "0123456789abcdef"
-	var s strings.Builder
-	for _, x := range b {
-		s.WriteByte(digits[x>>4])
-		s.WriteByte(digits[x&15])
-	}
-	return s.String()
-}
-
 // Guards against input from callers that crashes a handler, gets an answer
 // that is not JSON, or leaves a request or body memory counted.
 func FuzzHandler(f *testing.F) {
--- a/gateway/caller/sink.go
+++ b/gateway/caller/sink.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"time"
 	"unicode/utf8"
 
+	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/dispatch"
 )
 
@@ -36,7 +36,7 @@
 // Deliver keeps the piece.
 func (s *wholeSink) Deliver(p dispatch.Piece) error {
 	if int64(len(s.text)+len(p.Data)) > s.server.config.Limits.MaxAnswerBytes {
-		return errors.New("the answer exceeds the limit of one that is not streamed")
+		return verdict.New(verdict.Ran, verdict.ReasonInternal, "the answer exceeds %d bytes; ask for a stream", s.server.config.Limits.MaxAnswerBytes)
 	}
 	s.text = append(s.text, p.Data...)
 	return nil
--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -46,6 +46,8 @@
 	// Known lists the suspects to send to sidecars. The version changes with
 	// the list, but not with the suspects' age.
 	Known() (suspects []*pb.Suspect, version uint64)
+	// Version returns the version of Known.
+	Version() uint64
 }
 
 // Loop is the control goroutine with its state.
@@ -63,6 +65,9 @@
 	streams    map[string]*controlStream
 	slices     map[string]*pb.Slice
 	dirty      bool
+	refreshed  time.Time
+	// suspectVersion is that of the latest requests to sidecars.
+	suspectVersion uint64
 }
 
 // New returns a loop with an empty view.
@@ -119,11 +124,11 @@
 			l.handle(m, time.Now())
 			l.handleWaiting()
 		case <-ticker.C:
-			l.dirty = true
+			l.dirty = l.dirty || l.table.Due(l.refreshed, time.Now()) || l.suspectsChanged()
 		}
 		if l.dirty {
-			l.dirty = false
-			l.refresh(ctx, time.Now())
+			l.dirty, l.refreshed = false, time.Now()
+			l.refresh(ctx, l.refreshed)
 		}
 	}
 }
@@ -154,7 +159,7 @@
 		}
 	case responded:
 		if l.current(m.endpoint) {
-			l.table.Responded(m.endpoint.Name, now)
+			l.dirty = l.table.Responded(m.endpoint.Name, now) || l.dirty
 		}
 	case unreachable:
 		if l.current(m.endpoint) {
@@ -169,6 +174,8 @@
 // current tells whether a message is about the endpoint's present incarnation.
 func (l *Loop) current(e *sidecar.Endpoint) bool { return l.endpoints[e.Name] == e }
 
+func (l *Loop) suspectsChanged() bool { return l.config.Suspects.Version() != l.suspectVersion }
+
 func (l *Loop) applyHosts(u hostlist.Update) {
 	var rows []membership.Row
 	for _, h := range u.Hosts {
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/membership"
 	"siskinstand.example/coord/routing"
 	"siskinstand.example/gateway/sidecar"
@@ -25,7 +26,6 @@
 	}
 	l.publish(now)
 	if l.configured {
-		l.updateSlices()
 		l.updateStreams(ctx, now)
 	}
 }
@@ -41,11 +41,12 @@
 func (l *Loop) publish(now time.Time) {
 	v := &View{Config: l.snapshot, Configured: l.configured, Listed: l.listed, Pools: map[string]*PoolView{}}
 	if l.configured {
+		services := l.membersByService(now)
 		for _, pool := range l.snapshot.Tables.Pools() {
 			var members []poolMember
-			for e := range l.table.All {
-				if e.Service == pool.Service && pool.InZone(e.Zone) {
-					members = append(members, poolMember{endpoint: l.endpoints[e.Name], usable: l.usable(e, now)})
+			for _, m := range services[pool.Service] {
+				if pool.InZone(m.endpoint.Zone) {
+					members = append(members, m)
 				}
 			}
 			v.Pools[pool.Name] = newPoolView(pool, members)
@@ -54,35 +55,42 @@
 	l.view.Store(v)
 }
 
+func (l *Loop) membersByService(now time.Time) map[string][]poolMember {
+	services := map[string][]poolMember{}
+	for e := range l.table.All {
+		services[e.Service] = append(services[e.Service], poolMember{endpoint: l.endpoints[e.Name], usable: l.usable(e, now)})
+	}
+	return services
+}
+
 func (l *Loop) usable(e membership.Endpoint, now time.Time) bool {
 	tables := l.snapshot.Tables
 	return !tables.ZoneOut(e.Zone) && !tables.HostLeaving(e.Name) && l.table.Usable(e.Name, now)
 }
 
-// updateSlices computes what each endpoint needs of the configuration and the
-// revision at which this gateway last saw it change.
-func (l *Loop) updateSlices() {
-	pools := l.snapshot.Tables.Pools()
-	for e := range l.table.All {
-		s := &pb.Slice{
-			Endpoint:    e.Name,
-			ZoneOut:     l.snapshot.Tables.ZoneOut(e.Zone),
-			HostLeaving: l.snapshot.Tables.HostLeaving(e.Name) || e.Leaving,
-		}
-		for _, pool := range pools {
-			if e.Service == pool.Service && pool.InZone(e.Zone) {
-				if s.Pool == "" {
-					s.Pool = pool.Name
-				}
-				s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
+// sliceOf computes what an endpoint needs of the configuration and the revision
+// at which this gateway last saw it change.
+func (l *Loop) sliceOf(name string, pools []config.Pool) *pb.Slice {
+	e, _ := l.table.Get(name)
+	s := &pb.Slice{
+		Endpoint:    name,
+		ZoneOut:     l.snapshot.Tables.ZoneOut(e.Zone),
+		HostLeaving: l.snapshot.Tables.HostLeaving(name) || e.Leaving,
+	}
+	for _, pool := range pools {
+		if e.Service == pool.Service && pool.InZone(e.Zone) {
+			if s.Pool == "" {
+				s.Pool = pool.Name
 			}
+			s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
 		}
-		s.Revision, s.ChangedRevision = l.snapshot.Revision, l.snapshot.Revision
-		if old, ok := l.slices[e.Name]; ok && sameSlice(old, s) {
-			s.ChangedRevision = old.ChangedRevision
-		}
-		l.slices[e.Name] = s
 	}
+	s.Revision, s.ChangedRevision = l.snapshot.Revision, l.snapshot.Revision
+	if old, ok := l.slices[name]; ok && sameSlice(old, s) {
+		s.ChangedRevision = old.ChangedRevision
+	}
+	l.slices[name] = s
+	return s
 }
 
 func sameSlice(a, b *pb.Slice) bool {
@@ -93,6 +101,8 @@
 // updateStreams keeps control streams to the gateway's subset of endpoints.
 func (l *Loop) updateStreams(ctx context.Context, now time.Time) {
 	suspects, version := l.config.Suspects.Known()
+	l.suspectVersion = version
+	pools := l.snapshot.Tables.Pools()
 	names := slices.Sorted(maps.Keys(l.endpoints))
 	wanted := map[string]bool{}
 	for _, name := range routing.Subset(l.config.GatewayID, names, l.config.Subset) {
@@ -107,6 +117,8 @@
 	for _, name := range names {
 		l.table.SetProbed(name, wanted[name])
 		if !wanted[name] {
+			// Changes while no stream exists are not seen, so the history ends.
+			delete(l.slices, name)
 			continue
 		}
 		s, running := l.streams[name]
@@ -116,7 +128,7 @@
 			}
 			s = l.startStream(ctx, l.endpoints[name])
 		}
-		s.offer(l.slices[name], suspects, version)
+		s.offer(l.sliceOf(name, pools), suspects, version)
 	}
 }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/claim"
@@ -19,7 +16,6 @@
 	"siskinstand.example/coord/routing"
 	"siskinstand.example/gateway/admin"
 	"siskinstand.example/gateway/caller"
-	"siskinstand.example/gateway/certs"
 	"siskinstand.example/gateway/config"
 	"siskinstand.example/gateway/control"
 	"siskinstand.example/gateway/dispatch"
@@ -37,6 +33,7 @@
 	Source control.ConfigSource
 	Hosts  hostlist.List
 	Claims claim.Book
+	Keys   Keys
 	// Extra are further parts that run until the gateway stops.
 	Extra []Part
 }
@@ -58,7 +55,6 @@
 	connections *sidecar.Connections
 	loop        *control.Loop
 	server      *caller.Server
-	keys        []*certs.Keys
 	callers     net.Listener
 	admin       net.Listener
 }
@@ -75,12 +71,8 @@
 		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
 	})
 	d.suspects = suspects.New(time.Now)
-	callerTLS, peerCredentials, err := d.loadKeys()
-	if err != nil {
-		return nil, err
-	}
-	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, peerCredentials)
-	d.build(callerTLS)
+	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, p.Keys.peerCredentials())
+	d.build()
 	if d.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
@@ -91,7 +83,7 @@
 	return d, nil
 }
 
-func (d *Daemon) build(callerTLS *tls.Config) {
+func (d *Daemon) build() {
 	s := d.settings
 	client := sidecar.NewClient(d.connections, d.sender)
 	d.loop = control.New(control.Config{
@@ -109,33 +101,11 @@
 		RetryAfter: s.Retry.RetryAfter, GroupShare: s.Routing.GroupShare,
 	})
 	d.server = caller.New(caller.Config{
-		Limits: s.Callers, TLS: callerTLS, View: d.loop.View, Dispatcher: dispatcher,
+		Limits: s.Callers, TLS: d.parts.Keys.callerTLS(), View: d.loop.View, Dispatcher: dispatcher,
 		Invariants: d.invariants, Scope: d.metrics.Scope,
 	})
 }
 
-func (d *Daemon) loadKeys() (*tls.Config, credentials.TransportCredentials, error) {
-	var callerTLS *tls.Config
-	peer := insecure.NewCredentials()
-	if t := d.settings.TLS; t.Callers() {
-		keys, err := certs.Load(certs.Files{Certificate: t.CallerCertificate, Key: t.CallerKey})
-		if err != nil {
-			return nil, nil, err
-		}
-		d.keys = append(d.keys, keys)
-		callerTLS = keys.Server()
-	}
-	if t := d.settings.TLS; t.Peers() {
-		keys, err := certs.Load(certs.Files{Certificate: t.PeerCertificate, Key: t.PeerKey, Authority: t.PeerAuthority})
-		if err != nil {
-			return nil, nil, err
-		}
-		d.keys = append(d.keys, keys)
-		peer = credentials.NewTLS(keys.Client())
-	}
-	return callerTLS, peer, nil
-}
-
 func (d *Daemon) sender() *pb.Sender {
 	return &pb.Sender{
 		ProcessId: d.settings.Process.ID, Incarnation: d.incarnation, Zone: d.settings.Process.Zone,
@@ -173,7 +143,7 @@
 		return admin.Serve(ctx, d.admin, admin.Handler(admin.Config{Ready: d.Ready, Metrics: d.metrics.Handler}))
 	})
 	g.Add("gauges", d.updateGauges)
-	for _, keys := range d.keys {
+	for _, keys := range d.parts.Keys.all() {
 		g.Add("keys", func(ctx context.Context) error {
 			keys.Watch(ctx, d.settings.TLS.Reload)
 			return nil
@@ -218,9 +188,3 @@
 		klog.ErrorS(err, "close metrics")
 	}
 }
-
-// CheckKeys reads the TLS files without opening a listener.
-func CheckKeys(t config.TLS) error {
-	_, _, err := (&Daemon{settings: config.Settings{TLS: t}}).loadKeys()
-	return err
-}
--- /dev/null
+++ b/gateway/daemon/keys.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"siskinstand.example/gateway/certs"
+	"siskinstand.example/gateway/config"
+)
+
+// Keys are the TLS keys of a gateway; nil means that TLS is off.
+type Keys struct {
+	Callers *certs.Keys
+	Peers   *certs.Keys
+}
+
+// LoadKeys reads the files that the settings name.
+func LoadKeys(t config.TLS) (Keys, error) {
+	var k Keys
+	var err error
+	if t.Callers() {
+		if k.Callers, err = certs.Load(certs.Files{Certificate: t.CallerCertificate, Key: t.CallerKey}); err != nil {
+			return k, err
+		}
+	}
+	if t.Peers() {
+		k.Peers, err = certs.Load(certs.Files{Certificate: t.PeerCertificate, Key: t.PeerKey, Authority: t.PeerAuthority})
+	}
+	return k, err
+}
+
+func (k Keys) callerTLS() *tls.Config {
+	if k.Callers == nil {
+		return nil
+	}
+	return k.Callers.Server()
+}
+
+func (k Keys) peerCredentials() credentials.TransportCredentials {
+	if k.Peers == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(k.Peers.Client())
+}
+
+func (k Keys) all() []*certs.Keys {
+	var list []*certs.Keys
+	for _, keys := range []*certs.Keys{k.Callers, k.Peers} {
+		if keys != nil {
+			list = append(list, keys)
+		}
+	}
+	return list
+}
--- a/gateway/dispatch/attempt.go
+++ b/gateway/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -219,6 +220,9 @@
 		piece.Status, piece.Header = int(message.GetHttpStatus()), message.GetHeaders()
 	}
 	if err := x.sink.Deliver(piece); err != nil {
+		if failure := (*verdict.Error)(nil); errors.As(err, &failure) {
+			return failure
+		}
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "the caller stopped reading").WithCause(err)
 	}
 	x.delivered++
--- a/gateway/dispatch/execution.go
+++ b/gateway/dispatch/execution.go
@@ -163,7 +163,7 @@
 		return false
 	}
 	switch failure.Reason {
-	case verdict.ReasonTooLong, verdict.ReasonBadRequest, verdict.ReasonCrashSuspect, verdict.ReasonCancelled, verdict.ReasonDeadlinePast:
+	case verdict.ReasonTooLong, verdict.ReasonBadRequest, verdict.ReasonCrashSuspect, verdict.ReasonCancelled, verdict.ReasonDeadlinePast, verdict.ReasonInternal:
 		return false
 	}
 	if failure.Verdict == verdict.NotRun {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,7 +13,8 @@
 	if _, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll); err != nil {
 		return err
 	}
-	return daemon.CheckKeys(s.TLS)
+	_, err := daemon.LoadKeys(s.TLS)
+	return err
 }
 
 func serve(s config.Settings) error {
@@ -40,7 +41,12 @@
 	if err != nil {
 		return daemon.Parts{}, err
 	}
+	keys, err := daemon.LoadKeys(s.TLS)
+	if err != nil {
+		return daemon.Parts{}, err
+	}
 	return daemon.Parts{
+		Keys:   keys,
 		Source: source,
 		Hosts:  hostlist.NewHTTP(s.Platform.HostList, hostlist.DefaultLimits()),
 		Claims: daemon.NoClaims{},
--- a/gateway/suspects/suspects.go
+++ b/gateway/suspects/suspects.go
@@ -153,6 +153,13 @@
 	return reports
 }
 
+// Version returns the version of Known.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Known lists the latest suspects. The version changes with the list, but not
 // with the suspects' age.
 func (t *Table) Known() ([]*pb.Suspect, uint64) {
