--- /dev/null
+++ b/gateway/daemon/admin_test.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+
+	"siskinstand.example/gateway/certs"
+)
+
+// Guards against a balancer that sends callers to a gateway that cannot serve,
+// and against metrics that lack the gateway's requests.
+func TestAdmin(t *testing.T) {
+	f := startGateway(t, "", startSidecar(t, "e1", answer("x"), nil))
+	get := func(path string) (int, string) {
+		response, err := http.Get("http://" + f.daemon.AdminAddress() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		data, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(data)
+	}
+	for _, path := range []string{"/healthz", "/readyz"} {
+		if status, body := get(path); status != http.StatusOK {
+			t.Errorf("%s = %d %s", path, status, body)
+		}
+	}
+	f.call("POST", chatPath, chatBody, nil)
+	eventually(t, "metrics of the request", func() bool {
+		_, body := get("/metrics")
+		return strings.Contains(body, `gateway_completed_requests{process="g1",zone="z1"} 1`) &&
+			strings.Contains(body, `gateway_usable_endpoints{pool="p1",process="g1",zone="z1"} 1`)
+	})
+	go f.daemon.Drain(t.Context())
+	eventually(t, "the drain", f.daemon.server.Draining)
+	if status, body := get("/readyz"); status != http.StatusServiceUnavailable || body != "shutting down\n" {
+		t.Errorf("/readyz while shutting down = %d %s", status, body)
+	}
+}
+
+// authority signs test certificates.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T, dir string) *authority {
+	a := &authority{t: t, dir: dir}
+	a.cert, a.key = a.sign("authority", nil)
+	return a
+}
+
+func (a *authority) sign(name string, parent *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	serial, _ := rand.Int(rand.Reader, big.NewInt(1<<62))
+	template := &x509.Certificate{
+		SerialNumber: serial, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, BasicConstraintsValid: true, IsCA: parent == nil,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	issuer, issuerKey := template, key
+	if parent != nil {
+		issuer, issuerKey = parent.cert, parent.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, issuer, &key.PublicKey, issuerKey)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+".key", "PRIVATE KEY", keyDER)
+	cert, _ := x509.ParseCertificate(der)
+	return cert, key
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	if err := os.WriteFile(filepath.Join(a.dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// Guards against plaintext or unverified connections when TLS is set, and
+// against keys that need a restart.
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	ca := newAuthority(t, dir)
+	ca.sign("peer", ca)
+	first, _ := ca.sign("caller", ca)
+	path := func(name string) string { return filepath.Join(dir, name) }
+	peer, err := certs.Load(certs.Files{Certificate: path("peer.pem"), Key: path("peer.key"), Authority: path("authority.pem")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	caller, err := certs.Load(certs.Files{Certificate: path("caller.pem"), Key: path("caller.key")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := startWithKeys(t, Keys{Callers: caller, Peers: peer}, "[tls]\nreload = 50ms\n", startSidecar(t, "e1", answer("x"), credentials.NewTLS(peer.Server())))
+	roots := x509.NewCertPool()
+	roots.AddCert(ca.cert)
+	serial := func() *big.Int {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableKeepAlives: true}}
+		r := f.request("POST", chatPath, chatBody, nil)
+		r.URL.Scheme = "https"
+		response, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Fatalf("status %d over TLS", response.StatusCode)
+		}
+		return response.TLS.PeerCertificates[0].SerialNumber
+	}
+	if serial().Cmp(first.SerialNumber) != 0 {
+		t.Error("not the caller certificate")
+	}
+	second, _ := ca.sign("caller", ca)
+	eventually(t, "the reload of the certificate", func() bool { return serial().Cmp(second.SerialNumber) == 0 })
+
+	stranger := newAuthority(t, t.TempDir())
+	stranger.sign("peer", stranger)
+	other, err := certs.Load(certs.Files{Certificate: filepath.Join(stranger.dir, "peer.pem"), Key: filepath.Join(stranger.dir, "peer.key"), Authority: path("authority.pem")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := tls.Listen("tcp", "127.0.0.1:0", peer.Server())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			conn.(*tls.Conn).HandshakeContext(context.Background())
+			conn.Close()
+		}
+	}()
+	conn, err := tls.Dial("tcp", l.Addr().String(), other.Client())
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	if err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("a process with a foreign certificate was accepted: %v", err)
+	}
+}
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -121,6 +121,11 @@
 
 // startGateway runs a gateway; extra holds further settings by section.
 func startGateway(t *testing.T, extra string, sidecars ...*testSidecar) *fixture {
+	t.Helper()
+	return startWithKeys(t, Keys{}, extra, sidecars...)
+}
+
+func startWithKeys(t *testing.T, keys Keys, extra string, sidecars ...*testSidecar) *fixture {
 	t.Helper()
 	text := "[process]\nid = g1\nzone = z1\n[callers]\naddress = 127.0.0.1:0\nwrite_timeout = 500ms\nbody_timeout = 300ms\n[admin]\naddress = 127.0.0.1:0\n" +
 		"[tables]\nroutes = r\npools = p\n[platform]\nhost_list = test\nhost_interval = 50ms\n[shutdown]\nnotice = 100ms\nlimit = 5s\n" + extra
@@ -134,7 +139,7 @@
 	}
 	f := &fixture{t: t, source: &testSource{}, claims: &testClaims{records: map[claim.Key]claim.Record{}}, stopped: make(chan struct{})}
 	f.source.set(t, 1, "")
-	if f.daemon, err = New(s, Parts{Source: f.source, Hosts: hosts, Claims: f.claims}); err != nil {
+	if f.daemon, err = New(s, Parts{Source: f.source, Hosts: hosts, Claims: f.claims, Keys: keys}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/gateway/tablefile/tablefile_test.go
@@ -0,0 +1,50 @@
+package tablefile
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Guards against a faulty edit that replaces valid tables, and against a valid
+// one that is not noticed.
+func TestEdits(t *testing.T) {
+	dir := t.TempDir()
+	routes, pools := filepath.Join(dir, "routes.ini"), filepath.Join(dir, "pools.ini")
+	write := func(path, text string, at int64) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, time.Time{}, time.Unix(at, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(routes, "", 1)
+	write(pools, "[zone a]\nstate = in\n", 2)
+	s, err := Open(routes, pools, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := s.Changed()
+	write(pools, "[zone a]\nstate = maybe\n", 3)
+	if s.read() == nil || s.read() != nil {
+		t.Error("a faulty edit is reported once")
+	}
+	if c, ok := s.Current(); !ok || c.Revision != 2000 {
+		t.Errorf("revision %d after a faulty edit, want 2000", c.Revision)
+	}
+	write(pools, "[zone a]\nstate = out\n", 4)
+	if err := s.read(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("no notification of the edit")
+	}
+	if c, _ := s.Current(); c.Revision != 4000 || !c.Tables.ZoneOut("a") {
+		t.Errorf("revision %d, zone a out %v", c.Revision, c.Tables.ZoneOut("a"))
+	}
+}
