ramp: grow at a light load and learn the speed from long prefills only

The learnt prefill speed rose to 1.1 million tokens/s on an engine of 200,000, because the base latency was taken for prefill.

--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -23,7 +23,9 @@
 	// because an idle endpoint may have turned cold.
 	IdleHalving time.Duration
 	// WarmEvidence is the prompt tokens that must have come on time since the
-	// last contrary evidence before the limit grows fast.
+	// last contrary evidence before the limit grows fast. From then on it grows
+	// at a light load too, because it would otherwise keep out long prompts on
+	// an endpoint that short ones never fill.
 	WarmEvidence int64
 }
 
@@ -164,7 +166,7 @@
 		}
 	case late <= onTimeFactor:
 		l.warm += f.prompt
-		if f.utilised {
+		if f.utilised || l.warm >= l.config.WarmEvidence {
 			l.grow(f)
 		}
 	}
@@ -193,19 +195,23 @@
 	}
 }
 
+// learn follows the prefill speed. A first token that comes within the base
+// latency says nothing of the speed, unless it is late all the same.
 func (l *Limiter) learn(f *flight, elapsed time.Duration) {
 	if f.work < minSampleTokens {
 		return
 	}
-	sample := f.work / max(elapsed-l.config.BaseLatency/2, time.Millisecond).Seconds()
+	sample := f.work / max(elapsed, time.Millisecond).Seconds()
 	if l.baseline <= 0 {
 		l.baseline, l.rate = sample, sample
 		return
 	}
+	if f.expected < 2*l.config.BaseLatency && elapsed <= f.expected {
+		return
+	}
 	step := math.Log(sample / l.baseline)
 	l.baseline *= math.Exp(baselineWeight * min(max(step, -maxSampleStep), maxSampleStep))
-	bounded := min(sample, 2*l.baseline)
-	l.rate += rateWeight * (bounded - l.rate)
+	l.rate += rateWeight * (min(sample, 2*l.baseline) - l.rate)
 }
 
 // Ended forgets an item. A failure of the engine lowers the limit, because a
--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// Guards against short prompts at a light load from which the limit never
+// grows, and whose base latency is taken for a prefill speed.
+func TestLightLoadOfShortPrompts(t *testing.T) {
+	l := New(start, DefaultConfig(600_000, 200_000))
+	now := start
+	for i := range 1_000 {
+		id := fmt.Sprint(i)
+		l.Admitted(now, id, 1_000, 1_100, 1_100)
+		now = now.Add(10 * time.Millisecond)
+		l.FirstToken(now, id)
+		l.Ended(now, id, false)
+	}
+	if l.Limit() < 300_000 || l.PrefillRate() != 200_000 {
+		t.Errorf("limit = %d, rate = %g; want at least 300000 and 200000", l.Limit(), l.PrefillRate())
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/sidecar/gateway/attempt.go
+++ b/sidecar/gateway/attempt.go
@@ -138,7 +138,7 @@
 	go func() {
 		select {
 		case <-a.ticket.Aborted():
-			cancel(verdict.New(verdict.MayHaveRun, verdict.ReasonEngineDown, "engine died"))
+			cancel(verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "engine died"))
 		case <-watched:
 		}
 	}()
