fakes/engine: let a cold engine run one request of any length

Cause: a cold engine collapsed under a single prompt above its token limit, so that a long prompt could run on it only after short ones had warmed it.

The demo starts its engines cold and fails if one collapsed.

Conclusion: the demo checks the invariant ramp_limit from outside.

--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -37,8 +37,8 @@
 	// TokenTime is the length of a step without prefill.
 	TokenTime server.Duration `json:"token_time"`
 	// Cold makes the engine cold. A cold engine collapses to 1/CollapseFactor of
-	// its speed while it runs more than ColdTokens, and is warm after it
-	// prefilled WarmAfterTokens without a collapse.
+	// its speed while it runs several requests with more than ColdTokens, and is
+	// warm after it prefilled WarmAfterTokens without a collapse.
 	Cold            bool  `json:"cold"`
 	ColdTokens      int64 `json:"cold_tokens"`
 	WarmAfterTokens int64 `json:"warm_after_tokens"`
--- a/fakes/engine/scheduler.go
+++ b/fakes/engine/scheduler.go
@@ -118,8 +118,10 @@
 	}
 }
 
+// collapsed reports whether a cold engine runs more than it can. A request that
+// runs alone never collapses, or long prompts could never run on it.
 func (e *Engine) collapsed() bool {
-	return e.switches.Cold && e.memory.running > e.switches.ColdTokens
+	return e.switches.Cold && len(e.running) > 1 && e.memory.running > e.switches.ColdTokens
 }
 
 func (e *Engine) pendingPrefill() int64 {
--- a/loadgen/demo/check.go
+++ b/loadgen/demo/check.go
@@ -127,6 +127,23 @@
 	return sum, nil
 }
 
+// checkCold fails if a cold engine got more work than it can handle.
+func (r *run) checkCold(ctx context.Context) error {
+	for _, e := range r.layout.endpoints {
+		if e.plain {
+			continue
+		}
+		var counters engine.Counters
+		if err := getJSON(ctx, "http://"+e.backend+"/control/counters", &counters); err != nil {
+			return err
+		}
+		if n := counters.CollapsedSteps; n > 0 {
+			return fmt.Errorf("invariant ramp_limit broken: %s collapsed for %d steps while it was cold", e.name, n)
+		}
+	}
+	return nil
+}
+
 // checkMemory fails if an engine holds memory other than cached prefixes after
 // the load has ended.
 func (r *run) checkMemory(ctx context.Context) error {
--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -44,8 +44,9 @@
 // outZone is the zone that the demo takes out. No gateway depends on it.
 const outZone = "zone-b"
 
-// engineSwitches make engines slow enough that long prompts matter.
-const engineSwitches = `{"prefill_tokens_per_second":100000,"token_time":"5ms"}`
+// engineSwitches make engines slow enough that long prompts matter, and cold,
+// as they are after a start.
+const engineSwitches = `{"prefill_tokens_per_second":100000,"token_time":"5ms","cold":true}`
 
 type run struct {
 	config    Config
@@ -169,6 +170,7 @@
 		load.Check(all),
 		checkUseful(all),
 		r.checkRuns(ctx, c.RunID, all),
+		r.checkCold(ctx),
 		r.checkMemory(ctx),
 		r.checkMetrics(ctx),
 		r.processes.early(),
