--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,8 @@
 # run does the same and keeps everything running.
 run: build
 	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+model:
+	./models/run.sh
 
 clean:
 	rm -rf bin out
