e2e: test the published client against gateway and sidecar

Cause: no test showed that an unchanged OpenAI-compatible client works through the whole path.

Change: the test builds the gateway and sidecar programs, starts them before fake engines and calls them with openai-go: chat and completions, streaming and not, models, a refusal, and a stream whose engine crashes in the middle.

--- /dev/null
+++ b/e2e/client_test.go
@@ -0,0 +1,128 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"siskinstand.example/fakes/engine"
+	"siskinstand.example/fakes/server"
+)
+
+const question = "Which birds visit the feeder?"
+
+func chatParams() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    model,
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("Be brief."), openai.UserMessage(question)},
+	}
+}
+
+func chatAnswer() (string, string) {
+	return engine.Expected(engine.ChatPrompt([]engine.Message{{Role: "system", Content: "Be brief."}, {Role: "user", Content: question}}), 0)
+}
+
+func deadline(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against answers that the published client cannot read or that differ
+// from the engine's.
+func TestPublishedClient(t *testing.T) {
+	s, ctx := startStack(t), deadline(t)
+	text, reason := chatAnswer()
+	t.Run("chat", func(t *testing.T) {
+		got, err := s.client.Chat.Completions.New(ctx, chatParams())
+		if err != nil {
+			t.Fatal(err)
+		}
+		choice := got.Choices[0]
+		if choice.Message.Content != text || choice.FinishReason != reason || got.Usage.CompletionTokens != int64(len(text)/engine.TokenBytes) {
+			t.Errorf("got %q (%s), usage %+v; want %q (%s)", choice.Message.Content, choice.FinishReason, got.Usage, text, reason)
+		}
+	})
+	t.Run("chat stream", func(t *testing.T) {
+		stream := s.client.Chat.Completions.NewStreaming(ctx, chatParams())
+		var whole openai.ChatCompletionAccumulator
+		for stream.Next() {
+			if !whole.AddChunk(stream.Current()) {
+				t.Fatalf("chunk does not fit: %+v", stream.Current())
+			}
+		}
+		if stream.Err() != nil || whole.Choices[0].Message.Content != text || whole.Choices[0].FinishReason != reason {
+			t.Errorf("got %+v, %v; want %q (%s)", whole.Choices, stream.Err(), text, reason)
+		}
+	})
+	prompt := openai.CompletionNewParams{Model: model, MaxTokens: openai.Int(5), Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String(question)}}
+	short, shortReason := engine.Expected(question, 5)
+	t.Run("completion", func(t *testing.T) {
+		got, err := s.client.Completions.New(ctx, prompt)
+		if err != nil || got.Choices[0].Text != short || string(got.Choices[0].FinishReason) != shortReason {
+			t.Errorf("got %+v, %v; want %q (%s)", got, err, short, shortReason)
+		}
+	})
+	t.Run("completion stream", func(t *testing.T) {
+		stream := s.client.Completions.NewStreaming(ctx, prompt)
+		var got strings.Builder
+		for stream.Next() {
+			got.WriteString(stream.Current().Choices[0].Text)
+		}
+		if stream.Err() != nil || got.String() != short {
+			t.Errorf("got %q, %v; want %q", got.String(), stream.Err(), short)
+		}
+	})
+	t.Run("models", func(t *testing.T) {
+		page, err := s.client.Models.List(ctx)
+		if err != nil || len(page.Data) != 1 || page.Data[0].ID != model {
+			t.Errorf("got %+v, %v", page, err)
+		}
+	})
+	t.Run("refusal", func(t *testing.T) {
+		stranger := openai.NewClient(option.WithBaseURL(s.base+"/v1/"), option.WithAPIKey("other"))
+		_, err := stranger.Chat.Completions.New(ctx, chatParams())
+		var refused *openai.Error
+		if !errors.As(err, &refused) || refused.StatusCode != http.StatusUnauthorized || refused.Code != "unauthorized" {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// Guards against a stream that is cut, repeated or mixed when its engine
+// crashes in the middle.
+func TestStreamSurvivesAnEngineCrash(t *testing.T) {
+	s, ctx := startStack(t), deadline(t)
+	for _, e := range s.engines {
+		switches := e.Switches()
+		switches.TokenTime = server.Duration(40 * time.Millisecond)
+		if err := e.Set(switches); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, _ := chatAnswer()
+	stream := s.client.Chat.Completions.NewStreaming(ctx, chatParams())
+	var got strings.Builder
+	crashed := 0
+	for stream.Next() {
+		got.WriteString(stream.Current().Choices[0].Delta.Content)
+		if crashed == 0 && got.Len() >= 4*engine.TokenBytes {
+			for _, e := range s.engines {
+				if e.Counters().Started > 0 {
+					e.Crash()
+					crashed++
+				}
+			}
+		}
+	}
+	if stream.Err() != nil || got.String() != text || crashed != 1 {
+		t.Errorf("got %q after %d crashes, %v; want %q", got.String(), crashed, stream.Err(), text)
+	}
+}
