gateway: end a slow caller's request at its deadline

Cause: a write to a caller that reads nothing lasted for the whole write time limit, so the request outlived its deadline. A slice also carried the host list's state, so two slices of one revision could differ, and a gateway that had just started called every slice changed.

Change: a write is bounded by the request's deadline too. A slice depends on the configuration alone; its last change comes from the document's row revisions, or from what the gateway has seen.

Conclusion: a slow caller cannot outlive its own deadline.

--- a/gateway/caller/completion.go
+++ b/gateway/caller/completion.go
@@ -90,7 +90,7 @@
 			return err
 		}
 		request.Method, request.Path = r.Method, r.URL.Path
-		answer := &answer{server: s, w: w, format: f, id: c.id, model: body.Model, created: c.received.Unix()}
+		answer := &answer{server: s, w: w, format: f, id: c.id, model: body.Model, created: c.received.Unix(), deadline: request.Deadline}
 		var sink modelSink = &wholeSink{answer: answer}
 		if body.Stream {
 			sink = &streamSink{answer: answer, usage: body.StreamOptions != nil && body.StreamOptions.IncludeUsage}
--- a/gateway/caller/service.go
+++ b/gateway/caller/service.go
@@ -53,7 +53,7 @@
 		PromptTokens: max(int64(float64(len(data))/firstBytesPerToken), 1),
 		Deadline:     c.until(route), CallerKey: c.key,
 	}
-	sink := &plainSink{w: w, timeout: s.config.Limits.WriteTimeout}
+	sink := &plainSink{w: w, timeout: s.config.Limits.WriteTimeout, deadline: request.Deadline}
 	if _, err := s.config.Dispatcher.Run(r.Context(), request, sink); err != nil {
 		return sink.fail(err)
 	}
@@ -90,10 +90,12 @@
 type plainSink struct {
 	w       http.ResponseWriter
 	timeout time.Duration
-	status  int
-	header  []*pb.Header
-	held    []byte
-	begun   bool
+	// deadline is that of the request.
+	deadline time.Time
+	status   int
+	header   []*pb.Header
+	held     []byte
+	begun    bool
 }
 
 // Deliver holds back the first pieces and then writes through.
@@ -136,7 +138,7 @@
 
 func (s *plainSink) flush() error {
 	controller := http.NewResponseController(s.w)
-	_ = controller.SetWriteDeadline(time.Now().Add(s.timeout))
+	_ = controller.SetWriteDeadline(writeDeadline(s.timeout, s.deadline))
 	// A HEAD request and some statuses have no body.
 	if _, err := s.w.Write(s.held); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return err
--- a/gateway/caller/sink.go
+++ b/gateway/caller/sink.go
@@ -18,6 +18,8 @@
 	id      string
 	model   string
 	created int64
+	// deadline ends the request, also while a slow caller holds up a write.
+	deadline time.Time
 }
 
 // modelSink is a sink with the two ends of a model's answer.
@@ -121,7 +123,7 @@
 
 func (s *streamSink) send(event []byte) error {
 	controller := http.NewResponseController(s.w)
-	_ = controller.SetWriteDeadline(time.Now().Add(s.server.config.Limits.WriteTimeout))
+	_ = controller.SetWriteDeadline(writeDeadline(s.server.config.Limits.WriteTimeout, s.deadline))
 	if !s.begun {
 		s.begun = true
 		s.w.Header().Set("Content-Type", "text/event-stream")
@@ -134,6 +136,17 @@
 	return controller.Flush()
 }
 
+// lastWrite is the time after a request's deadline for its error event.
+const lastWrite = 100 * time.Millisecond
+
+// writeDeadline bounds a write by its time limit and the request's deadline.
+func writeDeadline(timeout time.Duration, deadline time.Time) time.Time {
+	if limit := time.Now().Add(timeout); limit.Before(deadline.Add(lastWrite)) {
+		return limit
+	}
+	return deadline.Add(lastWrite)
+}
+
 // completePrefix returns the length of text without a split last character.
 func completePrefix(text []byte) int {
 	for i := len(text) - 1; i >= 0 && i >= len(text)-utf8.UTFMax; i-- {
--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -58,6 +58,7 @@
 
 	// The control goroutine owns what follows.
 	snapshot   config.Snapshot
+	document   *config.Document
 	configured bool
 	listed     bool
 	table      *membership.Table
@@ -193,15 +194,20 @@
 }
 
 func (l *Loop) applyConfig() {
-	s, ok := l.config.Source.Current()
-	if !ok {
+	s := l.config.Source.Current()
+	var document *config.Document
+	if source, ok := l.config.Source.(documentSource); ok {
+		document = source.Document()
+		s = document.Snapshot()
+	}
+	if s.Revision == 0 {
 		return
 	}
 	if l.configured && s.Revision < l.snapshot.Revision {
 		l.config.Invariants.Check(false, invariant.ConfigMonotonic, "revision %d follows %d", s.Revision, l.snapshot.Revision)
 		return
 	}
-	l.snapshot, l.configured, l.dirty = s, true, true
+	l.snapshot, l.document, l.configured, l.dirty = s, document, true, true
 	klog.InfoS("configuration in force", logging.FieldRevision, s.Revision)
 }
 
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -68,31 +68,47 @@
 	return !tables.ZoneOut(e.Zone) && !tables.HostLeaving(e.Name) && l.table.Usable(e.Name, now)
 }
 
-// sliceOf computes what an endpoint needs of the configuration and the revision
-// at which this gateway last saw it change.
+// sliceOf computes what an endpoint needs of the configuration. It depends on
+// the configuration alone, so that all gateways send the same at one revision;
+// what the host list says of a host is for the choice of endpoints only.
 func (l *Loop) sliceOf(name string, pools []config.Pool) *pb.Slice {
 	e, _ := l.table.Get(name)
 	s := &pb.Slice{
-		Endpoint:    name,
-		ZoneOut:     l.snapshot.Tables.ZoneOut(e.Zone),
-		HostLeaving: l.snapshot.Tables.HostLeaving(name) || e.Leaving,
+		Endpoint: name, Revision: l.snapshot.Revision,
+		ZoneOut: l.snapshot.Tables.ZoneOut(e.Zone), HostLeaving: l.snapshot.Tables.HostLeaving(name),
 	}
 	for _, pool := range pools {
-		if e.Service == pool.Service && pool.InZone(e.Zone) {
-			if s.Pool == "" {
-				s.Pool = pool.Name
-			}
-			s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
+		if e.Service != pool.Service || !pool.InZone(e.Zone) {
+			continue
+		}
+		if s.Pool == "" {
+			s.Pool = pool.Name
+		}
+		s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
+		if l.document != nil {
+			s.ChangedRevision = max(s.ChangedRevision, l.document.Slice(pool.Name, e.Zone, name).ChangedRevision)
 		}
 	}
-	s.Revision, s.ChangedRevision = l.snapshot.Revision, l.snapshot.Revision
-	if old, ok := l.slices[name]; ok && sameSlice(old, s) {
-		s.ChangedRevision = old.ChangedRevision
+	if l.document == nil {
+		s.ChangedRevision = l.seenChange(name, s)
 	}
 	l.slices[name] = s
 	return s
 }
 
+// seenChange returns the revision at which this gateway saw the slice change,
+// or 0. It serves sources without a history of rows.
+func (l *Loop) seenChange(name string, s *pb.Slice) uint64 {
+	old, ok := l.slices[name]
+	switch {
+	case !ok:
+		return 0
+	case sameSlice(old, s):
+		return old.GetChangedRevision()
+	}
+	return s.GetRevision()
+}
+
 func sameSlice(a, b *pb.Slice) bool {
 	return a.GetPool() == b.GetPool() && a.GetZoneOut() == b.GetZoneOut() &&
 		a.GetHostLeaving() == b.GetHostLeaving() && a.GetMaxPromptTokens() == b.GetMaxPromptTokens()
--- a/gateway/daemon/failure_test.go
+++ b/gateway/daemon/failure_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/coord/invariant"
 	pb "siskinstand.example/peerpb"
 )
 
@@ -203,7 +204,8 @@
 	}
 }
 
-// Guards against a slow caller that holds an endpoint or memory for ever.
+// Guards against a slow caller that holds an endpoint or memory beyond its
+// deadline; the invariant request_outcome counts a late end.
 func TestSlowCaller(t *testing.T) {
 	ended := make(chan struct{})
 	run := func(_ *pb.Offer, s *scriptedStream) error {
@@ -221,7 +223,8 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if err := f.request("POST", chatPath, streamBody, nil).Write(conn); err != nil {
+	deadline := map[string]string{"Siskin-Deadline-Ms": "300"}
+	if err := f.request("POST", chatPath, streamBody, deadline).Write(conn); err != nil {
 		t.Fatal(err)
 	}
 	select {
@@ -229,6 +232,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("the stream to a caller that reads nothing did not end")
 	}
+	eventually(t, "the end of the request", func() bool { return f.daemon.server.Requests() == 0 })
 }
 
 // hang admits the request and waits until the gateway cancels it.
@@ -306,3 +310,37 @@
 	}
 	<-f.stopped
 }
+
+// Guards against a sidecar's not_run after a part of the answer being believed.
+func TestNotRunAfterChunk(t *testing.T) {
+	run := func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.chunk(0, "x"); err != nil {
+			return err
+		}
+		return s.refused("not_run", "deadline_exceeded")
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", run, nil))
+	status, body, _ := f.call("POST", chatPath, chatBody, nil)
+	assertRefusal(t, status, body, http.StatusGatewayTimeout, "deadline_exceeded", "may_have_run")
+	if n := f.daemon.invariants.Count(invariant.NotRunTrue); n != 1 {
+		t.Errorf("%d violations of not_run_true, want 1", n)
+	}
+	f.violations = 1
+}
+
+// Guards against a shutdown that cuts off a stream without a trace.
+func TestShutdownLimit(t *testing.T) {
+	f := startGateway(t, "", startSidecar(t, "e1", hang(make(chan struct{})), nil))
+	response, err := http.DefaultClient.Do(f.request("POST", chatPath, streamBody, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	f.daemon.Drain(ctx)
+	if n := f.daemon.invariants.Count(invariant.ShutdownComplete); n != 1 {
+		t.Errorf("%d violations of shutdown_complete, want 1", n)
+	}
+	f.violations = 1
+}
--- a/gateway/tablefile/tablefile.go
+++ b/gateway/tablefile/tablefile.go
@@ -37,10 +37,10 @@
 }
 
 // Current returns the tables in force.
-func (s *Source) Current() (config.Snapshot, bool) {
+func (s *Source) Current() config.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.snapshot, s.snapshot.Tables != nil
+	return s.snapshot
 }
 
 // Changed returns a channel that is closed on the next change.
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if current, ok := s.Current(); (ok && revision <= current.Revision) || revision == s.refused {
+	if revision <= s.Current().Revision || revision == s.refused {
 		return nil
 	}
 	tables, err := parse(s.routes, s.pools)
--- a/gateway/tablefile/tablefile_test.go
+++ b/gateway/tablefile/tablefile_test.go
@@ -32,7 +32,7 @@
 	if s.read() == nil || s.read() != nil {
 		t.Error("a faulty edit is reported once")
 	}
-	if c, ok := s.Current(); !ok || c.Revision != 2000 {
+	if c := s.Current(); c.Revision != 2000 {
 		t.Errorf("revision %d after a faulty edit, want 2000", c.Revision)
 	}
 	write(pools, "[zone a]\nstate = out\n", 4)
@@ -44,7 +44,7 @@
 	default:
 		t.Error("no notification of the edit")
 	}
-	if c, _ := s.Current(); c.Revision != 4000 || !c.Tables.ZoneOut("a") {
+	if c := s.Current(); c.Revision != 4000 || !c.Tables.ZoneOut("a") {
 		t.Errorf("revision %d, zone a out %v", c.Revision, c.Tables.ZoneOut("a"))
 	}
 }
