gateway: connect the program to the store and the other gateways

Change: package cluster opens them if [store] address is set. What all parts share is in daemon.Base. The view names the gateways of the host list.

Figures: the race tests of the gateway pass; the program with a store was not run yet.

Conclusion: configuration and claims come from the store, or from files alone.

--- /dev/null
+++ b/gateway/cluster/cluster.go
@@ -0,0 +1,118 @@
+// Package cluster connects a gateway to the key-value store and to the other
+// gateways.
+package cluster
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	tables "siskinstand.example/coord/config"
+	"siskinstand.example/coord/routing"
+	"siskinstand.example/coord/spread"
+	"siskinstand.example/gateway/daemon"
+	"siskinstand.example/gateway/kvstore"
+	"siskinstand.example/gateway/peer"
+	pb "siskinstand.example/peerpb"
+	"siskinstand.example/platform/hostlist"
+	store "siskinstand.example/platform/kvstore"
+)
+
+// stopTimeout bounds the calls of peers that are open at the end.
+const stopTimeout = 2 * time.Second
+
+// Open returns the parts of a gateway with a store. The listener for peers is
+// open when it returns.
+func Open(b *daemon.Base, s store.Store, hosts hostlist.List) (daemon.Parts, error) {
+	process := b.Settings.Process
+	inForce := tables.NewInForce(b.Invariants)
+	alarms := &kvstore.Alarms{}
+	book := kvstore.NewBook(kvstore.BookConfig{Store: s, ProcessID: process.ID, Invariants: b.Invariants})
+	reader := kvstore.NewReader(kvstore.ReaderConfig{
+		Store: s, Zone: process.Zone, ProcessID: process.ID, InForce: inForce, Alarms: alarms,
+	})
+	node := peer.New(peer.Config{
+		ID: process.ID, Zone: process.Zone, Incarnation: b.Incarnation, Seed: routing.HashName(process.ID) ^ b.Incarnation,
+		InForce: inForce, Alarms: alarms, Book: book, TryRead: reader.Try,
+		Peers:       func() []spread.Peer { return peers(b) },
+		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy()},
+		Suspects:    exchange{b},
+		Status:      func() *pb.StatusResponse { return status(b) },
+	})
+	reader.Reading = node.Reading
+	listener, err := net.Listen("tcp", b.Settings.Peers.Address)
+	if err != nil {
+		return daemon.Parts{}, eris.Wrap(err, "listen for peers")
+	}
+	return daemon.Parts{
+		Source: inForce, Hosts: hosts, Claims: node.Claims(),
+		Extra: []daemon.Part{
+			{Name: "claim book", Run: book.Run},
+			{Name: "configuration reader", Run: reader.Run},
+			{Name: "peers", Run: node.Run},
+			{Name: "peer listener", Run: func(ctx context.Context) error { return serve(ctx, b, node, listener) }},
+		},
+	}, nil
+}
+
+func serve(ctx context.Context, b *daemon.Base, node *peer.Node, l net.Listener) error {
+	var options []grpc.ServerOption
+	if b.Keys.Peers != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(b.Keys.Peers.Server())))
+	}
+	server := grpc.NewServer(options...)
+	node.Register(server)
+	stop := context.AfterFunc(ctx, func() {
+		timer := time.AfterFunc(stopTimeout, server.Stop)
+		defer timer.Stop()
+		server.GracefulStop()
+	})
+	defer stop()
+	return eris.Wrap(server.Serve(l), "serve peers")
+}
+
+func peers(b *daemon.Base) []spread.Peer {
+	var list []spread.Peer
+	for _, h := range b.View().Gateways {
+		list = append(list, spread.Peer{ID: h.Name, Zone: h.Zone, Address: h.Address})
+	}
+	return list
+}
+
+// exchange passes suspects between the gateway's book and its peers.
+type exchange struct{ base *daemon.Base }
+
+// Reports lists the suspects to send.
+func (e exchange) Reports() []*pb.Suspect {
+	list, _ := e.base.Suspects.Known()
+	return list
+}
+
+// Merge takes over what a peer sent.
+func (e exchange) Merge(list []*pb.Suspect) { e.base.Suspects.Learn("", list) }
+
+// status lists the endpoints for the operators' command.
+func status(b *daemon.Base) *pb.StatusResponse {
+	response := &pb.StatusResponse{Role: "gateway", State: "serving"}
+	now := time.Now()
+	for name, pool := range b.View().Pools {
+		for i, e := range pool.Endpoints {
+			s := &pb.EndpointStatus{Endpoint: e.Name, Zone: e.Zone, Pool: name, State: "unknown", Load: e.Reported()}
+			if r := e.LastReport(); r != nil {
+				s.State, s.ConfigRevision = r.GetState(), r.GetSender().GetConfigRevision()
+			}
+			if at := e.ObservedAt(); !at.IsZero() {
+				s.ReportAgeMs = now.Sub(at).Milliseconds()
+			}
+			if !pool.Routing.Usable(i) && s.State == "serving" {
+				s.State = "not_in_use"
+			}
+			response.Endpoints = append(response.Endpoints, s)
+		}
+	}
+	return response
+}
--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -2,6 +2,8 @@
 package config
 
 import (
+	"errors"
+
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/settings"
 )
@@ -13,6 +15,8 @@
 	Admin    Admin          `ini:"admin"`
 	Tables   Tables         `ini:"tables"`
 	Platform Platform       `ini:"platform"`
+	Store    Store          `ini:"store"`
+	Peers    Peers          `ini:"peers"`
 	Sidecars Sidecars       `ini:"sidecars"`
 	Routing  Routing        `ini:"routing"`
 	Retry    Retry          `ini:"retry"`
@@ -31,7 +35,15 @@
 }
 
 func (s Settings) check() error {
-	return s.TLS.check(s.Callers.Address)
+	if err := s.TLS.check(s.Callers.Address); err != nil {
+		return err
+	}
+	files := s.Tables.Routes != "" && s.Tables.Pools != ""
+	none := s.Tables.Routes == "" && s.Tables.Pools == ""
+	if stored := s.Store.Address != ""; (stored && !none) || (!stored && !files) {
+		return errors.New("[tables]: set both routes and pools, or [store] address alone")
+	}
+	return nil
 }
 
 // Sample returns a commented settings file.
--- /dev/null
+++ b/gateway/config/peers.go
@@ -0,0 +1,6 @@
+package config
+
+// Peers is the listener for other gateways, sidecars and the operators' command.
+type Peers struct {
+	Address string `ini:"address" default:"127.0.0.1:7000" help:"address of the exchange between gateways, as in the host list"`
+}
--- a/gateway/config/process.go
+++ b/gateway/config/process.go
@@ -2,7 +2,7 @@
 
 // Process names this process and its place.
 type Process struct {
-	ID     string `ini:"id" example:"gateway-1" help:"name of this process, unique among all gateways"`
+	ID     string `ini:"id" example:"gateway-1" help:"name of this host as in the host list"`
 	Zone   string `ini:"zone" example:"zone-a" help:"availability zone of this host"`
 	Region string `ini:"region" default:"" help:"region of this host"`
 }
--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -63,6 +63,7 @@
 	listed     bool
 	table      *membership.Table
 	endpoints  map[string]*sidecar.Endpoint
+	gateways   map[string]hostlist.Host
 	streams    map[string]*controlStream
 	slices     map[string]*pb.Slice
 	dirty      bool
@@ -77,6 +78,7 @@
 		config: c, inbox: make(chan message, inboxMessages),
 		table:     membership.New(c.Policy),
 		endpoints: map[string]*sidecar.Endpoint{},
+		gateways:  map[string]hostlist.Host{},
 		streams:   map[string]*controlStream{},
 		slices:    map[string]*pb.Slice{},
 	}
@@ -179,7 +181,16 @@
 
 func (l *Loop) applyHosts(u hostlist.Update) {
 	var rows []membership.Row
+	if u.Full {
+		clear(l.gateways)
+	}
+	for _, name := range u.Removed {
+		delete(l.gateways, name)
+	}
 	for _, h := range u.Hosts {
+		if h.Role == hostlist.RoleGateway {
+			l.gateways[h.Name] = h
+		}
 		if h.Role != hostlist.RoleEndpoint {
 			continue
 		}
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -40,6 +40,7 @@
 
 func (l *Loop) publish(now time.Time) {
 	v := &View{Config: l.snapshot, Configured: l.configured, Listed: l.listed, Pools: map[string]*PoolView{}}
+	v.Gateways = slices.Collect(maps.Values(l.gateways))
 	if l.configured {
 		services := l.membersByService(now)
 		for _, pool := range l.snapshot.Tables.Pools() {
@@ -192,6 +193,7 @@
 func (l *Loop) onReport(ctx context.Context, e *sidecar.Endpoint, r *pb.ControlReport) {
 	// Suspects come first: a sidecar that reports its engine down names the
 	// requests that must not go to the next endpoint.
+	e.NoteReport(r)
 	state, died := membership.State(r.GetState()), ""
 	if state == membership.StateEngineDown {
 		died = e.Name
--- a/gateway/control/view.go
+++ b/gateway/control/view.go
@@ -9,6 +9,7 @@
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/routing"
 	"siskinstand.example/gateway/sidecar"
+	"siskinstand.example/platform/hostlist"
 )
 
 // View is an immutable picture of configuration and endpoints.
@@ -19,6 +20,8 @@
 	// Listed is false until the host list was read once.
 	Listed bool
 	Pools  map[string]*PoolView
+	// Gateways are those that the host list names, this one included.
+	Gateways []hostlist.Host
 }
 
 // PoolView is one pool. Indices of Routing and Endpoints agree.
--- /dev/null
+++ b/gateway/daemon/base.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/invariant"
+	"siskinstand.example/gateway/config"
+	"siskinstand.example/gateway/control"
+	"siskinstand.example/gateway/suspects"
+	pb "siskinstand.example/peerpb"
+	"siskinstand.example/service/logging"
+	"siskinstand.example/service/metrics"
+)
+
+// Base is what all parts of a gateway share.
+type Base struct {
+	Settings    config.Settings
+	Incarnation uint64
+	Keys        Keys
+	Metrics     *metrics.Metrics
+	Invariants  *invariant.Registry
+	Suspects    *suspects.Table
+	loop        atomic.Pointer[control.Loop]
+}
+
+// NewBase opens the metrics and the invariants.
+func NewBase(s config.Settings, k Keys) (*Base, error) {
+	m, err := metrics.New(metrics.Config{Prefix: "gateway", ProcessID: s.Process.ID, Zone: s.Process.Zone})
+	if err != nil {
+		return nil, err
+	}
+	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now)}
+	b.Invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
+		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
+		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
+	})
+	return b, nil
+}
+
+// View returns the current view, which is empty until New.
+func (b *Base) View() *control.View {
+	if l := b.loop.Load(); l != nil {
+		return l.View()
+	}
+	return &control.View{}
+}
+
+func (b *Base) sender() *pb.Sender {
+	return &pb.Sender{
+		ProcessId: b.Settings.Process.ID, Incarnation: b.Incarnation, Zone: b.Settings.Process.Zone,
+		ConfigRevision: b.View().Config.Revision,
+	}
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -4,27 +4,21 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/claim"
-	"siskinstand.example/coord/invariant"
 	"siskinstand.example/coord/membership"
 	"siskinstand.example/coord/retry"
 	"siskinstand.example/coord/routing"
 	"siskinstand.example/gateway/admin"
 	"siskinstand.example/gateway/caller"
-	"siskinstand.example/gateway/config"
 	"siskinstand.example/gateway/control"
 	"siskinstand.example/gateway/dispatch"
 	"siskinstand.example/gateway/sidecar"
-	"siskinstand.example/gateway/suspects"
-	pb "siskinstand.example/peerpb"
 	"siskinstand.example/platform/hostlist"
 	"siskinstand.example/service/logging"
-	"siskinstand.example/service/metrics"
 	"siskinstand.example/service/rungroup"
 )
 
@@ -33,7 +27,6 @@
 	Source control.ConfigSource
 	Hosts  hostlist.List
 	Claims claim.Book
-	Keys   Keys
 	// Extra are further parts that run until the gateway stops.
 	Extra []Part
 }
@@ -46,12 +39,8 @@
 
 // Daemon is one gateway.
 type Daemon struct {
-	settings    config.Settings
+	*Base
 	parts       Parts
-	incarnation uint64
-	metrics     *metrics.Metrics
-	invariants  *invariant.Registry
-	suspects    *suspects.Table
 	connections *sidecar.Connections
 	loop        *control.Loop
 	server      *caller.Server
@@ -60,19 +49,12 @@
 }
 
 // New opens the listeners and builds all parts; nothing runs yet.
-func New(s config.Settings, p Parts) (*Daemon, error) {
-	d := &Daemon{settings: s, parts: p, incarnation: uint64(time.Now().UnixNano())}
-	var err error
-	if d.metrics, err = metrics.New(metrics.Config{Prefix: "gateway", ProcessID: s.Process.ID, Zone: s.Process.Zone}); err != nil {
-		return nil, err
-	}
-	d.invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
-		d.metrics.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
-		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
-	})
-	d.suspects = suspects.New(time.Now)
-	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, p.Keys.peerCredentials())
+func New(b *Base, p Parts) (*Daemon, error) {
+	s := b.Settings
+	d := &Daemon{Base: b, parts: p}
+	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials())
 	d.build()
+	var err error
 	if d.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
@@ -84,35 +66,29 @@
 }
 
 func (d *Daemon) build() {
-	s := d.settings
+	s := d.Settings
 	client := sidecar.NewClient(d.connections, d.sender)
 	d.loop = control.New(control.Config{
 		GatewayID: s.Process.ID, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
 		Policy: membership.Policy{Silence: s.Sidecars.ForgetAfter, ProbeAfter: s.Sidecars.ProbeAfter, ProbeLimit: s.Sidecars.ProbeLimit},
 		Source: d.parts.Source, Hosts: d.parts.Hosts, Client: client,
-		Invariants: d.invariants, Suspects: d.suspects,
+		Invariants: d.Invariants, Suspects: d.Suspects,
 	})
+	d.Base.loop.Store(d.loop)
 	dispatcher := dispatch.New(dispatch.Config{
-		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.parts.Claims, Suspects: d.suspects,
-		Invariants: d.invariants, Scope: d.metrics.Scope,
+		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.parts.Claims, Suspects: d.Suspects,
+		Invariants: d.Invariants, Scope: d.Metrics.Scope,
 		Routing:     routing.Policy{PrefixShare: s.Routing.PrefixShare, DefaultRate: s.Routing.DefaultRate},
 		Retry:       retry.Policy{Share: s.Retry.Share, MinimumPerSecond: s.Retry.MinimumPerSecond, Burst: s.Retry.Burst},
 		MaxAttempts: s.Retry.MaxAttempts, Backoff: s.Retry.Backoff, BackoffLimit: s.Retry.BackoffLimit,
 		RetryAfter: s.Retry.RetryAfter, GroupShare: s.Routing.GroupShare,
 	})
 	d.server = caller.New(caller.Config{
-		Limits: s.Callers, TLS: d.parts.Keys.callerTLS(), View: d.loop.View, Dispatcher: dispatcher,
-		Invariants: d.invariants, Scope: d.metrics.Scope,
+		Limits: s.Callers, TLS: d.Keys.callerTLS(), View: d.loop.View, Dispatcher: dispatcher,
+		Invariants: d.Invariants, Scope: d.Metrics.Scope,
 	})
 }
 
-func (d *Daemon) sender() *pb.Sender {
-	return &pb.Sender{
-		ProcessId: d.settings.Process.ID, Incarnation: d.incarnation, Zone: d.settings.Process.Zone,
-		ConfigRevision: d.loop.View().Config.Revision,
-	}
-}
-
 // Run serves until SIGINT or SIGTERM, then finishes the running requests.
 func (d *Daemon) Run() error {
 	var g rungroup.Group
@@ -123,7 +99,7 @@
 
 func (d *Daemon) run(g *rungroup.Group) error {
 	defer d.close()
-	klog.InfoS("gateway started", "process", d.settings.Process.ID, logging.FieldZone, d.settings.Process.Zone, "callers", d.callers.Addr(), "admin", d.admin.Addr())
+	klog.InfoS("gateway started", "process", d.Settings.Process.ID, logging.FieldZone, d.Settings.Process.Zone, "callers", d.callers.Addr(), "admin", d.admin.Addr())
 	return g.Run()
 }
 
@@ -140,12 +116,12 @@
 		return nil
 	})
 	g.Add("admin", func(ctx context.Context) error {
-		return admin.Serve(ctx, d.admin, admin.Handler(admin.Config{Ready: d.Ready, Metrics: d.metrics.Handler}))
+		return admin.Serve(ctx, d.admin, admin.Handler(admin.Config{Ready: d.Ready, Metrics: d.Metrics.Handler}))
 	})
 	g.Add("gauges", d.updateGauges)
-	for _, keys := range d.parts.Keys.all() {
+	for _, keys := range d.Keys.all() {
 		g.Add("keys", func(ctx context.Context) error {
-			keys.Watch(ctx, d.settings.TLS.Reload)
+			keys.Watch(ctx, d.Settings.TLS.Reload)
 			return nil
 		})
 	}
@@ -156,10 +132,10 @@
 
 // Drain refuses new requests and waits for the running ones.
 func (d *Daemon) Drain(ctx context.Context) {
-	klog.InfoS("shutdown begins", "process", d.settings.Process.ID)
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Shutdown.Limit)
+	klog.InfoS("shutdown begins", "process", d.Settings.Process.ID)
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.Shutdown.Limit)
 	defer cancel()
-	d.server.Shutdown(ctx, d.settings.Shutdown.Notice)
+	d.server.Shutdown(ctx, d.Settings.Shutdown.Notice)
 }
 
 // Ready returns an empty text, or the reason why the gateway is not ready.
@@ -184,7 +160,7 @@
 
 func (d *Daemon) close() {
 	d.connections.Close()
-	if err := d.metrics.Close(); err != nil {
+	if err := d.Metrics.Close(); err != nil {
 		klog.ErrorS(err, "close metrics")
 	}
 }
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -139,7 +139,11 @@
 	}
 	f := &fixture{t: t, source: &testSource{}, claims: &testClaims{records: map[claim.Key]claim.Record{}}, stopped: make(chan struct{})}
 	f.source.set(t, 1, "")
-	if f.daemon, err = New(s, Parts{Source: f.source, Hosts: hosts, Claims: f.claims, Keys: keys}); err != nil {
+	base, err := NewBase(s, keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.daemon, err = New(base, Parts{Source: f.source, Hosts: hosts, Claims: f.claims}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -167,7 +171,7 @@
 func (f *fixture) stop() {
 	f.cancel()
 	<-f.stopped
-	if n := f.daemon.invariants.Total(); n != f.violations {
+	if n := f.daemon.Invariants.Total(); n != f.violations {
 		f.t.Errorf("%d invariant violations, want %d", n, f.violations)
 	}
 }
--- a/gateway/daemon/failure_test.go
+++ b/gateway/daemon/failure_test.go
@@ -322,7 +322,7 @@
 	f := startGateway(t, "", startSidecar(t, "e1", run, nil))
 	status, body, _ := f.call("POST", chatPath, chatBody, nil)
 	assertRefusal(t, status, body, http.StatusGatewayTimeout, "deadline_exceeded", "may_have_run")
-	if n := f.daemon.invariants.Count(invariant.NotRunTrue); n != 1 {
+	if n := f.daemon.Invariants.Count(invariant.NotRunTrue); n != 1 {
 		t.Errorf("%d violations of not_run_true, want 1", n)
 	}
 	f.violations = 1
@@ -339,7 +339,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	f.daemon.Drain(ctx)
-	if n := f.daemon.invariants.Count(invariant.ShutdownComplete); n != 1 {
+	if n := f.daemon.Invariants.Count(invariant.ShutdownComplete); n != 1 {
 		t.Errorf("%d violations of shutdown_complete, want 1", n)
 	}
 	f.violations = 1
--- a/gateway/daemon/gauges.go
+++ b/gateway/daemon/gauges.go
@@ -19,11 +19,11 @@
 		case <-ticker.C:
 		}
 		view := d.loop.View()
-		d.metrics.Scope.Gauge("config_revision").Update(float64(view.Config.Revision))
-		d.metrics.Scope.Gauge("requests_in_progress").Update(float64(d.server.Requests()))
-		d.metrics.Scope.Gauge("sidecar_connections").Update(float64(d.connections.Len()))
+		d.Metrics.Scope.Gauge("config_revision").Update(float64(view.Config.Revision))
+		d.Metrics.Scope.Gauge("requests_in_progress").Update(float64(d.server.Requests()))
+		d.Metrics.Scope.Gauge("sidecar_connections").Update(float64(d.connections.Len()))
 		for name, pool := range view.Pools {
-			scope := d.metrics.Scope.Tagged(map[string]string{"pool": name})
+			scope := d.Metrics.Scope.Tagged(map[string]string{"pool": name})
 			scope.Gauge("endpoints").Update(float64(len(pool.Endpoints)))
 			scope.Gauge("usable_endpoints").Update(float64(pool.Usable()))
 		}
--- a/gateway/daemon/keys.go
+++ b/gateway/daemon/keys.go
@@ -38,7 +38,8 @@
 	return k.Callers.Server()
 }
 
-func (k Keys) peerCredentials() credentials.TransportCredentials {
+// PeerCredentials returns the credentials for connections to other processes.
+func (k Keys) PeerCredentials() credentials.TransportCredentials {
 	if k.Peers == nil {
 		return insecure.NewCredentials()
 	}
--- a/gateway/daemon/paths_test.go
+++ b/gateway/daemon/paths_test.go
@@ -86,7 +86,7 @@
 		t.Errorf("offers %d and %d, want 0 and 20", e1.offerCount(), e2.offerCount())
 	}
 	f.source.set(t, 1, "")
-	eventually(t, "refusal of an older revision", func() bool { return f.daemon.invariants.Total() == 1 })
+	eventually(t, "refusal of an older revision", func() bool { return f.daemon.Invariants.Total() == 1 })
 	if f.daemon.loop.View().Config.Revision != 2 {
 		t.Error("an older revision came into force")
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,17 +1,21 @@
 package main
 
 import (
+	"siskinstand.example/gateway/cluster"
 	"siskinstand.example/gateway/config"
 	"siskinstand.example/gateway/daemon"
 	"siskinstand.example/gateway/tablefile"
 	"siskinstand.example/platform/hostlist"
+	"siskinstand.example/platform/kvstore"
 	"siskinstand.example/service/logging"
 )
 
 // check reads the tables and keys that the settings name.
 func check(s config.Settings) error {
-	if _, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll); err != nil {
-		return err
+	if s.Store.Address == "" {
+		if _, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll); err != nil {
+			return err
+		}
 	}
 	_, err := daemon.LoadKeys(s.TLS)
 	return err
@@ -21,34 +25,40 @@
 	if err := logging.Setup(s.Log); err != nil {
 		return err
 	}
-	parts, err := openParts(s)
+	keys, err := daemon.LoadKeys(s.TLS)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(s, parts)
+	base, err := daemon.NewBase(s, keys)
+	if err != nil {
+		return err
+	}
+	parts, err := openParts(base)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(base, parts)
 	if err != nil {
 		return err
 	}
 	return d.Run()
 }
 
-// openParts connects the gateway to the platform. The reader of the key-value
-// store (gateway/kvstore), the exchange with other gateways (gateway/peer) and
-// the claim log take their places here: they set Source and Claims and add
-// their long-running parts to Extra.
-func openParts(s config.Settings) (daemon.Parts, error) {
-	source, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll)
-	if err != nil {
-		return daemon.Parts{}, err
+// openParts connects the gateway to the platform: to the key-value store and
+// the other gateways, or to table files alone.
+func openParts(b *daemon.Base) (daemon.Parts, error) {
+	s := b.Settings
+	hosts := hostlist.NewHTTP(s.Platform.HostList, hostlist.DefaultLimits())
+	if s.Store.Address != "" {
+		return cluster.Open(b, kvstore.NewHTTP(s.Store.Address, kvstore.DefaultLimits()), hosts)
 	}
-	keys, err := daemon.LoadKeys(s.TLS)
+	source, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll)
 	if err != nil {
 		return daemon.Parts{}, err
 	}
 	return daemon.Parts{
-		Keys:   keys,
 		Source: source,
-		Hosts:  hostlist.NewHTTP(s.Platform.HostList, hostlist.DefaultLimits()),
+		Hosts:  hosts,
 		Claims: daemon.NoClaims{},
 		Extra:  []daemon.Part{{Name: "tables", Run: source.Run}},
 	}, nil
--- a/gateway/sidecar/endpoint.go
+++ b/gateway/sidecar/endpoint.go
@@ -25,6 +25,7 @@
 	observed   atomic.Int64
 	unreported atomic.Int64
 	noted      atomic.Int64
+	report     atomic.Pointer[pb.ControlReport]
 	lost       context.Context
 	markLost   context.CancelFunc
 }
@@ -74,6 +75,12 @@
 	return time.Time{}
 }
 
+// NoteReport keeps a report for the operators' command.
+func (e *Endpoint) NoteReport(r *pb.ControlReport) { e.report.Store(r) }
+
+// LastReport returns the latest report on a control stream, or nil.
+func (e *Endpoint) LastReport() *pb.ControlReport { return e.report.Load() }
+
 // NoteResponse reports whether the control goroutine should be told of a
 // response, which is at most once a responseInterval.
 func (e *Endpoint) NoteResponse(now time.Time) bool {
