gateway: check which endpoint a control stream reaches

Change: a control stream ends if the report names another endpoint, and the endpoint counts as unreachable.

Conclusion: a lagging host list cannot lend one endpoint's state to another.

--- a/gateway/daemon/paths_test.go
+++ b/gateway/daemon/paths_test.go
@@ -93,6 +93,25 @@
 	f.violations = 1
 }
 
+// Guards against work for an endpoint whose address, after a restart of hosts,
+// belongs to another one.
+func TestAddressOfAnotherEndpoint(t *testing.T) {
+	e1, e2 := startSidecar(t, "e1", answer("x"), nil), startSidecar(t, "e2", answer("x"), nil)
+	f := startGateway(t, "", e1, e2)
+	e1.mu.Lock()
+	e1.reportName = "e9"
+	e1.mu.Unlock()
+	f.source.set(t, 2, "[host e9]\nstate = leaving\n[zone zone-e1]\nstate = out\n")
+	f.source.set(t, 3, "")
+	eventually(t, "the end of the control stream", func() bool { return f.daemon.View().Pools["p1"].Usable() == 1 })
+	for i := range 10 {
+		f.call("POST", chatPath, strings.Replace(chatBody, "hello", fmt.Sprint(i), 1), nil)
+	}
+	if e1.offerCount() != 0 || e2.offerCount() != 10 {
+		t.Errorf("offers %d and %d, want 0 and 10", e1.offerCount(), e2.offerCount())
+	}
+}
+
 // Guards against a request that has crashed one endpoint going back to it, and
 // against a third endpoint lost to it.
 func TestCrashSuspect(t *testing.T) {
--- a/gateway/daemon/sidecar_test.go
+++ b/gateway/daemon/sidecar_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -30,8 +31,10 @@
 	released []string
 	held     bool
 	state    string
-	load     *pb.Load
-	slices   []*pb.Slice
+	// reportName is the endpoint in reports, name if empty.
+	reportName string
+	load       *pb.Load
+	slices     []*pb.Slice
 }
 
 func startSidecar(t *testing.T, name string, run script, c credentials.TransportCredentials) *testSidecar {
@@ -73,7 +76,7 @@
 func (s *testSidecar) Control(stream pb.Sidecar_ControlServer) error {
 	for {
 		s.mu.Lock()
-		report := &pb.ControlReport{Sender: s.sender(), Endpoint: s.name, State: s.state, Load: s.load}
+		report := &pb.ControlReport{Sender: s.sender(), Endpoint: cmp.Or(s.reportName, s.name), State: s.state, Load: s.load}
 		s.mu.Unlock()
 		if err := stream.Send(report); err != nil {
 			return err
--- a/gateway/sidecar/control.go
+++ b/gateway/sidecar/control.go
@@ -49,6 +49,11 @@
 		if err != nil {
 			return eris.Wrap(err, "control stream")
 		}
+		// A lagging host list can name an address that another endpoint has
+		// taken over, whose state and load must not be mistaken for this one's.
+		if name := report.GetEndpoint(); name != s.Endpoint.Name {
+			return eris.Errorf("%s belongs to endpoint %q", s.Endpoint.Address, name)
+		}
 		silence.Reset(Silence)
 		s.Endpoint.Observe(report.GetLoad(), time.Now())
 		s.OnReport(report)
