siskinctl: edit the tables and show the state of the fleet

Cause: operators had no way to change the tables in the store. Change: get, diff, check, edit, apply, history, status and completion, settings by flags and an INI file, documented exit codes. Package editor resolves lost answers by the change identifier; repeating an edit of unknown outcome with the same identifier does not make it twice. edit sets keys of one row and starts no editor, because processes start no other process. A reader lease attempt reads the key first, so that a held lease costs no write.

--- a/coord/config/document.go
+++ b/coord/config/document.go
@@ -124,6 +124,9 @@
 // Snapshot returns the checked tables with their revision.
 func (d *Document) Snapshot() Snapshot { return Snapshot{Revision: d.revision, Tables: d.tables} }
 
+// Text returns the text of a row, empty if there is none.
+func (d *Document) Text(id RowID) string { return d.rows[id].text }
+
 // Rows lists all rows in order of table and section.
 func (d *Document) Rows() []RowEdit {
 	list := make([]RowEdit, 0, len(d.rows))
--- a/gateway/kvstore/lease.go
+++ b/gateway/kvstore/lease.go
@@ -32,6 +32,12 @@
 func acquireLease(ctx context.Context, store kvstore.Store, key, process string, timeToLive time.Duration) (*heldLease, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeToLive/renewals)
 	defer cancel()
+	// The read keeps attempts on a held lease from costing writes.
+	if _, err := store.Get(ctx, key); err == nil {
+		return nil, errHeldElsewhere
+	} else if !errors.Is(err, kvstore.ErrNotFound) {
+		return nil, eris.Wrap(err, "read lease key")
+	}
 	requested := time.Now()
 	granted, err := store.GrantLease(ctx, timeToLive)
 	if err != nil {
--- /dev/null
+++ b/siskinctl/app.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/platform/kvstore"
+	"siskinstand.example/siskinctl/editor"
+)
+
+// globalOptions are the flags of every command. They override the settings.
+type globalOptions struct {
+	Settings string        `long:"settings" env:"SISKINCTL_SETTINGS" value-name:"FILE" description:"INI file with settings; see siskinctl --sample"`
+	Sample   bool          `long:"sample" description:"print a commented settings file"`
+	Store    string        `long:"store" value-name:"HOST:PORT" description:"address of the key-value store"`
+	Gateways []string      `long:"gateway" value-name:"HOST:PORT" description:"address of a gateway; may be repeated"`
+	Timeout  time.Duration `long:"timeout" value-name:"DURATION" description:"time limit of the command"`
+}
+
+// app is one invocation.
+type app struct {
+	options  globalOptions
+	settings Settings
+	in       io.Reader
+	out      io.Writer
+	errs     io.Writer
+	ctx      context.Context
+}
+
+// command is one subcommand with its texts.
+type command struct {
+	name    string
+	short   string
+	example string
+	run     flags.Commander
+}
+
+func (a *app) commands() []command {
+	return []command{
+		getCommand(a), diffCommand(a), checkCommand(a), editCommand(a), applyCommand(a),
+		historyCommand(a), statusCommand(a), completionCommand(a),
+	}
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, in io.Reader, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	a := &app{in: in, out: out, errs: errs, ctx: ctx}
+	err := a.execute(args)
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(out, help.Message)
+		return exitOK
+	}
+	if err != nil && !errors.Is(err, errDiffers) && !errors.Is(err, errNotHealthy) {
+		fmt.Fprintln(errs, "siskinctl:", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) execute(args []string) error {
+	parser := flags.NewNamedParser("siskinctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Edits the routes and pools tables and shows the state of the fleet.\n" + exitHelp
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddGroup("Global options", "", &a.options); err != nil {
+		return err
+	}
+	for _, c := range a.commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.short+".\n\nExample:\n  "+c.example, c.run); err != nil {
+			return err
+		}
+	}
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
+		if a.options.Sample {
+			fmt.Fprint(a.out, sampleSettings())
+			return nil
+		}
+		if c == nil {
+			return &flags.Error{Type: flags.ErrCommandRequired, Message: "a command is needed; see siskinctl --help"}
+		}
+		if len(rest) > 0 {
+			return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected argument %q", rest[0])}
+		}
+		return a.execCommand(c)
+	}
+	_, err := parser.ParseArgs(args)
+	return err
+}
+
+func (a *app) execCommand(c flags.Commander) error {
+	settings, err := loadSettings(a.options)
+	if err != nil {
+		return &usageError{err}
+	}
+	a.settings = settings
+	ctx, cancel := context.WithTimeout(a.ctx, settings.Command.Timeout)
+	defer cancel()
+	a.ctx = ctx
+	return c.Execute(nil)
+}
+
+func (a *app) store() (kvstore.Store, error) {
+	if a.settings.Store.Address == "" {
+		return nil, &usageError{eris.New("[store] address: required for this command; accepted: HOST:PORT, also by --store")}
+	}
+	return kvstore.NewHTTP(a.settings.Store.Address, kvstore.DefaultLimits()), nil
+}
+
+// read returns the newest tables with their store.
+func (a *app) read() (kvstore.Store, editor.Tables, error) {
+	store, err := a.store()
+	if err != nil {
+		return nil, editor.Tables{}, err
+	}
+	tables, err := editor.Read(a.ctx, store)
+	return store, tables, err
+}
+
+// change makes an edit and reports the revision.
+func (a *app) change(store kvstore.Store, t editor.Tables, base uint64, id string, rows []config.RowEdit) error {
+	if len(rows) == 0 {
+		fmt.Fprintf(a.out, "no change to revision %d\n", t.Head.Revision)
+		return nil
+	}
+	if id == "" {
+		id = rand.Text()
+	}
+	edit := config.Edit{ID: id, Author: a.settings.Command.Author, Base: base, Time: time.Now(), Rows: rows}
+	revision, err := editor.Apply(a.ctx, store, t, edit)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(a.out, "accepted: revision %d, change %s, %d rows\n", revision, id, len(rows))
+	return nil
+}
--- /dev/null
+++ b/siskinctl/editor/editor.go
@@ -0,0 +1,208 @@
+// Package editor reads the tables from the key-value store and makes edits
+// whose outcome is known wherever the store answers.
+package editor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/platform/kvstore"
+)
+
+// Attempts and pauses while an answer of the store is missing.
+const (
+	maxAttempts = 8
+	retryPause  = 200 * time.Millisecond
+)
+
+// NotAcceptedError says that an edit was certainly not accepted.
+type NotAcceptedError struct{ Cause error }
+
+// Error names the cause.
+func (e *NotAcceptedError) Error() string { return "not accepted: " + e.Cause.Error() }
+
+// Unwrap returns the cause, such as a *config.ConflictError.
+func (e *NotAcceptedError) Unwrap() error { return e.Cause }
+
+// UnknownError says that an edit may have been accepted.
+type UnknownError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error tells how to find out.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("unknown whether change %s was accepted (%v); look for it with: siskinctl history", e.ChangeID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Tables is the newest configuration in the store.
+type Tables struct {
+	Head     config.Head
+	Document *config.Document
+	version  int64
+}
+
+// Read reads the newest configuration; an empty store has revision 0.
+func Read(ctx context.Context, store kvstore.Store) (Tables, error) {
+	for attempt := 1; ; attempt++ {
+		t, err := readOnce(ctx, store)
+		// An edit made meanwhile may have deleted a shard of the head read.
+		if !errors.Is(err, kvstore.ErrNotFound) || attempt == maxAttempts {
+			return t, err
+		}
+	}
+}
+
+func readOnce(ctx context.Context, store kvstore.Store) (Tables, error) {
+	t, err := readHead(ctx, store)
+	if err != nil || t.version == 0 {
+		return t, err
+	}
+	t.Document, err = config.Assemble(t.Head, func(digest string) ([]byte, error) {
+		pair, err := store.Get(ctx, config.ShardPrefix+digest)
+		return pair.Value, eris.Wrapf(err, "read shard %s", digest)
+	})
+	return t, err
+}
+
+func readHead(ctx context.Context, store kvstore.Store) (Tables, error) {
+	pair, err := store.Get(ctx, config.HeadKey)
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return Tables{Head: config.EmptyHead(), Document: config.EmptyDocument()}, nil
+	}
+	if err != nil {
+		return Tables{}, eris.Wrap(err, "read configuration head")
+	}
+	head, err := config.DecodeHead(pair.Value)
+	return Tables{Head: head, version: pair.Version}, err
+}
+
+// Apply makes an edit of the tables that were read. It returns the revision
+// that the edit made, a *NotAcceptedError or an *UnknownError.
+func Apply(ctx context.Context, store kvstore.Store, t Tables, e config.Edit) (uint64, error) {
+	if made, ok := t.Head.Change(e.ID); ok {
+		// An earlier attempt whose outcome was unknown had been accepted.
+		return made.Revision, nil
+	}
+	plan, err := config.PlanEdit(t.Head, t.Document, e)
+	if err != nil {
+		return 0, &NotAcceptedError{err}
+	}
+	value, err := plan.Head.Encode()
+	if err != nil {
+		return 0, &NotAcceptedError{err}
+	}
+	for digest, shard := range plan.Shards {
+		if err := writeShard(ctx, store, digest, shard); err != nil {
+			return 0, &NotAcceptedError{err}
+		}
+	}
+	err = swapHead(ctx, store, t, e, value)
+	var refused *NotAcceptedError
+	switch {
+	case err == nil:
+		remove(ctx, store, plan.Retired)
+		return plan.Head.Revision, nil
+	case errors.As(err, &refused):
+		var written []string
+		for digest := range plan.Shards {
+			written = append(written, digest)
+		}
+		remove(ctx, store, written)
+	}
+	return 0, err
+}
+
+// writeShard stores a shard. A conflict means that an earlier attempt of this
+// edit stored it, because the digest is unique to the edit.
+func writeShard(ctx context.Context, store kvstore.Store, digest string, value []byte) error {
+	var err error
+	for range maxAttempts {
+		_, err = store.CompareAndSwap(ctx, config.ShardPrefix+digest, value, 0, 0)
+		if err == nil || errors.Is(err, kvstore.ErrConflict) {
+			return nil
+		}
+		if !pause(ctx) {
+			break
+		}
+	}
+	return eris.Wrapf(err, "write shard %s", digest)
+}
+
+// swapHead repeats the swap until its outcome is known. A repeated swap cannot
+// take effect twice, because it names the version that it replaces.
+func swapHead(ctx context.Context, store kvstore.Store, t Tables, e config.Edit, value []byte) error {
+	// uncertain is true once a swap was sent that may still have taken effect.
+	uncertain := false
+	var cause error
+	for range maxAttempts {
+		_, cause = store.CompareAndSwap(ctx, config.HeadKey, value, t.version, 0)
+		if cause == nil {
+			return nil
+		}
+		uncertain = uncertain || !errors.Is(cause, kvstore.ErrUnavailable) && !errors.Is(cause, kvstore.ErrConflict)
+		done, err := resolve(ctx, store, e)
+		if done {
+			return err
+		}
+		if !pause(ctx) {
+			break
+		}
+	}
+	if uncertain {
+		return &UnknownError{ChangeID: e.ID, Cause: cause}
+	}
+	return &NotAcceptedError{cause}
+}
+
+// resolve reads the head after a failed swap; done is false if the swap has to
+// be made again or the head could not be read.
+func resolve(ctx context.Context, store kvstore.Store, e config.Edit) (done bool, err error) {
+	now, err := readHead(ctx, store)
+	if err != nil {
+		return false, nil
+	}
+	outcome, conflict := now.Head.Resolve(e)
+	switch outcome {
+	case config.Accepted:
+		return true, nil
+	case config.NotAccepted:
+		return true, &NotAcceptedError{conflict}
+	case config.Unknown:
+		return true, &UnknownError{ChangeID: e.ID, Cause: eris.Errorf("the store has revision %d", now.Head.Revision)}
+	}
+	return false, nil
+}
+
+// remove deletes shards that no head refers to. What it cannot delete stays
+// without effect.
+func remove(ctx context.Context, store kvstore.Store, digests []string) {
+	for _, digest := range digests {
+		if pair, err := store.Get(ctx, config.ShardPrefix+digest); err == nil {
+			_ = store.CompareAndDelete(ctx, pair.Key, pair.Version)
+		}
+	}
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retryPause):
+		return true
+	}
+}
+
+// ReadHead reads the head without its rows.
+func ReadHead(ctx context.Context, store kvstore.Store) (config.Head, error) {
+	t, err := readHead(ctx, store)
+	return t.Head, err
+}
--- /dev/null
+++ b/siskinctl/editor/editor_test.go
@@ -0,0 +1,114 @@
+package editor
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/config"
+	fake "siskinstand.example/fakes/kvstore"
+	"siskinstand.example/fakes/server"
+	"siskinstand.example/platform/kvstore"
+)
+
+func startStore(t *testing.T) (*fake.Store, kvstore.Store) {
+	t.Helper()
+	var s *server.Server
+	f := fake.New(fake.Config{OnDown: func(d time.Duration) { s.Down(d) }})
+	s, err := server.Start("127.0.0.1:0", f.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return f, kvstore.NewHTTP(s.Address(), kvstore.DefaultLimits())
+}
+
+func edit(id string, base uint64, state string) config.Edit {
+	return config.Edit{ID: id, Author: "ann", Base: base, Time: time.UnixMilli(1), Rows: []config.RowEdit{
+		{RowID: config.RowID{Table: config.TablePools, Section: "zone a"}, Text: "state = " + state + "\n"},
+	}}
+}
+
+func apply(t *testing.T, store kvstore.Store, e config.Edit) (uint64, error) {
+	t.Helper()
+	tables, err := Read(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Apply(t.Context(), store, tables, e)
+}
+
+// Guards against an edit reported as failed although its lost write was
+// accepted, and against one made twice by the repetition.
+func TestLostAnswer(t *testing.T) {
+	f, store := startStore(t)
+	for revision := uint64(1); revision <= 6; revision++ {
+		if err := f.Set(fake.Switches{LoseAnswers: int(revision % 3)}); err != nil {
+			t.Fatal(err)
+		}
+		got, err := apply(t, store, edit(fmt.Sprint(revision), revision-1, []string{"in", "out"}[revision%2]))
+		if err != nil || got != revision {
+			t.Fatalf("Apply = %d, %v, want %d", got, err, revision)
+		}
+	}
+	if got, err := apply(t, store, edit("3", 2, "out")); err != nil || got != 3 {
+		t.Errorf("repeated change 3 = revision %d, %v", got, err)
+	}
+	tables, err := Read(t.Context(), store)
+	if err != nil || tables.Head.Revision != 6 || len(tables.Head.Changes) != 6 {
+		t.Fatalf("head %d with %d changes, %v", tables.Head.Revision, len(tables.Head.Changes), err)
+	}
+	pairs, err := store.List(t.Context(), config.ShardPrefix)
+	if err != nil || len(pairs) != 1 {
+		t.Errorf("%d shards are stored, %v, want only the one in use", len(pairs), err)
+	}
+}
+
+// Guards against two of several racing editors both accepted on one base, and
+// against a loser that is not told which change won.
+func TestRace(t *testing.T) {
+	_, store := startStore(t)
+	tables, err := Read(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var winner string
+	losers := map[string]string{}
+	for i := range 5 {
+		group.Go(func() {
+			id := fmt.Sprint("c", i)
+			_, err := Apply(t.Context(), store, tables, edit(id, 0, "out"))
+			mu.Lock()
+			defer mu.Unlock()
+			var conflict *config.ConflictError
+			switch {
+			case err == nil && winner == "":
+				winner = id
+			case errors.As(err, &conflict):
+				losers[id] = conflict.Other.ID
+			default:
+				t.Errorf("%s: %v after %s won", id, err, winner)
+			}
+		})
+	}
+	group.Wait()
+	for id, other := range losers {
+		if other != winner || len(losers) != 4 {
+			t.Errorf("%s lost to %q, %q won over %d", id, other, winner, len(losers))
+		}
+	}
+}
+
+// Guards against an outage reported as an unknown outcome or as success.
+func TestOutage(t *testing.T) {
+	store := kvstore.NewHTTP("127.0.0.1:1", kvstore.DefaultLimits())
+	_, err := Apply(t.Context(), store, Tables{Head: config.EmptyHead(), Document: config.EmptyDocument()}, edit("c", 0, "out"))
+	var refused *NotAcceptedError
+	if !errors.As(err, &refused) {
+		t.Errorf("error %v, want not accepted", err)
+	}
+}
--- /dev/null
+++ b/siskinctl/exit.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jessevdk/go-flags"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/inifile"
+	"siskinstand.example/platform/kvstore"
+	"siskinstand.example/siskinctl/editor"
+)
+
+// Exit codes of siskinctl.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitInvalid     = 3
+	exitConflict    = 4
+	exitUnknown     = 5
+	exitUnavailable = 6
+	exitDiffers     = 7
+	exitNotHealthy  = 8
+)
+
+const exitHelp = `
+Exit codes:
+  0  done
+  1  failed for a reason not listed here
+  2  command line or settings not valid
+  3  tables not valid, nothing was changed
+  4  conflict with another change, the edit was not accepted
+  5  no answer, the edit may have been accepted
+  6  store or fleet not reachable, nothing was changed
+  7  diff found differences
+  8  status found a process that is behind, unreachable or has an alarm`
+
+var (
+	errDiffers    = errors.New("the tables differ")
+	errNotHealthy = errors.New("the fleet is not healthy")
+)
+
+// usageError is a mistake in the command line or the settings.
+type usageError struct{ cause error }
+
+func (e *usageError) Error() string { return e.cause.Error() }
+func (e *usageError) Unwrap() error { return e.cause }
+
+// unavailableError says that no process of the fleet answered.
+type unavailableError struct{ message string }
+
+func (e *unavailableError) Error() string { return e.message }
+
+// is reports whether the chain of err holds an error of type T.
+func is[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errDiffers):
+		return exitDiffers
+	case errors.Is(err, errNotHealthy):
+		return exitNotHealthy
+	case is[*usageError](err), is[*flags.Error](err):
+		return exitUsage
+	case is[*editor.UnknownError](err):
+		return exitUnknown
+	case is[*config.ConflictError](err):
+		return exitConflict
+	case is[*inifile.Error](err):
+		return exitInvalid
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrUnknown),
+		errors.Is(err, context.DeadlineExceeded), is[*unavailableError](err):
+		return exitUnavailable
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/siskinctl/get.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/config"
+)
+
+type getRun struct {
+	app     *app
+	Section string `long:"section" value-name:"NAME" description:"only this section, such as \"zone a\""`
+	Args    struct {
+		Table string `positional-arg-name:"TABLE" choice:"routes" choice:"pools" description:"routes or pools"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func getCommand(a *app) command {
+	return command{"get", "Print a table with its revision", "siskinctl get pools > pools.ini", &getRun{app: a}}
+}
+
+// Execute prints the table in the form that apply reads.
+func (c *getRun) Execute([]string) error {
+	table := config.Table(c.Args.Table)
+	if table != config.TableRoutes && table != config.TablePools {
+		return &usageError{eris.Errorf("TABLE %q is not accepted; accepted: routes, pools", c.Args.Table)}
+	}
+	_, t, err := c.app.read()
+	if err != nil {
+		return err
+	}
+	if c.Section == "" {
+		fmt.Fprintf(c.app.out, "%s%d\n%s", revisionComment, t.Head.Revision, t.Document.File(table).Text)
+		return nil
+	}
+	for _, r := range t.Document.Rows() {
+		if r.Table == table && r.Section == c.Section {
+			fmt.Fprintf(c.app.out, "# changed at revision %d\n[%s]\n%s", r.Revision, r.Section, r.Text)
+			return nil
+		}
+	}
+	return eris.Errorf("%s has no section [%s]", table, c.Section)
+}
--- a/siskinctl/main.go
+++ b/siskinctl/main.go
@@ -1,4 +1,8 @@
-// Command siskinctl is part of siskinstand.
+// Command siskinctl edits the two tables and shows the state of the fleet.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/siskinctl/main_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	fake "siskinstand.example/fakes/kvstore"
+	"siskinstand.example/fakes/server"
+	"siskinstand.example/peerpb"
+)
+
+type fixture struct {
+	t     *testing.T
+	store *fake.Store
+	args  []string
+	dir   string
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	var s *server.Server
+	f := &fixture{t: t, dir: t.TempDir()}
+	f.store = fake.New(fake.Config{OnDown: func(d time.Duration) { s.Down(d) }})
+	s, err := server.Start("127.0.0.1:0", f.store.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	f.args = []string{"--store", strings.TrimPrefix(s.Address(), "http://")}
+	return f
+}
+
+func (f *fixture) file(name, text string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// run asserts the exit code and that the output holds the wanted text.
+func (f *fixture) run(code int, want string, args ...string) string {
+	f.t.Helper()
+	var out, errs strings.Builder
+	got := run(append(f.args, args...), strings.NewReader(""), &out, &errs)
+	if all := out.String() + errs.String(); got != code || !strings.Contains(all, want) {
+		f.t.Errorf("siskinctl %s: exit code %d, want %d with %q:\n%s", strings.Join(args, " "), got, code, want, all)
+	}
+	return out.String()
+}
+
+// Guards against wrong exit codes and against edits that are lost, reverted or
+// accepted although they are not valid or conflict.
+func TestEditing(t *testing.T) {
+	f := newFixture(t)
+	pools := f.file("pools.ini", "# revision 0\n[zone a]\nstate = out\n[pool p]\nkind = plain\nservice = s\n")
+	f.run(exitOK, "valid", "check", "--pools", pools)
+	f.run(exitDiffers, "+ state = out", "diff", "--pools", pools)
+	f.run(exitOK, "accepted: revision 1", "apply", "--pools", pools, "--change-id", "first")
+	f.run(exitOK, "no change", "apply", "--pools", pools, "--base", "1")
+	f.run(exitOK, "", "diff", "--pools", pools)
+	f.run(exitOK, "accepted: revision 2", "edit", "pools", "zone a", "state=in")
+	f.run(exitConflict, "change first by", "apply", "--pools", pools)
+	f.run(exitConflict, "made revision 2", "edit", "--base", "1", "pools", "zone b", "state=out")
+	f.run(exitInvalid, `[zone a] state: "off" is not accepted; accepted: in, out`, "edit", "pools", "zone a", "state=off")
+	f.run(exitInvalid, `[route r] pool: unknown pool "none"`, "check", "--routes", f.file("r.ini", "[route r]\naccounts = *\nservice = s\npool = none\n"))
+	f.run(exitOK, "accepted: revision 3", "edit", "--delete", "pools", "zone a")
+	if got := f.run(exitOK, "# revision 3", "get", "pools"); strings.Contains(got, "zone a") {
+		t.Errorf("the deleted row is still there:\n%s", got)
+	}
+	f.run(exitOK, "changed at revision 1\n[pool p]", "get", "pools", "--section", "pool p")
+	f.run(exitOK, "change first based on 0: pools [pool p], pools [zone a]", "history", "--table", "pools")
+}
+
+// Guards against a mistake that is ignored or reported without its place.
+func TestUsage(t *testing.T) {
+	f := newFixture(t)
+	settings := f.file("s.ini", "[command]\ntimeout = 1h\n")
+	f.run(exitUsage, "[command] timeout: 1h is outside the range; max is 10m", "--settings", settings, "get", "pools")
+	f.run(exitUsage, "accepted: routes, pools", "get", "tables")
+	f.run(exitUsage, "--base NUMBER", "apply", "--pools", f.file("p.ini", "[zone a]\nstate = out\n"))
+	f.run(exitUsage, "a command is needed")
+	f.run(exitUsage, "[fleet] gateways", "status")
+	f.run(exitUsage, "unknown flag", "get", "--bogus")
+	f.run(exitOK, "[store]", "--sample")
+	f.run(exitOK, "complete -F", "completion")
+	for _, c := range (&app{}).commands() {
+		f.run(exitOK, "Example:", c.name, "--help")
+	}
+	f.args = []string{"--store", "127.0.0.1:1"}
+	f.run(exitUnavailable, "unavailable", "edit", "pools", "zone a", "state=out")
+}
+
+type stubPeer struct {
+	peerpb.UnimplementedPeerServer
+	status *peerpb.StatusResponse
+}
+
+func (s stubPeer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return s.status, nil
+}
+
+func servePeer(t *testing.T, p peerpb.PeerServer) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	peerpb.RegisterPeerServer(s, p)
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(s.Stop)
+	return listener.Addr().String()
+}
+
+// Guards against a process that is behind, has an alarm or does not answer and
+// is not shown, or shown with exit code 0.
+func TestStatus(t *testing.T) {
+	process := func(id string, revision uint64, alarms ...*peerpb.Alarm) string {
+		return servePeer(t, stubPeer{status: &peerpb.StatusResponse{
+			Sender: &peerpb.Sender{ProcessId: id, Zone: "z", ConfigRevision: revision}, Role: "gateway", State: "serving", Alarms: alarms,
+		}})
+	}
+	a, b, c := process("a", 7), process("b", 5), process("c", 7, &peerpb.Alarm{Name: "store_down", Count: 2})
+	f := &fixture{t: t, dir: t.TempDir()}
+	f.run(exitOK, "gateway  z     a        serving  7         0", "status", "--gateway", a)
+	f.run(exitNotHealthy, "gateway  z     b        serving  5         2", "status", "--gateway", a, "--gateway", b)
+	f.run(exitNotHealthy, "c: alarm store_down (2)", "status", "--gateway", c)
+	f.run(exitNotHealthy, "127.0.0.1:1 does not answer", "status", "--gateway", a, "--gateway", "127.0.0.1:1")
+	f.run(exitUnavailable, "no gateway answers", "status", "--gateway", "127.0.0.1:1")
+}
