service/burn: measure and report how fast error budgets are used up

Cause: nothing told operators which accounts miss their service levels. Change: a recorder with counts in slots for 5 min, 30 min, 1 h and 6 h by account, service and class, histograms for the sums over accounts, a merged report with fast and slow pairs; Peer.Burn serves it; siskinctl burn prints a table and a page. A gateway whose last event was over an hour old used to leave its histogram out of the report; TestMergeEqualsOneProcess found that. Conclusion: gateways can record events; the page has plots only if echarts is given as a file, because the library's module does not contain it.

--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -13,6 +13,7 @@
 	"siskinstand.example/coord/spread"
 	"siskinstand.example/gateway/kvstore"
 	"siskinstand.example/peerpb"
+	"siskinstand.example/service/burn"
 )
 
 // Limits of one call to a peer.
@@ -54,7 +55,7 @@
 	Suspects    Suspects
 	Permits     Permits
 	Status      func() *peerpb.StatusResponse
-	Burn        func() *peerpb.BurnResponse
+	Burn        *burn.Recorder
 }
 
 // Node exchanges the configuration with other gateways and serves Peer.
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -17,6 +17,7 @@
 	"siskinstand.example/coord/spread"
 	"siskinstand.example/gateway/kvstore"
 	"siskinstand.example/peerpb"
+	"siskinstand.example/service/burn"
 )
 
 // fleet is a set of gateways on loopback addresses.
@@ -191,3 +192,31 @@
 		}
 	})
 }
+
+// Guards against a burn report that loses a field or an account on the wire,
+// and against a request for any number of accounts.
+func TestBurn(t *testing.T) {
+	recorder := burn.New(burn.Config{})
+	k := burn.Key{Account: "a", Service: "s", Class: "1k"}
+	recorder.FirstToken(k, time.Second)
+	n := New(Config{ID: "n", InForce: config.NewInForce(nil), Burn: recorder})
+	r, err := n.Burn(t.Context(), &peerpb.BurnRequest{Accounts: []string{"a"}, Worst: 5})
+	if err != nil || len(r.GetSeries()) != 8 || len(r.GetWorstAccounts()) != 1 {
+		t.Fatalf("Burn = %v, %v", r, err)
+	}
+	histograms := 0
+	for _, s := range r.GetSeries() {
+		if s.GetService() != "s" || s.GetClass() != "1k" || s.GetObjective() != "first_token" || s.GetGood() != 0 || s.GetTotal() != 1 || s.GetWindowS() < 300 {
+			t.Errorf("series %v", s)
+		}
+		if len(s.GetHistogram()) > 0 {
+			histograms++
+		}
+	}
+	if histograms != 1 {
+		t.Errorf("%d histograms, want that of the sum over accounts for an hour", histograms)
+	}
+	if _, err := n.Burn(t.Context(), &peerpb.BurnRequest{Accounts: make([]string, maxBurnAccounts+1)}); err == nil {
+		t.Error("a request for too many accounts was answered")
+	}
+}
--- a/gateway/peer/operators.go
+++ b/gateway/peer/operators.go
@@ -49,12 +49,30 @@
 	return response, nil
 }
 
+// maxBurnAccounts bounds the accounts of one request; an account has up to 72
+// series in each service, of about 60 bytes.
+const maxBurnAccounts = 200
+
 // Burn reports the service-level burn of this process.
-func (n *Node) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
-	response := &peerpb.BurnResponse{}
-	if n.Config.Burn != nil {
-		response = n.Config.Burn()
+func (n *Node) Burn(_ context.Context, r *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
+	response := &peerpb.BurnResponse{Sender: n.sender()}
+	if n.Config.Burn == nil {
+		return response, nil
 	}
-	response.Sender = n.sender()
+	accounts := r.GetAccounts()
+	if len(accounts) > maxBurnAccounts {
+		return nil, status.Errorf(codes.InvalidArgument, "%d accounts; accepted: up to %d", len(accounts), maxBurnAccounts)
+	}
+	series, err := n.Config.Burn.Series(accounts)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	for _, s := range series {
+		response.Series = append(response.Series, &peerpb.BurnSeries{
+			Account: s.Account, Service: s.Service, Class: s.Class, Objective: string(s.Objective),
+			WindowS: int64(time.Duration(s.Window) / time.Second), Good: s.Good, Total: s.Total, Histogram: s.Histogram,
+		})
+	}
+	response.WorstAccounts = n.Config.Burn.Worst(min(int(r.GetWorst()), maxBurnAccounts))
 	return response, nil
 }
--- /dev/null
+++ b/service/burn/burn_test.go
@@ -0,0 +1,172 @@
+package burn
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+type clock struct{ now time.Time }
+
+func newClock() *clock                   { return &clock{time.Unix(1_700_000_000, 0)} }
+func (c *clock) get() time.Time          { return c.now }
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func lines(t interface{ Fatal(...any) }, accounts []string, recorders ...*Recorder) map[lineKey]Line {
+	report := NewReport()
+	for _, r := range recorders {
+		list, err := r.Series(accounts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range list {
+			if err := report.Add(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	byKey := map[lineKey]Line{}
+	for _, l := range report.Lines() {
+		byKey[lineKey{l.Key, l.Objective}] = l
+	}
+	return byKey
+}
+
+// Guards against a report over several processes that differs from one process
+// that saw every event, in counts of any window and in the histogram.
+func TestMergeEqualsOneProcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newClock()
+		config := Config{Now: c.get}
+		whole, parts := New(config), []*Recorder{New(config), New(config), New(config)}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			c.advance(time.Duration(rapid.IntRange(0, 1800).Draw(t, "pause")) * time.Second)
+			k := Key{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), "s", "1k"}
+			d := time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			for _, r := range []*Recorder{whole, rapid.SampledFrom(parts).Draw(t, "process")} {
+				r.FirstToken(k, d)
+				r.TokenGap(k, d/10, 7)
+				r.Answered(k, d, d < time.Second)
+			}
+		}
+		want, got := lines(t, []string{"a", "b"}, whole), lines(t, []string{"a", "b"}, parts...)
+		for key, w := range want {
+			g := got[key]
+			if !w.Latency.Equals(g.Latency) {
+				t.Fatalf("%v: histograms differ, %d events merged, %d in one process", key, g.Latency.TotalCount(), w.Latency.TotalCount())
+			}
+			for _, window := range Windows() {
+				if w.Counts[window] != g.Counts[window] {
+					t.Fatalf("%v: %v merged, %v in one process", key, g.Counts[window], w.Counts[window])
+				}
+			}
+		}
+		if len(want) != len(got) {
+			t.Fatalf("%d lines merged, %d in one process", len(got), len(want))
+		}
+	})
+}
+
+// Guards against a window that forgets too early or keeps events too long.
+func TestWindows(t *testing.T) {
+	for _, w := range Windows() {
+		for offset := range 7 {
+			c := newClock()
+			c.advance(time.Duration(offset) * 5 * time.Minute)
+			r, k := New(Config{Now: c.get}), Key{"a", "s", ""}
+			r.Answered(k, time.Second, false)
+			c.advance(time.Duration(w) - time.Second)
+			if got := lines(t, []string{"a"}, r)[lineKey{k, Answered}].Counts[w]; got != (Count{0, 1}) {
+				t.Errorf("window %s: %v just before its end", time.Duration(w), got)
+			}
+			// The oldest slot leaves with a delay of its length.
+			c.advance(coarseLength + 2*time.Second)
+			if got := lines(t, []string{"a"}, r)[lineKey{k, Answered}].Counts[w]; got.Total != 0 {
+				t.Errorf("window %s: %v after its end", time.Duration(w), got)
+			}
+		}
+	}
+}
+
+// Guards against alerts on a short burst, after recovery, or never.
+func TestAlert(t *testing.T) {
+	for name, tc := range map[string]struct {
+		counts map[Window]Count
+		want   string
+	}{
+		"all bad":     {map[Window]Count{FiveMinutes: {0, 9}, HalfHour: {0, 9}, Hour: {0, 9}, SixHours: {0, 9}}, "fast"},
+		"short burst": {map[Window]Count{FiveMinutes: {0, 9}, HalfHour: {0, 9}, Hour: {9, 10}, SixHours: {90, 100}}, ""},
+		"recovered":   {map[Window]Count{FiveMinutes: {9, 9}, HalfHour: {9, 9}, Hour: {0, 9}, SixHours: {0, 9}}, ""},
+		"slow":        {map[Window]Count{FiveMinutes: {6, 10}, HalfHour: {6, 10}, Hour: {6, 10}, SixHours: {6, 10}}, "slow"},
+		"no events":   {nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := (Line{Objective: FirstToken, Counts: tc.counts}).Alert(); got != tc.want {
+				t.Errorf("Alert = %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against memory that grows with the accounts: 15,000 active ones, and
+// four times the bound of series.
+func TestMemory(t *testing.T) {
+	c := newClock()
+	r := New(Config{Now: c.get})
+	record := func(accounts int) uint64 {
+		for i := range accounts {
+			k := Key{fmt.Sprintf("customer-%d", i), "llm", []string{"1k", "4k"}[i%2]}
+			r.FirstToken(k, time.Second)
+			r.TokenGap(k, 40*time.Millisecond, 10)
+			r.Answered(k, time.Second, true)
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc >> 20
+	}
+	design := record(15_000)
+	flood := record(4 * DefaultMaxSeries)
+	t.Logf("heap: %d MB with 15,000 accounts, %d MB with %d", design, flood, 4*DefaultMaxSeries)
+	if design > 32 || flood > 80 || len(r.series) > DefaultMaxSeries+maxTotals {
+		t.Errorf("heap %d MB and %d MB, %d series", design, flood, len(r.series))
+	}
+	other := lines(t, []string{OtherAccounts}, r)[lineKey{Key{OtherAccounts, "llm", "1k"}, Answered}]
+	if other.Counts[Hour].Total == 0 || len(r.Worst(10)) != 10 {
+		t.Errorf("accounts beyond the bound are not counted: %v", other.Counts)
+	}
+	c.advance(idleAfter + time.Hour)
+	r.Answered(Key{"new", "llm", "1k"}, time.Second, true)
+	if len(r.series) > 2 {
+		t.Errorf("%d series left after an idle time", len(r.series))
+	}
+}
+
+func FuzzAdd(f *testing.F) {
+	h := newHistogram()
+	_ = h.RecordValue(400)
+	data, err := encode(h)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data, int64(1), int64(2))
+	f.Fuzz(func(t *testing.T, data []byte, good, total int64) {
+		r := NewReport()
+		if err := r.Add(Series{Objective: FirstToken, Window: Hour, Count: Count{good, total}, Histogram: data}); err != nil {
+			return
+		}
+		if b := r.Lines()[0].Burn(Hour); !(b >= 0 && b <= 20.001) {
+			t.Fatalf("burn %g of %d in %d", b, good, total)
+		}
+	})
+}
--- /dev/null
+++ b/service/burn/report.go
@@ -0,0 +1,162 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+)
+
+// maxHistogramBytes bounds an encoded histogram of another process.
+const maxHistogramBytes = 256 << 10
+
+// Series is one window of one objective, as processes exchange it. Histogram
+// is in the HdrHistogram V2 compressed encoding in milliseconds, and only set
+// in the sums over accounts for the window of one hour.
+type Series struct {
+	Key
+	Objective Objective
+	Window    Window
+	Count
+	Histogram []byte
+}
+
+// Series lists the sums over accounts and the series of the given accounts.
+func (r *Recorder) Series(accounts []string) ([]Series, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	var list []Series
+	for k, s := range r.series {
+		if k.Account != AllAccounts && !slices.Contains(accounts, k.Account) {
+			continue
+		}
+		for i, o := range Objectives() {
+			for _, w := range Windows() {
+				next := Series{Key: k, Objective: o, Window: w, Count: s.objectives[i].window(now, w)}
+				// The histogram reaches further back than the window's counts.
+				if w == Hour && s.histograms != nil {
+					encoded, err := encode(s.histograms[i].merged(now))
+					if err != nil {
+						return nil, err
+					}
+					next.Histogram = encoded
+				}
+				if next.Total > 0 || len(next.Histogram) > 0 {
+					list = append(list, next)
+				}
+			}
+		}
+	}
+	return list, nil
+}
+
+func encode(h *hdrhistogram.Histogram) ([]byte, error) {
+	if h == nil || h.TotalCount() == 0 {
+		return nil, nil
+	}
+	data, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	return data, eris.Wrap(err, "encode histogram")
+}
+
+// Line is one objective of one series over all processes.
+type Line struct {
+	Key
+	Objective Objective
+	Counts    map[Window]Count
+	Latency   *hdrhistogram.Histogram
+}
+
+// Report adds up the series of processes.
+type Report struct {
+	lines map[lineKey]*Line
+}
+
+type lineKey struct {
+	Key
+	objective Objective
+}
+
+// NewReport returns an empty report.
+func NewReport() *Report { return &Report{lines: map[lineKey]*Line{}} }
+
+// Add merges one series of one process; it refuses what that cannot have sent.
+func (r *Report) Add(s Series) error {
+	if !slices.Contains(Objectives(), s.Objective) || !slices.Contains(Windows(), s.Window) {
+		return eris.Errorf("objective %q or window %d is not known", s.Objective, s.Window)
+	}
+	if s.Good < 0 || s.Good > s.Total {
+		return eris.Errorf("%d good of %d events", s.Good, s.Total)
+	}
+	latency, err := decode(s.Histogram)
+	if err != nil {
+		return err
+	}
+	key := lineKey{s.Key, s.Objective}
+	line, ok := r.lines[key]
+	if !ok {
+		line = &Line{Key: s.Key, Objective: s.Objective, Counts: map[Window]Count{}, Latency: newHistogram()}
+		r.lines[key] = line
+	}
+	sum := line.Counts[s.Window]
+	line.Counts[s.Window] = Count{Good: sum.Good + s.Good, Total: sum.Total + s.Total}
+	if latency != nil {
+		line.Latency.Merge(latency)
+	}
+	return nil
+}
+
+// decode refuses a histogram of another geometry, which could ask for any
+// amount of memory.
+func decode(data []byte) (h *hdrhistogram.Histogram, err error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	if len(data) > maxHistogramBytes {
+		return nil, eris.Errorf("histogram of %d bytes; accepted: up to %d", len(data), maxHistogramBytes)
+	}
+	h, err = hdrhistogram.Decode(data)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode histogram")
+	}
+	if h.HighestTrackableValue() > maxMillis || h.SignificantFigures() > digits {
+		return nil, eris.New("histogram has another range or precision")
+	}
+	return h, nil
+}
+
+// Lines lists the report, sums over accounts first.
+func (r *Report) Lines() []Line {
+	var list []Line
+	for _, l := range r.lines {
+		list = append(list, *l)
+	}
+	slices.SortFunc(list, func(a, b Line) int {
+		return cmp.Or(
+			cmp.Compare(accountOrder(a), accountOrder(b)), cmp.Compare(a.Account, b.Account),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(len(a.Class), len(b.Class)),
+			cmp.Compare(a.Class, b.Class), cmp.Compare(a.Objective, b.Objective))
+	})
+	return list
+}
+
+func accountOrder(l Line) int {
+	if l.Account == AllAccounts {
+		return 0
+	}
+	return 1
+}
+
+// Burn returns the burn rate of a window.
+func (l Line) Burn(w Window) float64 { return l.Counts[w].Burn(l.Objective) }
+
+// Alert names the pair that burns too fast: fast, slow or none.
+func (l Line) Alert() string {
+	for _, p := range pairs {
+		if l.Burn(p.short) >= p.rate && l.Burn(p.long) >= p.rate {
+			return p.name
+		}
+	}
+	return ""
+}
--- a/siskinctl/app.go
+++ b/siskinctl/app.go
@@ -48,7 +48,7 @@
 func (a *app) commands() []command {
 	return []command{
 		getCommand(a), diffCommand(a), checkCommand(a), editCommand(a), applyCommand(a),
-		historyCommand(a), statusCommand(a), completionCommand(a),
+		historyCommand(a), statusCommand(a), burnCommand(a), completionCommand(a),
 	}
 }
 
--- /dev/null
+++ b/siskinctl/burn_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/peerpb"
+	"siskinstand.example/service/burn"
+)
+
+// burnPeer answers as package gateway/peer does.
+type burnPeer struct {
+	peerpb.UnimplementedPeerServer
+	recorder *burn.Recorder
+}
+
+func (p burnPeer) Burn(_ context.Context, r *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
+	list, err := p.recorder.Series(r.GetAccounts())
+	response := &peerpb.BurnResponse{WorstAccounts: p.recorder.Worst(int(r.GetWorst()))}
+	for _, s := range list {
+		response.Series = append(response.Series, &peerpb.BurnSeries{
+			Account: s.Account, Service: s.Service, Class: s.Class, Objective: string(s.Objective),
+			WindowS: int64(time.Duration(s.Window).Seconds()), Good: s.Good, Total: s.Total, Histogram: s.Histogram,
+		})
+	}
+	return response, err
+}
+
+// gatewayWith serves the events of one account.
+func gatewayWith(t *testing.T, account string, good, bad int) string {
+	t.Helper()
+	recorder := burn.New(burn.Config{})
+	for i := range good + bad {
+		recorder.Answered(burn.Key{Account: account, Service: "llm", Class: "1k"}, 100*time.Millisecond, i < good)
+	}
+	return servePeer(t, burnPeer{recorder: recorder})
+}
+
+// Guards against a report that leaves out the gateways where an account does
+// well, or a gateway that does not answer.
+func TestBurn(t *testing.T) {
+	f := &fixture{t: t, dir: t.TempDir()}
+	one, two := gatewayWith(t, "<acc>", 10, 10), gatewayWith(t, "<acc>", 60, 0)
+	path := filepath.Join(f.dir, "burn.html")
+	args := []string{"burn", "--gateway", one, "--gateway", two, "--gateway", "127.0.0.1:1", "--html", path}
+	out := f.run(exitOK, "127.0.0.1:1 is not included", args...)
+	want := []string{"<acc>", "llm", "1k", "answered", "80", "87.50%", "125.00", "125.00", "125.00", "125.00", "-", "fast"}
+	rows := strings.Split(out, "\n")
+	if len(rows) < 3 || strings.Join(strings.Fields(rows[2]), " ") != strings.Join(want, " ") {
+		t.Errorf("report:\n%s\nwant the row %v", out, want)
+	}
+	assertPage(t, path, false)
+	library := f.file("echarts.min.js", "var echarts = 'stub </script>';")
+	f.run(exitOK, "", append(args, "--echarts", library)...)
+	assertPage(t, path, true)
+	f.run(exitUsage, "accepted are 0 to 200", "burn", "--worst", "201", "--gateway", one)
+	f.run(exitUnavailable, "no gateway answers", "burn", "--gateway", "127.0.0.1:1")
+}
+
+// assertPage guards against a page that loads something, runs a name as
+// markup, or has no dark colours or phone layout.
+func assertPage(t *testing.T, path string, plots bool) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(data)
+	for _, banned := range []string{"http://", "https://", "src=", "<acc>", "stub </script"} {
+		if strings.Contains(text, banned) {
+			t.Errorf("the page contains %q", banned)
+		}
+	}
+	for _, needed := range []string{"width=device-width", "prefers-color-scheme: dark", "max-width: 40rem", "&lt;acc&gt;", "87.50%"} {
+		if !strings.Contains(text, needed) {
+			t.Errorf("the page does not contain %q", needed)
+		}
+	}
+	if got := strings.Contains(text, `\u003cacc> llm 1k`) && strings.Contains(text, "plot-answered"); got != plots {
+		t.Errorf("plots in the page: %t, want %t:\n%s", got, plots, text)
+	}
+}
