--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -48,9 +48,9 @@
 	// farLateFactor lowers the limit to the floor at once.
 	farLateFactor = 8.0
 	// coldGain is the growth of the limit as a share of the prompts that came
-	// on time until WarmEvidence is reached. It doubles the default floor over
-	// about 100,000 tokens, by which time a cold engine has filled its caches.
-	coldGain = 0.08
+	// on time until WarmEvidence is reached. With the defaults the limit stays
+	// below twice the floor until then.
+	coldGain = 0.05
 	// cutInterval lets work admitted under the old limit drain between cuts.
 	cutInterval = 500 * time.Millisecond
 	// baselineWeight is small so that a cold engine is noticed long before the
--- a/sidecar/gateway/events.go
+++ b/sidecar/gateway/events.go
@@ -4,10 +4,13 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"siskinstand.example/coord/suspect"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
+	"siskinstand.example/service/logging"
 	"siskinstand.example/sidecar/control"
 )
 
@@ -32,6 +35,18 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "engine failed").WithCause(err)
 }
 
+// requestVerbosity is the verbosity that logs every request.
+const requestVerbosity = 2
+
+func (a *attempt) log(message string, fields ...any) {
+	if !klog.V(requestVerbosity).Enabled() {
+		return
+	}
+	klog.InfoS(message, append([]any{
+		logging.FieldRequest, a.offer.GetRequestId(), logging.FieldAttempt, a.offer.GetAttempt(), logging.FieldAccount, a.offer.GetAccount(),
+	}, fields...)...)
+}
+
 func (a *attempt) event() *peerpb.AttemptEvent {
 	return &peerpb.AttemptEvent{
 		Sender: a.server.sender(), Load: loadOf(a.server.config.Loop.Snapshot()),
@@ -40,6 +55,7 @@
 }
 
 func (a *attempt) refuse(e *verdict.Error, suspects []suspect.Report) error {
+	a.log("attempt refused", logging.FieldVerdict, e.Verdict, logging.FieldReason, e.Reason, "message", e.Message)
 	event := a.event()
 	event.Kind = &peerpb.AttemptEvent_Refused{Refused: &peerpb.Refused{
 		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message, RetryAfterMs: e.RetryAfter.Milliseconds(),
@@ -68,6 +84,7 @@
 }
 
 func (a *attempt) sendFinal(r engine.Result) error {
+	a.log("attempt answered", "chunks", a.chunks)
 	event := a.event()
 	event.Kind = &peerpb.AttemptEvent_Final{Final: &peerpb.Final{
 		FinishReason: r.FinishReason, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
@@ -78,6 +95,7 @@
 
 func (a *attempt) fail(err error, suspects []suspect.Report) error {
 	e := asError(err)
+	a.log("attempt failed", logging.FieldVerdict, e.Verdict, logging.FieldReason, e.Reason, "message", e.Message)
 	event := a.event()
 	event.Kind = &peerpb.AttemptEvent_Failed{Failed: &peerpb.Failed{
 		Verdict: string(e.Verdict), Reason: string(e.Reason), Message: e.Message,
