--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -72,6 +72,8 @@
 	err = r.exercise(ctx)
 	if err == nil {
 		fmt.Fprintln(c.Out, "every invariant held")
+	} else {
+		fmt.Fprintln(c.Out, "failed:", err)
 	}
 	if c.Stay && ctx.Err() == nil {
 		r.printExample()
@@ -160,6 +162,7 @@
 	if err := report.WriteTable(r.config.Out, rows); err != nil {
 		return err
 	}
+	report.WriteReasons(r.config.Out, all)
 	if r.config.Plot != "" {
 		if err := report.SavePlot(r.config.Plot, rows); err != nil {
 			return err
--- a/loadgen/demo/layout.go
+++ b/loadgen/demo/layout.go
@@ -173,12 +173,11 @@
 poll = 200ms
 
 [platform]
-host_list = http://%s
-kv_store = http://%s
+host_list = %s
 
 [shutdown]
 notice = 0s
-`, g.name, g.zone, region, g.callers, g.admin, l.path("routes.ini"), l.path("pools.ini"), l.hosts, l.store)
+`, g.name, g.zone, region, g.callers, g.admin, l.path("routes.ini"), l.path("pools.ini"), l.hosts)
 }
 
 func routes() string {
--- a/loadgen/report/report.go
+++ b/loadgen/report/report.go
@@ -3,8 +3,11 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -90,6 +93,32 @@
 	return table.Flush()
 }
 
+// WriteReasons prints how often each reason ended a request that has no whole
+// answer, the most frequent first.
+func WriteReasons(w io.Writer, results []load.Result) {
+	type cause struct {
+		outcome load.Outcome
+		reason  string
+	}
+	count := map[cause]int{}
+	for _, r := range results {
+		if r.Outcome != load.Whole {
+			count[cause{r.Outcome, r.Reason}]++
+		}
+	}
+	causes := slices.SortedFunc(maps.Keys(count), func(a, b cause) int {
+		return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a.outcome, b.outcome), cmp.Compare(a.reason, b.reason))
+	})
+	const maxLines = 10
+	for i, c := range causes {
+		if i == maxLines {
+			fmt.Fprintf(w, "and %d further reasons\n", len(causes)-maxLines)
+			return
+		}
+		fmt.Fprintf(w, "%s: %s: %d\n", c.outcome, c.reason, count[c])
+	}
+}
+
 func milliseconds(r Row, q float64) string {
 	if r.Times.TotalCount() == 0 {
 		return "-"
--- a/loadgen/report/report_test.go
+++ b/loadgen/report/report_test.go
@@ -19,7 +19,7 @@
 		item := mix.Item{Class: mix.Class1k}
 		results = append(results, load.Result{Item: item, Outcome: load.Whole, FirstToken: time.Duration(i+1) * time.Millisecond})
 	}
-	results = append(results, load.Result{Item: mix.Item{Class: mix.ClassPlain}, Outcome: load.NotRun})
+	results = append(results, load.Result{Item: mix.Item{Class: mix.ClassPlain}, Outcome: load.NotRun, Reason: "overloaded"})
 	rows := Summarize(results)
 	if got := rows[0].Quantile(0.95).Round(time.Millisecond); got != 95*time.Millisecond {
 		t.Errorf("p95 is %s", got)
@@ -35,6 +35,11 @@
 	if got := strings.Fields(lines[2]); got[0] != "plain" || got[2] != "-" || got[6] != "1" {
 		t.Errorf("line %q", lines[2])
 	}
+	out.Reset()
+	WriteReasons(&out, results)
+	if got := out.String(); got != "not_run: overloaded: 1\n" {
+		t.Errorf("reasons %q", got)
+	}
 	path := filepath.Join(t.TempDir(), "plot.svg")
 	if err := SavePlot(path, rows); err != nil {
 		t.Fatal(err)
