--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -58,10 +58,12 @@
 
 	// The control goroutine owns what follows.
 	snapshot   config.Snapshot
+	document   *config.Document
 	configured bool
 	listed     bool
 	table      *membership.Table
 	endpoints  map[string]*sidecar.Endpoint
+	gateways   map[string]hostlist.Host
 	streams    map[string]*controlStream
 	slices     map[string]*pb.Slice
 	dirty      bool
@@ -76,6 +78,7 @@
 		config: c, inbox: make(chan message, inboxMessages),
 		table:     membership.New(c.Policy),
 		endpoints: map[string]*sidecar.Endpoint{},
+		gateways:  map[string]hostlist.Host{},
 		streams:   map[string]*controlStream{},
 		slices:    map[string]*pb.Slice{},
 	}
@@ -178,7 +181,16 @@
 
 func (l *Loop) applyHosts(u hostlist.Update) {
 	var rows []membership.Row
+	if u.Full {
+		clear(l.gateways)
+	}
+	for _, name := range u.Removed {
+		delete(l.gateways, name)
+	}
 	for _, h := range u.Hosts {
+		if h.Role == hostlist.RoleGateway {
+			l.gateways[h.Name] = h
+		}
 		if h.Role != hostlist.RoleEndpoint {
 			continue
 		}
@@ -193,15 +205,20 @@
 }
 
 func (l *Loop) applyConfig() {
-	s, ok := l.config.Source.Current()
-	if !ok {
+	s := l.config.Source.Current()
+	var document *config.Document
+	if source, ok := l.config.Source.(documentSource); ok {
+		document = source.Document()
+		s = document.Snapshot()
+	}
+	if s.Revision == 0 {
 		return
 	}
 	if l.configured && s.Revision < l.snapshot.Revision {
 		l.config.Invariants.Check(false, invariant.ConfigMonotonic, "revision %d follows %d", s.Revision, l.snapshot.Revision)
 		return
 	}
-	l.snapshot, l.configured, l.dirty = s, true, true
+	l.snapshot, l.document, l.configured, l.dirty = s, document, true, true
 	klog.InfoS("configuration in force", logging.FieldRevision, s.Revision)
 }
 
