loadgen/demo: use the key-value store and siskinctl

Change: the gateways read the store, siskinctl applies the tables and edits the zone, and the demo also fails if siskinctl status finds a process that is behind or has an alarm.

Prompts over 4k wait for the ageing bound of 20 s while the sidecars' limits grow after their start.

--- a/loadgen/demo/check.go
+++ b/loadgen/demo/check.go
@@ -144,6 +144,15 @@
 	return nil
 }
 
+// checkFleet fails if a process is behind the newest revision or has an alarm.
+func (r *run) checkFleet(ctx context.Context) error {
+	var arguments []string
+	for _, g := range r.layout.gateways {
+		arguments = append(arguments, "--gateway", g.peers)
+	}
+	return r.control(ctx, append(arguments, "status")...)
+}
+
 // checkMemory fails if an engine holds memory other than cached prefixes after
 // the load has ended.
 func (r *run) checkMemory(ctx context.Context) error {
--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"siskinstand.example/coord/config"
 	"siskinstand.example/loadgen/load"
 	"siskinstand.example/loadgen/mix"
 	"siskinstand.example/loadgen/report"
@@ -110,6 +111,12 @@
 			return err
 		}
 	}
+	if err := p.awaitReady(ctx, "kvstore", "http://"+l.store+"/control"); err != nil {
+		return err
+	}
+	if err := r.control(ctx, "apply", "--base", "0", "--routes", l.path("routes.ini"), "--pools", l.path("pools.ini")); err != nil {
+		return err
+	}
 	for name, admin := range l.admins() {
 		if err := p.awaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
 			return err
@@ -176,6 +183,7 @@
 		r.checkCold(ctx),
 		r.checkMemory(ctx),
 		r.checkMetrics(ctx),
+		r.checkFleet(ctx),
 		r.processes.early(),
 	)
 }
@@ -187,9 +195,9 @@
 		wait time.Duration
 		edit func() error
 	}{
-		{beforeOut, func() error { return r.layout.writePools(outZone) }},
+		{beforeOut, func() error { return r.setZone(ctx, config.ZoneOut) }},
 		{zoneGrace, nil},
-		{outWatch, func() error { return r.layout.writePools("") }},
+		{outWatch, func() error { return r.setZone(ctx, config.ZoneIn) }},
 		{afterOut, nil},
 	}
 	var started []int64
@@ -224,6 +232,11 @@
 	return nil
 }
 
+// setZone makes one edit of the pools table.
+func (r *run) setZone(ctx context.Context, state config.ZoneState) error {
+	return r.control(ctx, "edit", string(config.TablePools), "zone "+outZone, "state="+string(state))
+}
+
 func (r *run) printExample() {
 	fmt.Fprintf(r.config.Out, `
 Everything keeps running. Try:
@@ -231,6 +244,8 @@
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
   -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which birds visit the feeder?"}]}'
 
-Edit %s to change zones and pools. Stop with Ctrl-C.
-`, r.layout.gateways[0].callers, token, model, r.layout.path("pools.ini"))
+%s/siskinctl --store %s edit pools "zone %s" state=out
+
+Stop with Ctrl-C.
+`, r.layout.gateways[0].callers, token, model, r.config.Binaries, r.layout.store, outZone)
 }
--- a/loadgen/demo/layout.go
+++ b/loadgen/demo/layout.go
@@ -110,7 +110,7 @@
 	if err := l.write("routes.ini", routes()); err != nil {
 		return err
 	}
-	return l.writePools("")
+	return l.write("pools.ini", pools())
 }
 
 func (l *layout) hostList() []hostlist.Host {
@@ -167,17 +167,18 @@
 [admin]
 address = %s
 
-[tables]
-routes = %s
-pools = %s
-poll = 200ms
+[peers]
+address = %s
 
 [platform]
 host_list = %s
 
+[store]
+address = %s
+
 [shutdown]
 notice = 0s
-`, g.name, g.zone, region, g.callers, g.admin, l.path("routes.ini"), l.path("pools.ini"), l.hosts)
+`, g.name, g.zone, region, g.callers, g.admin, g.peers, l.hosts, l.store)
 }
 
 func routes() string {
@@ -199,21 +200,12 @@
 `, hex.EncodeToString(hash[:]), model, plainService)
 }
 
-// writePools replaces the pools table; out names the zone that is out, if any.
-// The file is renamed into place, so that no reader sees half of it.
-func (l *layout) writePools(out string) error {
+func pools() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[pool chat]\nkind = model\nservice = %s\nmodel = %s\n\n", engineLabel, model)
 	fmt.Fprintf(&b, "[pool booking]\nkind = plain\nservice = %s\n", plainService)
 	for _, zone := range zones {
-		state := config.ZoneIn
-		if zone == out {
-			state = config.ZoneOut
-		}
-		fmt.Fprintf(&b, "\n[zone %s]\nstate = %s\n", zone, state)
-	}
-	if err := l.write("pools.ini.new", b.String()); err != nil {
-		return err
+		fmt.Fprintf(&b, "\n[zone %s]\nstate = %s\n", zone, config.ZoneIn)
 	}
-	return os.Rename(l.path("pools.ini.new"), l.path("pools.ini"))
+	return b.String()
 }
--- a/loadgen/demo/process.go
+++ b/loadgen/demo/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -110,6 +111,16 @@
 	return nil
 }
 
+// control runs siskinctl with the store and returns an error with its output.
+func (r *run) control(ctx context.Context, arguments ...string) error {
+	arguments = append([]string{"--store", r.layout.store}, arguments...)
+	out, err := exec.CommandContext(ctx, filepath.Join(r.config.Binaries, "siskinctl"), arguments...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("siskinctl %s: %w\n%s", strings.Join(arguments, " "), err, out)
+	}
+	return nil
+}
+
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
