--- /dev/null
+++ b/gateway/cluster/cluster_test.go
@@ -0,0 +1,72 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/gateway/config"
+	"siskinstand.example/gateway/daemon"
+	"siskinstand.example/platform/hostlist"
+	"siskinstand.example/platform/kvstore"
+	"siskinstand.example/service/settings"
+)
+
+type noHosts struct{}
+
+func (noHosts) Since(context.Context, uint64) (hostlist.Update, error) {
+	return hostlist.Update{Index: 1, Full: true}, nil
+}
+
+// Guards against a gateway that calls itself ready, or holds up its callers,
+// with neither store nor peers.
+func TestStoreDown(t *testing.T) {
+	text := "[process]\nid = g1\nzone = z1\n[callers]\naddress = 127.0.0.1:0\n[admin]\naddress = 127.0.0.1:0\n[platform]\nhost_list = x\n" +
+		"[store]\naddress = x\n[peers]\naddress = 127.0.0.1:0\n[shutdown]\nnotice = 0s\n"
+	s, err := settings.Parse[config.Settings]("test.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	down := httptest.NewServer(nil)
+	down.Close()
+	base, err := daemon.NewBase(s, daemon.Keys{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts, err := Open(base, kvstore.NewHTTP(strings.TrimPrefix(down.URL, "http://"), kvstore.DefaultLimits()), noHosts{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	parts.Extra = append(parts.Extra, daemon.Part{Name: "test", Run: func(context.Context) error { <-ctx.Done(); return nil }})
+	d, err := daemon.New(base, parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() { done <- d.Run() }()
+	time.Sleep(time.Second)
+	if d.Ready() != "no configuration" {
+		t.Errorf("ready = %q", d.Ready())
+	}
+	response, err := http.Get("http://" + d.CallerAddress() + "/v1/models")
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d", response.StatusCode)
+	}
+	stop()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the parts did not stop together")
+	}
+}
--- a/gateway/daemon/admin_test.go
+++ b/gateway/daemon/admin_test.go
@@ -125,7 +125,7 @@
 	roots := x509.NewCertPool()
 	roots.AddCert(ca.cert)
 	serial := func() *big.Int {
-		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableKeepAlives: true}}
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableKeepAlives: true, ForceAttemptHTTP2: true}}
 		r := f.request("POST", chatPath, chatBody, nil)
 		r.URL.Scheme = "https"
 		response, err := client.Do(r)
@@ -133,7 +133,7 @@
 			t.Fatal(err)
 		}
 		defer response.Body.Close()
-		if response.StatusCode != http.StatusOK {
+		if response.StatusCode != http.StatusOK || response.ProtoMajor != 2 {
 			t.Fatalf("status %d over TLS", response.StatusCode)
 		}
 		return response.TLS.PeerCertificates[0].SerialNumber
