budget: grant weight loads under the weight store's rate

Cause: endpoints that start together would exceed the weight store's rate. Change: coord/budget decides on permits, gateway/kvstore holds the budget under a lease, gateway/peer answers LoadPermit or passes it on once to the holder. A new holder counts the burst as used, because it does not know the permits of the former one. Attempts on a held lease name the holder. Conclusion: a sidecar can ask any gateway.

--- /dev/null
+++ b/coord/budget/budget_test.go
@@ -0,0 +1,102 @@
+package budget
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var start = time.Unix(1_000_000, 0)
+
+const (
+	rate     = int64(1 << 30)
+	maxBytes = 20 * rate
+)
+
+// Guards against granted loads that exceed the store's rate over any span, also
+// when the holder changes, by more than the burst and the last load granted.
+func TestRateIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		b := New(now, rate, DefaultBurst)
+		var granted []grant
+		for i := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "pause ms")) * time.Millisecond)
+			bytes := rapid.Int64Range(1, maxBytes).Draw(t, "bytes")
+			p := b.Request(now, fmt.Sprint(i), bytes)
+			if p.Granted {
+				granted = append(granted, grant{bytes, now})
+			} else if p.RetryAfter < leastRetry || p.RetryAfter > maxRetry+maxRetry/jitterParts {
+				t.Fatalf("retry after %s", p.RetryAfter)
+			}
+		}
+		for i := range granted {
+			sum := int64(0)
+			for _, g := range granted[i:] {
+				sum += g.bytes
+				span := g.at.Sub(granted[i].at) + DefaultBurst
+				if allowed := int64(span.Seconds()*float64(rate)) + g.bytes; sum > allowed+1024 {
+					t.Fatalf("%d bytes granted within %s, allowed %d", sum, span, allowed)
+				}
+			}
+		}
+	})
+}
+
+// Guards against loads that starve although the store is idle: with 30
+// endpoints that retry as told, each gets its permit.
+func TestAllGetPermits(t *testing.T) {
+	b := New(start, rate, DefaultBurst)
+	next := map[string]time.Time{}
+	for i := range 30 {
+		next[fmt.Sprintf("endpoint-%d", i)] = start
+	}
+	deadline := start.Add(DefaultBurst + 30*2*time.Second + 2*maxRetry)
+	for now := start; len(next) > 0; now = now.Add(100 * time.Millisecond) {
+		for process, at := range next {
+			if now.Before(at) {
+				continue
+			}
+			p := b.Request(now, process, 2*rate)
+			if p.Granted {
+				delete(next, process)
+				continue
+			}
+			next[process] = now.Add(p.RetryAfter)
+		}
+		if now.After(deadline) {
+			t.Fatalf("%d of 30 endpoints have no permit after %s", len(next), now.Sub(start))
+		}
+	}
+}
+
+// Guards against a load charged twice because the answer was lost, a new holder
+// that ignores what the former granted, and grants without a rate.
+func TestRequest(t *testing.T) {
+	b := New(start, rate, DefaultBurst)
+	if b.Request(start, "a", rate).Granted {
+		t.Error("a new holder granted a load before the former one's burst has passed")
+	}
+	later := start.Add(DefaultBurst)
+	for range 3 {
+		if !b.Request(later, "a", 9*rate).Granted {
+			t.Error("a repeated request was refused")
+		}
+	}
+	if !b.Request(later, "b", rate).Granted || b.Request(later, "c", rate).Granted {
+		t.Error("the burst of 10 s was not used as expected after 9 s and 1 s")
+	}
+	b.SetRate(0)
+	if b.Request(later.Add(time.Hour), "d", 1).Granted {
+		t.Error("granted without a rate")
+	}
+}
--- /dev/null
+++ b/gateway/kvstore/budget.go
@@ -0,0 +1,155 @@
+package kvstore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/budget"
+	"siskinstand.example/platform/kvstore"
+	"siskinstand.example/platform/weightstore"
+)
+
+// BudgetKey is the lease key of the weight-load budget.
+const BudgetKey = "lease/weight_budget"
+
+// Timing of the budget. 380 gateways read the lease key every 15 to 20 s, some
+// 22 reads a second, and a new holder is found within the 60 s after which
+// endpoints load without a permit.
+const (
+	budgetInterval = 15 * time.Second
+	budgetSpread   = 5 * time.Second
+	rateInterval   = time.Minute
+)
+
+// BudgetConfig names the process and its stores.
+type BudgetConfig struct {
+	Store     kvstore.Store
+	Weights   weightstore.Store
+	ProcessID string
+	// LeaseTTL is DefaultLeaseTTL if zero.
+	LeaseTTL time.Duration
+	// Burst is budget.DefaultBurst if zero.
+	Burst time.Duration
+}
+
+// PermitAnswer is the holder's decision, or only the name of the holder if that
+// is another process.
+type PermitAnswer struct {
+	budget.Permit
+	Fence  uint64
+	Holder string
+}
+
+var errNoBudget = errors.New("no process holds the weight-load budget")
+
+// Budget holds the weight-load budget while it has the lease.
+type Budget struct {
+	config BudgetConfig
+	mu     sync.Mutex
+	holder string
+	lease  *heldLease
+	state  *budget.Budget
+}
+
+// NewBudget returns a budget that is not held.
+func NewBudget(c BudgetConfig) *Budget {
+	if c.LeaseTTL == 0 {
+		c.LeaseTTL = DefaultLeaseTTL
+	}
+	if c.Burst == 0 {
+		c.Burst = budget.DefaultBurst
+	}
+	return &Budget{config: c}
+}
+
+// Request decides on a load of a process if the budget is held here.
+func (b *Budget) Request(process string, bytes int64) (PermitAnswer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lease != nil && b.lease.usable() {
+		return PermitAnswer{
+			Permit: b.state.Request(time.Now(), process, bytes),
+			Fence:  uint64(b.lease.id), Holder: b.config.ProcessID,
+		}, nil
+	}
+	if b.holder == "" || b.holder == b.config.ProcessID {
+		return PermitAnswer{}, errNoBudget
+	}
+	return PermitAnswer{Holder: b.holder}, nil
+}
+
+// Run tries to get the lease now and then, and holds it as long as it can.
+func (b *Budget) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		held, err := acquireLease(ctx, b.config.Store, BudgetKey, b.config.ProcessID, b.config.LeaseTTL)
+		if err == nil {
+			b.hold(ctx, held)
+			continue
+		}
+		var elsewhere *heldElsewhereError
+		if errors.As(err, &elsewhere) {
+			b.set(elsewhere.holder, nil, nil)
+		}
+		pause(ctx, budgetInterval+rand.N(budgetSpread))
+	}
+	return nil
+}
+
+func (b *Budget) set(holder string, lease *heldLease, state *budget.Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder, b.lease, b.state = holder, lease, state
+}
+
+// hold renews the lease until it is lost. Without a rate nothing is granted.
+func (b *Budget) hold(ctx context.Context, held *heldLease) {
+	klog.InfoS("holder of the weight-load budget", "fence", held.id)
+	b.set(b.config.ProcessID, held, budget.New(time.Now(), 0, b.config.Burst))
+	defer func() {
+		b.set("", nil, nil)
+		held.release()
+	}()
+	var read time.Time
+	for ctx.Err() == nil {
+		if time.Since(read) >= rateInterval && b.readRate(ctx, held) {
+			read = time.Now()
+		}
+		pause(ctx, held.interval())
+		b.renew(ctx, held)
+		b.mu.Lock()
+		usable := held.usable()
+		b.mu.Unlock()
+		if !usable {
+			return
+		}
+	}
+}
+
+// renew calls the store without the lock and records the renewal under it,
+// since Request reads the lease.
+func (b *Budget) renew(ctx context.Context, held *heldLease) {
+	requested, err := held.call(ctx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held.record(requested, err)
+}
+
+// readRate asks the weight store within the time of one renewal.
+func (b *Budget) readRate(ctx context.Context, held *heldLease) bool {
+	ctx, cancel := context.WithTimeout(ctx, held.interval()/2)
+	defer cancel()
+	rate, err := b.config.Weights.Rate(ctx)
+	if err != nil {
+		klog.ErrorS(err, "rate of the weight store not read")
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetRate(rate)
+	return true
+}
--- /dev/null
+++ b/gateway/kvstore/budget_test.go
@@ -0,0 +1,68 @@
+package kvstore
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"siskinstand.example/coord/budget"
+	"siskinstand.example/platform/weightstore"
+)
+
+type fixedRate struct{ rate int64 }
+
+func (fixedRate) Stat(context.Context, string) (weightstore.Object, error) {
+	return weightstore.Object{}, nil
+}
+func (r fixedRate) Rate(context.Context) (int64, error) { return r.rate, nil }
+
+func startBudget(m *memStore, id string) (*Budget, func()) {
+	b := NewBudget(BudgetConfig{Store: m, Weights: fixedRate{100}, ProcessID: id})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = b.Run(ctx)
+	}()
+	return b, func() { cancel(); <-done }
+}
+
+func assertHolder(t *testing.T, b *Budget, want string) PermitAnswer {
+	t.Helper()
+	synctest.Wait()
+	answer, err := b.Request("endpoint", 100)
+	if answer.Holder != want || (want == "") != (err != nil) {
+		t.Errorf("%s: holder %q, %v, want %q", b.config.ProcessID, answer.Holder, err, want)
+	}
+	return answer
+}
+
+// Guards against two holders of the budget, a holder that grants after its
+// lease is lost, and a fencing number that does not grow.
+func TestBudgetHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemStore()
+		a, stopA := startBudget(m, "a")
+		first := assertHolder(t, a, "a")
+		b, stopB := startBudget(m, "b")
+		assertHolder(t, b, "a")
+		if first.Granted {
+			t.Error("a new holder granted a load at once")
+		}
+		time.Sleep(budget.DefaultBurst)
+		if !assertHolder(t, a, "a").Granted {
+			t.Error("not granted although the store is idle")
+		}
+		m.setDown(true)
+		time.Sleep(DefaultLeaseTTL)
+		assertHolder(t, a, "")
+		m.setDown(false)
+		stopA()
+		time.Sleep(budgetInterval + budgetSpread)
+		if next := assertHolder(t, b, "b"); next.Fence <= first.Fence {
+			t.Errorf("fence %d after %d", next.Fence, first.Fence)
+		}
+		stopB()
+	})
+}
--- a/gateway/kvstore/lease.go
+++ b/gateway/kvstore/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,8 +17,13 @@
 // lost renewal is repeated before the margin of package fence begins.
 const renewals = 3
 
-// errHeldElsewhere says that another process holds the lease key.
-var errHeldElsewhere = errors.New("the lease is held by another process")
+// heldElsewhereError says that another process holds the lease key. The holder
+// is empty if it is not known.
+type heldElsewhereError struct{ holder string }
+
+func (e *heldElsewhereError) Error() string {
+	return fmt.Sprintf("the lease is held by another process %q", e.holder)
+}
 
 // heldLease is a lease key in the store with its fencing number.
 type heldLease struct {
@@ -33,8 +39,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeToLive/renewals)
 	defer cancel()
 	// The read keeps attempts on a held lease from costing writes.
-	if _, err := store.Get(ctx, key); err == nil {
-		return nil, errHeldElsewhere
+	if pair, err := store.Get(ctx, key); err == nil {
+		holder, _, _ := strings.Cut(string(pair.Value), " ")
+		return nil, &heldElsewhereError{holder}
 	} else if !errors.Is(err, kvstore.ErrNotFound) {
 		return nil, eris.Wrap(err, "read lease key")
 	}
@@ -52,7 +59,7 @@
 		// The unused lease ends by itself if this call is lost as well.
 		_ = store.RevokeLease(ctx, granted.ID)
 		if errors.Is(err, kvstore.ErrConflict) {
-			return nil, errHeldElsewhere
+			return nil, &heldElsewhereError{}
 		}
 		return nil, eris.Wrap(err, "write lease key")
 	}
@@ -80,17 +87,28 @@
 // renew extends the lease. An error other than ErrLeaseLost leaves it usable
 // until its margin begins.
 func (l *heldLease) renew(ctx context.Context) error {
+	requested, err := l.call(ctx)
+	l.record(requested, err)
+	return err
+}
+
+// call asks the store for the renewal and returns when it was requested.
+func (l *heldLease) call(ctx context.Context) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.interval())
 	defer cancel()
 	requested := time.Now()
-	if _, err := l.store.KeepAlive(ctx, l.id); err != nil {
-		if errors.Is(err, kvstore.ErrLeaseLost) {
-			l.holder.Lost()
-		}
-		return err
+	_, err := l.store.KeepAlive(ctx, l.id)
+	return requested, err
+}
+
+// record takes the answer of a renewal.
+func (l *heldLease) record(requested time.Time, err error) {
+	switch {
+	case err == nil:
+		l.holder.Renewed(uint64(l.id), requested)
+	case errors.Is(err, kvstore.ErrLeaseLost):
+		l.holder.Lost()
 	}
-	l.holder.Renewed(uint64(l.id), requested)
-	return nil
 }
 
 // release gives the lease up so that a successor need not wait for its end.
--- a/gateway/kvstore/reader.go
+++ b/gateway/kvstore/reader.go
@@ -81,7 +81,8 @@
 		}
 		held, err := acquireLease(ctx, r.Store, ReaderKey(r.Zone), r.ProcessID, r.LeaseTTL)
 		if err != nil {
-			if !errors.Is(err, errHeldElsewhere) {
+			var elsewhere *heldElsewhereError
+			if !errors.As(err, &elsewhere) {
 				klog.V(1).InfoS("no reader lease", "zone", r.Zone, "err", err)
 			}
 			r.Reading(false)
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -31,9 +31,9 @@
 	Merge(reports []*peerpb.Suspect)
 }
 
-// Permits decides on weight loads. It answers only at the budget's holder.
+// Permits decides on weight loads, or names the gateway that does.
 type Permits interface {
-	Request(ctx context.Context, process string, bytes int64) (*peerpb.LoadPermitResponse, error)
+	Request(process string, bytes int64) (kvstore.PermitAnswer, error)
 }
 
 // Config names the process and its parts. Suspects, Permits, Status and Burn
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -39,6 +39,11 @@
 }
 
 func (f *fleet) start(t *testing.T, id string, book LocalBook) *member {
+	t.Helper()
+	return f.startWith(t, id, book, nil)
+}
+
+func (f *fleet) startWith(t *testing.T, id string, book LocalBook, permits Permits) *member {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,7 +53,7 @@
 	f.peers = append(f.peers, spread.Peer{ID: id, Zone: "z", Address: listener.Addr().String()})
 	f.mu.Unlock()
 	n := New(Config{
-		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {}, Book: book,
+		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {}, Book: book, Permits: permits,
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
 	})
 	server := grpc.NewServer()
--- a/gateway/peer/operators.go
+++ b/gateway/peer/operators.go
@@ -10,17 +10,35 @@
 	"siskinstand.example/peerpb"
 )
 
-// LoadPermit asks the holder of the weight-load budget for a permit.
+// permitTimeout bounds a request that is passed on to the budget's holder.
+const permitTimeout = 2 * time.Second
+
+// LoadPermit answers for the weight-load budget, or passes the request on to
+// the gateway that holds it. A request is passed on once.
 func (n *Node) LoadPermit(ctx context.Context, r *peerpb.LoadPermitRequest) (*peerpb.LoadPermitResponse, error) {
 	if n.Permits == nil {
-		return nil, status.Error(codes.FailedPrecondition, "this process does not hold the weight-load budget")
+		return nil, status.Error(codes.FailedPrecondition, "this process knows no weight-load budget")
 	}
-	response, err := n.Permits.Request(ctx, r.GetSender().GetProcessId(), r.GetBytes())
+	answer, err := n.Permits.Request(r.GetSender().GetProcessId(), r.GetBytes())
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	response.Sender = n.sender()
-	return response, nil
+	if answer.Holder == n.ID {
+		return &peerpb.LoadPermitResponse{
+			Sender: n.sender(), Granted: answer.Granted, RetryAfterMs: answer.RetryAfter.Milliseconds(), Fence: answer.Fence,
+		}, nil
+	}
+	holder, known := (*n.peers.Load())[answer.Holder]
+	if r.GetForwarded() || !known {
+		return nil, status.Errorf(codes.Unavailable, "the weight-load budget is held by %q", answer.Holder)
+	}
+	client, err := n.clients.get(holder.Address)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return client.LoadPermit(ctx, &peerpb.LoadPermitRequest{Sender: r.GetSender(), Bytes: r.GetBytes(), Forwarded: true})
 }
 
 // Status reports this process, its alarms and what main adds to it.
