sidecar: serve mutual TLS and count burn with service/burn

docs/operators/security.md promises certificates of one authority between gateways and sidecars, and the gateway dials with them if set; the sidecar had no such settings. Burn series now come from service/burn, so that siskinctl can merge them: the sidecar's own windows of 5 to 10 minutes fitted none of the report's. A test renews a hold with a stranger's certificate, or without one, and is refused.

--- a/sidecar/config/config.go
+++ b/sidecar/config/config.go
@@ -2,6 +2,8 @@
 package config
 
 import (
+	"github.com/rotisserie/eris"
+
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/settings"
 )
@@ -16,11 +18,18 @@
 	Memory    Memory         `ini:"memory"`
 	Suspects  Suspects       `ini:"suspects"`
 	Shutdown  Shutdown       `ini:"shutdown"`
+	TLS       TLS            `ini:"tls"`
 	Logging   logging.Config `ini:"logging"`
 }
 
 // Load reads and checks the settings file at path.
-func Load(path string) (Settings, error) { return settings.Load[Settings](path) }
+func Load(path string) (Settings, error) {
+	s, err := settings.Load[Settings](path)
+	if err != nil {
+		return s, err
+	}
+	return s, eris.Wrap(s.TLS.check(), path)
+}
 
 // Sample returns a commented settings file.
 func Sample() string { return settings.Sample[Settings]() }
--- a/sidecar/gateway/attempt.go
+++ b/sidecar/gateway/attempt.go
@@ -153,7 +153,7 @@
 		stop()
 	}
 	suspects := a.server.config.Loop.Done(a.ticket, result.OutputTokens, err)
-	a.server.burn.answered(a, err)
+	a.server.burn.Answered(a.burnKey(), time.Since(a.arrived), err == nil)
 	if err != nil {
 		return a.fail(err, suspects)
 	}
@@ -169,7 +169,7 @@
 	request := a.request(deadline, in)
 	request.Members = members
 	return a.server.config.Engine.Run(ctx, request, func(c engine.Chunk) error {
-		a.measure()
+		a.measure(c.Tokens)
 		if !a.server.config.Invariants.Check(!a.ended.Load(), invariant.StreamIdentity, "chunk of attempt %s after its end", a.ticket.Offer.ID()) {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "chunk after the end")
 		}
@@ -177,18 +177,6 @@
 	})
 }
 
-// measure counts the service level of one chunk.
-func (a *attempt) measure() {
-	now := time.Now()
-	if a.chunks == 0 {
-		a.server.config.Loop.FirstToken(a.ticket)
-		a.server.burn.firstToken(a)
-	} else {
-		a.server.burn.tokenGap(a, now.Sub(a.lastChunk))
-	}
-	a.lastChunk = now
-}
-
 func (a *attempt) request(deadline time.Time, in *input) engine.Request {
 	r := engine.Request{
 		AttemptID: a.ticket.Offer.ID(), Model: a.offer.Model, Method: a.offer.Method, Path: a.offer.Path,
--- a/sidecar/gateway/faults_test.go
+++ b/sidecar/gateway/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"time"
 
@@ -197,15 +198,19 @@
 	if err != nil || status.State != "serving" || len(status.Endpoints) != 1 || status.Endpoints[0].Load.MemoryTotalTokens != 100_000 {
 		t.Errorf("status = %v, %v", status, err)
 	}
-	burn, err := f.peer.Burn(context.Background(), &peerpb.BurnRequest{})
-	if err != nil || len(burn.Series) != 3 {
-		t.Fatalf("burn = %v, %v; want first_token, token_gap and answered", burn, err)
+	report, err := f.peer.Burn(context.Background(), &peerpb.BurnRequest{Accounts: []string{"a"}, Worst: 1})
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, s := range burn.Series {
-		if s.Total == 0 || s.Class != "1k" || len(s.Histogram) == 0 {
-			t.Errorf("series %v is empty", s)
+	objectives := map[string]int64{}
+	for _, b := range report.Series {
+		if b.Account == "a" && b.Class == "1k" && b.WindowS == 300 {
+			objectives[b.Objective] = b.Total
 		}
 	}
+	if want := map[string]int64{"first_token": 1, "token_gap": 2, "answered": 1}; !maps.Equal(want, objectives) {
+		t.Errorf("events = %v, want %v", objectives, want)
+	}
 }
 
 // Guards against a check of the stream's identity that cannot fail: an engine
--- a/sidecar/gateway/peer.go
+++ b/sidecar/gateway/peer.go
@@ -26,8 +26,3 @@
 	}
 	return response, nil
 }
-
-// Burn returns the service levels measured at this endpoint.
-func (s *Server) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
-	return &peerpb.BurnResponse{Sender: s.sender(), Series: s.burn.series()}, nil
-}
--- a/sidecar/gateway/server.go
+++ b/sidecar/gateway/server.go
@@ -5,6 +5,7 @@
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
+	"siskinstand.example/service/burn"
 	"siskinstand.example/sidecar/control"
 )
 
@@ -27,11 +28,11 @@
 	peerpb.UnimplementedSidecarServer
 	peerpb.UnimplementedPeerServer
 	config Config
-	burn   *burn
+	burn   *burn.Recorder
 }
 
 // New returns a server.
-func New(c Config) *Server { return &Server{config: c, burn: newBurn()} }
+func New(c Config) *Server { return &Server{config: c, burn: burn.New(burn.Config{})} }
 
 func (s *Server) sender() *peerpb.Sender {
 	return &peerpb.Sender{
--- a/sidecar/member/member.go
+++ b/sidecar/member/member.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
 	"siskinstand.example/coord/group"
 	"siskinstand.example/peerpb"
@@ -20,9 +20,10 @@
 
 // Pool holds connections to other sidecars.
 type Pool struct {
-	sender *peerpb.Sender
-	mu     sync.Mutex
-	conns  map[string]*connection
+	sender      *peerpb.Sender
+	credentials credentials.TransportCredentials
+	mu          sync.Mutex
+	conns       map[string]*connection
 }
 
 type connection struct {
@@ -33,8 +34,8 @@
 }
 
 // NewPool returns an empty pool whose calls carry the sender.
-func NewPool(sender *peerpb.Sender) *Pool {
-	return &Pool{sender: sender, conns: map[string]*connection{}}
+func NewPool(sender *peerpb.Sender, c credentials.TransportCredentials) *Pool {
+	return &Pool{sender: sender, credentials: c, conns: map[string]*connection{}}
 }
 
 // Renew moves the expiry of a member's hold and reports whether the member
@@ -70,7 +71,7 @@
 	c := p.conns[address]
 	if c == nil {
 		p.makeRoom()
-		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableServiceConfig())
+		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(p.credentials), grpc.WithDisableServiceConfig())
 		if err != nil {
 			return nil, eris.Wrapf(err, "connect to sidecar at %s", address)
 		}
--- /dev/null
+++ b/sidecar/member/member_test.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"siskinstand.example/coord/group"
+	"siskinstand.example/peerpb"
+	"siskinstand.example/sidecar/certs"
+	"siskinstand.example/sidecar/config"
+)
+
+// authority signs certificates for one fleet.
+type authority struct {
+	t           *testing.T
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	path        string
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	a.key, a.certificate, a.path, _ = a.issue(nil, true)
+	return a
+}
+
+// issue writes a certificate and its key to files.
+func (a *authority) issue(parent *authority, isAuthority bool) (*ecdsa.PrivateKey, *x509.Certificate, string, string) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: isAuthority, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	signer, signerKey := template, key
+	if parent != nil {
+		signer, signerKey = parent.certificate, parent.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, signer, &key.PublicKey, signerKey)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	certificate, _ := x509.ParseCertificate(der)
+	private, _ := x509.MarshalPKCS8PrivateKey(key)
+	dir := a.t.TempDir()
+	write := func(name, kind string, data []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600); err != nil {
+			a.t.Fatal(err)
+		}
+		return path
+	}
+	return key, certificate, write("cert.pem", "CERTIFICATE", der), write("key.pem", "PRIVATE KEY", private)
+}
+
+func (a *authority) keys() *certs.Keys {
+	_, _, certificate, key := a.issue(a, false)
+	k, err := certs.Load(config.TLS{Certificate: certificate, Key: key, Authority: a.path})
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return k
+}
+
+type holder struct {
+	peerpb.UnimplementedSidecarServer
+	held bool
+}
+
+func (h *holder) Hold(context.Context, *peerpb.HoldRequest) (*peerpb.HoldResponse, error) {
+	return &peerpb.HoldResponse{Held: h.held}, nil
+}
+
+// Guards against a member that trusts a process outside the fleet, or the
+// other way round, and against a refusal that is taken for a lost answer.
+func TestRenewNeedsTheFleetsCertificate(t *testing.T) {
+	fleet, stranger := newAuthority(t), newAuthority(t)
+	serve := func(c credentials.TransportCredentials, held bool) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := grpc.NewServer(grpc.Creds(c))
+		peerpb.RegisterSidecarServer(server, &holder{held: held})
+		go server.Serve(listener)
+		t.Cleanup(server.Stop)
+		return listener.Addr().String()
+	}
+	tests := map[string]struct {
+		address string
+		client  credentials.TransportCredentials
+		held    bool
+		fails   bool
+	}{
+		"same fleet":           {serve(fleet.keys().Server(), true), fleet.keys().Client(), true, false},
+		"refused":              {serve(fleet.keys().Server(), false), fleet.keys().Client(), false, false},
+		"client is a stranger": {serve(fleet.keys().Server(), true), stranger.keys().Client(), false, true},
+		"server is a stranger": {serve(stranger.keys().Server(), true), fleet.keys().Client(), false, true},
+		"client without TLS":   {serve(fleet.keys().Server(), true), insecure.NewCredentials(), false, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			pool := NewPool(&peerpb.Sender{}, tc.client)
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			held, err := pool.Renew(ctx, group.Member{Address: tc.address, HoldID: "h"}, "g", time.Second)
+			if held != tc.held || (err != nil) != tc.fails {
+				t.Errorf("Renew = %v, %v; want held %v, failure %v", held, err, tc.held, tc.fails)
+			}
+		})
+	}
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -19,6 +19,7 @@
 	"siskinstand.example/service/metrics"
 	"siskinstand.example/service/rungroup"
 	"siskinstand.example/sidecar/admin"
+	"siskinstand.example/sidecar/certs"
 	"siskinstand.example/sidecar/config"
 	"siskinstand.example/sidecar/control"
 	"siskinstand.example/sidecar/gateway"
@@ -50,6 +51,10 @@
 
 func run(s config.Settings) error {
 	id := newIdentity(s.Endpoint.Name)
+	keys, err := certs.Load(s.TLS)
+	if err != nil {
+		return err
+	}
 	m, err := metrics.New(metrics.Config{Prefix: "sidecar", ProcessID: id.processID, Zone: s.Endpoint.Zone})
 	if err != nil {
 		return err
@@ -58,24 +63,24 @@
 	invariants := newInvariants(s.Endpoint.Name, m)
 	model := newEngine(s)
 	loop := control.New(loopConfig(s, id, model, invariants, m))
-	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone})
+	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone}, keys.Client())
 	defer members.Close()
-	server := newServer(s, gateway.New(gateway.Config{
+	server := newServer(s, keys, gateway.New(gateway.Config{
 		Loop: loop, Engine: model, Members: members, Invariants: invariants,
 		Endpoint: s.Endpoint.Name, EngineAddress: s.Engine.Address, Zone: s.Endpoint.Zone,
 		ProcessID: id.processID, Incarnation: id.incarnation, MaxBodyBytes: s.Listen.MaxBodyBytes,
 	}))
-	return serve(s, loop, server, m)
+	return serve(s, loop, server, keys, m)
 }
 
 func newInvariants(endpoint string, m *metrics.Metrics) *invariant.Registry {
 	return invariant.NewRegistry(func(name invariant.Name, message string) {
 		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
-		klog.ErrorS(nil, message, logging.FieldInvariant, name, logging.FieldEndpoint, endpoint)
+		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, logging.FieldEndpoint, endpoint, "detail", message)
 	})
 }
 
-func serve(s config.Settings, loop *control.Loop, server *grpc.Server, m *metrics.Metrics) error {
+func serve(s config.Settings, loop *control.Loop, server *grpc.Server, keys *certs.Keys, m *metrics.Metrics) error {
 	peers, err := net.Listen("tcp", s.Listen.Address)
 	if err != nil {
 		return eris.Wrap(err, "listen for gateways")
@@ -88,6 +93,7 @@
 	klog.InfoS("sidecar starts", logging.FieldEndpoint, s.Endpoint.Name, logging.FieldZone, s.Endpoint.Zone, "address", peers.Addr(), "admin", probes.Addr())
 	var group rungroup.Group
 	group.Add("control", loop.Run)
+	group.Add("keys", keys.Watch)
 	group.Add("gateways", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, server.Stop)
 		defer stop()
@@ -144,8 +150,9 @@
 	return c
 }
 
-func newServer(s config.Settings, service *gateway.Server) *grpc.Server {
+func newServer(s config.Settings, keys *certs.Keys, service *gateway.Server) *grpc.Server {
 	server := grpc.NewServer(
+		grpc.Creds(keys.Server()),
 		grpc.MaxConcurrentStreams(uint32(s.Listen.MaxStreams)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
