sidecar: treat what the engine did not take as not run

A non-repeatable call that the engine refused as not run stayed in the list of dispatched requests, so that its next attempt was refused as may_have_run. A plain service also got a prefill speed from its first larger request, which then paced its queue. A test fails without each change.

--- a/sidecar/control/control.go
+++ b/sidecar/control/control.go
@@ -211,13 +211,24 @@
 
 // refreshCapacity tells admission what memory and the ramp allow at present.
 func (l *Loop) refreshCapacity() {
-	free := max(l.watch.total-l.holds.Tokens()-l.ledger.Foreign(), 0)
-	l.queue.SetCapacity(admission.Capacity{
-		MemoryTokens: free,
-		LimitTokens:  max(l.limiter.Limit()-l.holds.Tokens(), 0),
-		PrefillRate:  l.limiter.PrefillRate(),
+	c := l.capacity()
+	c.LimitTokens = max(c.LimitTokens-l.holds.Tokens(), 0)
+	l.queue.SetCapacity(c)
+}
+
+// capacity is what memory and the ramp allow, with holds counted against the
+// memory only. The time of a plain service does not depend on the length of its
+// request, so it has no prefill speed.
+func (l *Loop) capacity() admission.Capacity {
+	c := admission.Capacity{
+		MemoryTokens: max(l.watch.total-l.holds.Tokens()-l.ledger.Foreign(), 0),
+		LimitTokens:  l.limiter.Limit(),
 		DecodeRate:   l.decode,
-	})
+	}
+	if l.config.Ramped {
+		c.PrefillRate = l.limiter.PrefillRate()
+	}
+	return c
 }
 
 // start runs a call to the engine outside the loop.
--- a/sidecar/control/done.go
+++ b/sidecar/control/done.go
@@ -37,6 +37,9 @@
 		m.answer <- nil
 		return
 	}
+	if m.err != nil && verdict.Of(m.err) == verdict.NotRun {
+		l.notReached(t)
+	}
 	if t.dead && m.err != nil {
 		l.finish(now, m, true)
 		m.answer <- l.suspects.Reports(now, maxReports)
@@ -57,6 +60,16 @@
 	m.answer <- nil
 }
 
+// notReached takes back that an attempt may have run, because the engine did
+// not take it. Another attempt of the request can then run here.
+func (l *Loop) notReached(t *Ticket) {
+	t.ran = false
+	l.seen.forget(t.Offer.ID())
+	if !t.Offer.Repeatable {
+		l.seen.forget(t.Offer.RequestID)
+	}
+}
+
 // finish gives the reservation of an attempt back.
 func (l *Loop) finish(now time.Time, m doneMessage, engineFailed bool) {
 	id := m.ticket.Offer.ID()
--- a/sidecar/control/engine.go
+++ b/sidecar/control/engine.go
@@ -167,7 +167,7 @@
 }
 
 func (l *Loop) strike(now time.Time, t *Ticket, event suspect.Event) {
-	if t.Offer.Fingerprint == 0 {
+	if t.Offer.Fingerprint == 0 || !t.ran {
 		return
 	}
 	mark := l.suspects.Mark
--- a/sidecar/control/invariant_test.go
+++ b/sidecar/control/invariant_test.go
@@ -109,3 +109,16 @@
 		t.Errorf("%d entries after the expiry, want 1", len(s.until))
 	}
 }
+
+// Guards against a plain service that is throttled by a prefill speed learnt
+// from requests whose time does not depend on their length.
+func TestPlainServiceHasNoPrefillSpeed(t *testing.T) {
+	l := quietLoop()
+	l.config.Ramped = false
+	l.openService(start, 100_000, 0)
+	l.limiter.Admitted(start, "a", 4_000, 4_000, 4_000)
+	l.limiter.FirstToken(start.Add(time.Second), "a")
+	if c := l.capacity(); c.PrefillRate != 0 || c.LimitTokens != 100_000 {
+		t.Errorf("capacity = %+v, want no prefill speed and a limit of all tokens", c)
+	}
+}
--- a/sidecar/control/seen.go
+++ b/sidecar/control/seen.go
@@ -31,6 +31,9 @@
 	return ok && now.Before(until)
 }
 
+// forget drops a key. Its place in the order is dropped by a later expiry.
+func (s *seen) forget(key string) { delete(s.until, key) }
+
 func (s *seen) expire(now time.Time) {
 	for len(s.order) > 0 {
 		first := s.order[0]
--- a/sidecar/control/snapshot.go
+++ b/sidecar/control/snapshot.go
@@ -67,10 +67,7 @@
 	next := &Snapshot{
 		State: l.state(), Load: l.queue.Load(), TotalTokens: l.watch.total, HeldTokens: l.holds.Tokens(), Model: l.watch.model,
 		Slice: l.slice, Changed: old.Changed, Suspects: old.Suspects, suspectsAt: old.suspectsAt,
-		Capacity: admission.Capacity{
-			MemoryTokens: max(l.watch.total-l.holds.Tokens()-l.ledger.Foreign(), 0),
-			LimitTokens:  l.limiter.Limit(), PrefillRate: l.limiter.PrefillRate(), DecodeRate: l.decode,
-		},
+		Capacity: l.capacity(),
 	}
 	if now.Sub(old.suspectsAt) >= suspectRefresh || len(old.Suspects) != min(l.suspects.Len(), maxReports) || next.State != old.State {
 		next.Suspects = l.suspects.Reports(now, maxReports)
--- a/sidecar/gateway/engine_test.go
+++ b/sidecar/gateway/engine_test.go
@@ -23,6 +23,8 @@
 	// step is the pause before each chunk; block, if set, holds runs up.
 	step  time.Duration
 	block chan struct{}
+	// refuse is the number of runs that the engine does not take.
+	refuse int
 	// deliver is the receiver of the latest run.
 	deliver func(engine.Chunk) error
 }
@@ -55,6 +57,11 @@
 
 func (e *memoryEngine) Run(ctx context.Context, r engine.Request, deliver func(engine.Chunk) error) (engine.Result, error) {
 	e.mu.Lock()
+	if e.refuse > 0 {
+		e.refuse--
+		e.mu.Unlock()
+		return engine.Result{}, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "engine is full")
+	}
 	incarnation, block := e.incarnation, e.block
 	e.runs[r.AttemptID]++
 	e.deliver = deliver
--- a/sidecar/gateway/faults_test.go
+++ b/sidecar/gateway/faults_test.go
@@ -122,6 +122,31 @@
 	wantRefused(t, f.open(t, offer("r1")), "may_have_run", "duplicate_request")
 }
 
+// Guards against a non-repeatable call that the engine did not take and that
+// counts as run all the same, so that its next attempt is refused.
+func TestRefusalOfTheEngineIsNotARun(t *testing.T) {
+	f := newFixture(t)
+	f.engine.refuse = 1
+	o := offer("r1")
+	o.Repeatable = false
+	for attempt, want := range []func(*peerpb.AttemptEvent) bool{
+		func(e *peerpb.AttemptEvent) bool { return e.GetFailed().GetVerdict() == "not_run" },
+		func(e *peerpb.AttemptEvent) bool { return e.GetChunk() != nil },
+		func(e *peerpb.AttemptEvent) bool { return e.GetRefused().GetVerdict() == "may_have_run" },
+	} {
+		o.Attempt = uint32(attempt + 1)
+		stream := f.open(t, o)
+		e := next(t, stream)
+		if e.GetAdmitted() != nil {
+			send(t, stream, &peerpb.AttemptRequest{Kind: &peerpb.AttemptRequest_Start{Start: &peerpb.Start{}}})
+			e = next(t, stream)
+		}
+		if !want(e) {
+			t.Errorf("attempt %d: %v", o.Attempt, e)
+		}
+	}
+}
+
 // Guards against a drain that interrupts a stream or admits new work.
 func TestDrainFinishesStreams(t *testing.T) {
 	f := newFixture(t)
