admission: keep overload from filling the queue with late work

At three times the capacity the goodput was 0.10 with the believed prefill rate right or twice too high, and 0.98 with it half: the check at admission left out the answer's length, so that the endpoint ran work that ended just after its deadline. The check now counts the expected answer plus 40% while other work waits, and an offer is refused when twice its predicted wait does not fit.

--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -219,9 +219,29 @@
 	if !now.Before(e.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline passed in the queue")
 	}
-	if now.Add(q.prefillTime(e.PromptTokens)).After(e.Deadline) {
+	if now.Add(q.timeToFinish(e)).After(e.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadlineTooNear, "%s are left for a prompt of %d tokens",
 			e.Deadline.Sub(now).Round(time.Millisecond), e.PromptTokens)
 	}
 	return nil
 }
+
+// timeToFinish estimates the time from admission to the end of the answer.
+// Only while other work waits does it count the answer: refusing the item then
+// gives its place to work that can finish, and without other work the length of
+// the answer can be learnt from it.
+func (q *Queue) timeToFinish(e *entry) time.Duration {
+	if len(q.waiting) <= 1 {
+		return q.prefillTime(e.PromptTokens)
+	}
+	ahead := e.PromptTokens
+	for class := range e.class + 1 {
+		ahead += q.pending[class]
+	}
+	return seconds(finishMargin * (q.prefillTime(ahead) + q.decodeTime(e.OutputTokens)).Seconds())
+}
+
+// finishMargin covers answers that are 40% longer than the mean, the error of
+// length estimates in the design. Work that is admitted last would otherwise
+// end just after its deadline.
+const finishMargin = 1.4
--- a/coord/admission/predict.go
+++ b/coord/admission/predict.go
@@ -15,6 +15,10 @@
 	initialOutputRatio = 0.1
 	// learningRate weighs a new sample of a moving average.
 	learningRate = 0.05
+	// waitFactor is the error of a predicted wait that still lets the item meet
+	// its deadline. Engines can be slower than they report by a factor of two;
+	// a queue that is full up to the deadlines would then hold only late work.
+	waitFactor = 2
 	// Bounds of the retry time given to callers, before jitter.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 30 * time.Second
@@ -133,7 +137,7 @@
 	if wait > 0 {
 		service += q.decodeTime(item.OutputTokens)
 	}
-	if wait+service <= budget {
+	if waitFactor*wait+service <= budget {
 		return nil
 	}
 	refusal := verdict.New(verdict.NotRun, verdict.ReasonDeadlineTooNear, "predicted wait %s and service %s exceed the remaining %s",
@@ -141,7 +145,7 @@
 	if wait == 0 {
 		return refusal
 	}
-	return refusal.WithRetryAfter(spread(wait+service-budget, item.Fingerprint))
+	return refusal.WithRetryAfter(spread(waitFactor*wait+service-budget, item.Fingerprint))
 }
 
 func (q *Queue) overloaded(item Item, message string) *verdict.Error {
