--- a/Makefile
+++ b/Makefile
@@ -37,8 +37,22 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+# model checks the Promela specifications and that each rule is needed.
 model:
 	./models/run.sh
 
+# bench drives the decision code in virtual time and fails if a target is missed.
+bench: build
+	bin/siskin-load bench --seed $(SEED) --out out/bench
+
+# demo starts everything on loopback, takes a zone out and back and fails if an
+# invariant was broken.
+demo: build
+	bin/siskin-load demo --bin bin --dir out/demo --seed $(SEED) --plot out/demo/first-token.svg
+
+# run does the same and keeps everything running.
+run: build
+	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+
 clean:
 	rm -rf bin out
