bench: drive the decision code in virtual time

Cause: the targets of docs/design.md, section 14, need a comparison of policies on the same load, which real time cannot give.

--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -10,8 +10,9 @@
 )
 
 type options struct {
-	Run  runCommand  `command:"run" description:"send an open-loop load to gateways and check every answer"`
-	Demo demoCommand `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
+	Bench benchCommand `command:"bench" description:"drive the decision code in virtual time and check the targets"`
+	Run   runCommand   `command:"run" description:"send an open-loop load to gateways and check every answer"`
+	Demo  demoCommand  `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
 }
 
 func main() {
