ramp: learn no speed from answers within the base latency

Cause: the learnt speed subtracted half of the base latency (50 ms) from the time to first token, at least 1 ms remaining. Short prompts answered in 20 ms counted as 1,000,000 tokens/s, the expectation rose without bound, first tokens at the true speed looked late and the limit fell to its floor.

Change: a first token within the base latency is on time but teaches no speed; other samples use the whole time.

With the old code the new test learns 1,000,000 tokens/s on an engine of 50,000.

Conclusion: the limit follows the engine again.

--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -194,11 +194,13 @@
 }
 
 func (l *Limiter) learn(f *flight, elapsed time.Duration) {
-	if f.work < minSampleTokens {
+	// A first token within the base latency says nothing about the speed.
+	known := l.baseline > 0
+	if f.work < minSampleTokens || known && elapsed < l.config.BaseLatency {
 		return
 	}
-	sample := f.work / max(elapsed-l.config.BaseLatency/2, time.Millisecond).Seconds()
-	if l.baseline <= 0 {
+	sample := f.work / max(elapsed, time.Millisecond).Seconds()
+	if !known {
 		l.baseline, l.rate = sample, sample
 		return
 	}
--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// Guards against a speed learnt from answers within the base latency, after
+// which first tokens at the true speed look late.
+func TestQuickAnswersDoNotRaiseTheExpectation(t *testing.T) {
+	const rate = 50_000
+	l, now := New(start, DefaultConfig(600_000, rate)), start
+	for i := range 1_000 {
+		id := fmt.Sprint(i)
+		l.Admitted(now, id, 1_000, 1_100, l.Limit())
+		now = now.Add(20 * time.Millisecond)
+		l.FirstToken(now, id)
+	}
+	if l.PrefillRate() > 2*rate {
+		t.Errorf("learnt %g tokens/s, the engine prefills %d", l.PrefillRate(), rate)
+	}
+	before := l.Limit()
+	l.Admitted(now, "long", 100_000, 100_100, l.Limit())
+	l.FirstToken(now.Add(2*time.Second), "long")
+	if l.Limit() < before {
+		t.Errorf("limit fell from %d to %d on a first token at the true speed", before, l.Limit())
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
