e2e: test prompts beyond one engine and a crashing request

Cause: no test ran a group of engines or a resent request that crashes engines through the programs.

Change: one test sends a prompt that needs two engines and checks the answer and that no hold stays behind; another sends a crashing request ten times and checks that two engines crash at most, that the last refusal is crash_suspect, and that other requests go on.

--- a/e2e/client_test.go
+++ b/e2e/client_test.go
@@ -38,7 +38,7 @@
 // Guards against answers that the published client cannot read or that differ
 // from the engine's.
 func TestPublishedClient(t *testing.T) {
-	s, ctx := startStack(t), deadline(t)
+	s, ctx := startStack(t, largeMemory), deadline(t)
 	text, reason := chatAnswer()
 	t.Run("chat", func(t *testing.T) {
 		got, err := s.client.Chat.Completions.New(ctx, chatParams())
@@ -99,7 +99,7 @@
 // Guards against a stream that is cut, repeated or mixed when its engine
 // crashes in the middle.
 func TestStreamSurvivesAnEngineCrash(t *testing.T) {
-	s, ctx := startStack(t), deadline(t)
+	s, ctx := startStack(t, largeMemory), deadline(t)
 	for _, e := range s.engines {
 		switches := e.Switches()
 		switches.TokenTime = server.Duration(40 * time.Millisecond)
@@ -126,3 +126,58 @@
 		t.Errorf("got %q after %d crashes, %v; want %q", got.String(), crashed, stream.Err(), text)
 	}
 }
+
+// Guards against a prompt that needs two engines and is refused, cut, or leaves
+// its holds behind.
+func TestPromptBeyondOneEngine(t *testing.T) {
+	const memoryTokens, promptTokens = 6_000, 8_000
+	s, ctx := startStack(t, memoryTokens), deadline(t)
+	prompt := strings.Repeat("bird", promptTokens)
+	got, err := s.client.Completions.New(ctx, openai.CompletionNewParams{
+		Model: model, MaxTokens: openai.Int(8), Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := engine.Expected(prompt, 8); got.Choices[0].Text != text {
+		t.Errorf("got %q, want %q", got.Choices[0].Text, text)
+	}
+	if a, b := s.engines[0].Counters(), s.engines[1].Counters(); a.Started+b.Started != 1 {
+		t.Errorf("%d and %d starts, want one leader", a.Started, b.Started)
+	}
+	s.awaitNoHolds(t)
+}
+
+// Guards against a request that crashes each engine it reaches and is resent:
+// it costs two engines at most, and other requests go on.
+func TestCrashingRequestIsContained(t *testing.T) {
+	s, ctx := startStack(t, largeMemory), deadline(t)
+	for _, e := range s.engines {
+		switches := e.Switches()
+		switches.CrashDown = server.Duration(300 * time.Millisecond)
+		if err := e.Set(switches); err != nil {
+			t.Fatal(err)
+		}
+	}
+	params := chatParams()
+	params.Messages = append(params.Messages, openai.UserMessage(engine.DefaultConfig().Switches.CrashMarker))
+	var refused *openai.Error
+	for range 10 {
+		_, err := s.client.Chat.Completions.New(ctx, params, option.WithMaxRetries(0))
+		if !errors.As(err, &refused) {
+			t.Fatalf("got %v, want a refusal", err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if a, b := s.engines[0].Counters().Crashes, s.engines[1].Counters().Crashes; a+b > 2 || a+b == 0 {
+		t.Errorf("%d and %d crashes, want 2 in all at most", a, b)
+	}
+	if refused.Code != "crash_suspect" {
+		t.Errorf("last refusal is %s, want crash_suspect", refused.Code)
+	}
+	text, _ := chatAnswer()
+	got, err := s.client.Chat.Completions.New(ctx, chatParams())
+	if err != nil || got.Choices[0].Message.Content != text {
+		t.Errorf("another request: got %+v, %v", got, err)
+	}
+}
--- a/e2e/stack_test.go
+++ b/e2e/stack_test.go
@@ -19,12 +19,15 @@
 	"siskinstand.example/fakes/engine"
 	fakehosts "siskinstand.example/fakes/hostlist"
 	"siskinstand.example/fakes/server"
+	platformengine "siskinstand.example/platform/engine"
 	"siskinstand.example/platform/hostlist"
 )
 
 const (
 	token = "e2e-token"
 	model = "siskin-small"
+	// largeMemory holds every prompt but that of the group test.
+	largeMemory = 600_000
 )
 
 // binaries is the directory of the programs, which TestMain builds.
@@ -53,17 +56,19 @@
 // engine.
 type stack struct {
 	engines []*engine.Engine
-	base    string
-	client  openai.Client
+	// addresses are those of the engines.
+	addresses []string
+	base      string
+	client    openai.Client
 }
 
-func startStack(t *testing.T) *stack {
+func startStack(t *testing.T, memoryTokens int64) *stack {
 	t.Helper()
 	directory := t.TempDir()
 	s := &stack{}
 	var hosts []hostlist.Host
 	for i := range 2 {
-		hosts = append(hosts, s.startEndpoint(t, directory, fmt.Sprintf("host-%d", i+1)))
+		hosts = append(hosts, s.startEndpoint(t, directory, memoryTokens, fmt.Sprintf("host-%d", i+1)))
 	}
 	list := serve(t, fakehosts.New(hosts, fakehosts.Switches{}).Handler())
 	hash := config.HashToken(token)
@@ -79,15 +84,17 @@
 	return s
 }
 
-func (s *stack) startEndpoint(t *testing.T, directory, name string) hostlist.Host {
+func (s *stack) startEndpoint(t *testing.T, directory string, memoryTokens int64, name string) hostlist.Host {
 	t.Helper()
 	var front *server.Server
 	c := engine.DefaultConfig()
+	c.MemoryTokens = memoryTokens
 	c.OnCrash = func(d time.Duration) { front.Down(d) }
 	fake := engine.New(c)
 	t.Cleanup(fake.Close)
 	front = serve(t, fake.Handler())
 	s.engines = append(s.engines, fake)
+	s.addresses = append(s.addresses, front.Address())
 	listen, admin := freeAddress(t), freeAddress(t)
 	path := write(t, directory, name+".ini", fmt.Sprintf(
 		"[endpoint]\nname = %s\nzone = zone-a\n[listen]\naddress = %s\n[admin]\naddress = %s\n[engine]\naddress = %s\n",
@@ -174,3 +181,29 @@
 		t.Logf("log of %s:\n%s", name, text)
 	}
 }
+
+// awaitNoHolds fails if an engine keeps memory for a group after its answer.
+func (s *stack) awaitNoHolds(t *testing.T) {
+	t.Helper()
+	const limit = 15 * time.Second
+	for begin := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		held := ""
+		for _, address := range s.addresses {
+			state, err := platformengine.NewHTTP(address, platformengine.DefaultLimits()).State(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, p := range state.Pieces {
+				if p.Kind != platformengine.PiecePrefix {
+					held = string(p.Kind) + " " + p.ID
+				}
+			}
+		}
+		if held == "" {
+			return
+		}
+		if time.Since(begin) > limit {
+			t.Fatalf("%s is still held after %s", held, limit)
+		}
+	}
+}
