--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,14 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+# model checks the Promela specifications and that each rule is needed.
+model:
+	./models/run.sh
+
+# bench drives the decision code in virtual time and fails if a target is missed.
+bench: build
+	bin/siskin-load bench --seed $(SEED) --out out/bench
+
 # demo starts everything on loopback, takes a zone out and back and fails if an
 # invariant was broken.
 demo: build
@@ -45,8 +53,6 @@
 # run does the same and keeps everything running.
 run: build
 	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
-model:
-	./models/run.sh
 
 clean:
 	rm -rf bin out
