admission: allow for slow prefill ahead of an admitted item

That time now counts twice, as the wait in the queue does; the item's own prefill does not, because a long prompt that needs more than half of its deadline would otherwise never run while other work waits. The test ends items in a fixed order, as its figures differed between runs.

--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -240,11 +240,12 @@
 	if len(q.waiting) <= 1 {
 		return q.prefillTime(e.PromptTokens)
 	}
-	ahead := e.PromptTokens
+	ahead := int64(0)
 	for class := range e.class + 1 {
 		ahead += q.pending[class]
 	}
-	return seconds(finishMargin * (q.prefillTime(ahead) + q.decodeTime(e.OutputTokens)).Seconds())
+	answer := seconds(finishMargin * q.decodeTime(e.OutputTokens).Seconds())
+	return waitFactor*q.prefillTime(ahead) + q.prefillTime(e.PromptTokens) + answer
 }
 
 // finishMargin covers answers that are 40% longer than the mean, the error of
--- a/coord/admission/overload_test.go
+++ b/coord/admission/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -42,7 +43,9 @@
 			delete(e.first, id)
 		}
 	}
-	for id, at := range e.ends {
+	// The order in which items end changes what the queue learns.
+	for _, id := range slices.Sorted(maps.Keys(e.ends)) {
+		at := e.ends[id]
 		if at.After(now) {
 			continue
 		}
--- a/coord/admission/predict.go
+++ b/coord/admission/predict.go
@@ -15,9 +15,10 @@
 	initialOutputRatio = 0.1
 	// learningRate weighs a new sample of a moving average.
 	learningRate = 0.05
-	// waitFactor is the error of a predicted wait that still lets the item meet
-	// its deadline. Engines can be slower than they report by a factor of two;
-	// a queue that is full up to the deadlines would then hold only late work.
+	// waitFactor is the error of a predicted wait, in the queue or in the
+	// engine, that still lets an item meet its deadline. Engines can be slower
+	// than they report by a factor of two; a queue that is full up to the
+	// deadlines would then hold only late work.
 	waitFactor = 2
 	// Bounds of the retry time given to callers, before jitter.
 	minRetry = 200 * time.Millisecond
