gateway: measure the service-level objectives

Change: the dispatcher notes first tokens, gaps between tokens and answers of admitted requests; the operators' command reads them through Peer.Burn. Requests whose caller hung up are not counted.

--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -41,6 +41,7 @@
 		Peers:       func() []spread.Peer { return peers(b) },
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy()},
 		Suspects:    exchange{b},
+		Burn:        b.Burn,
 		Status:      func() *pb.StatusResponse { return status(b) },
 	})
 	reader.Reading = node.Reading
--- a/gateway/daemon/admin_test.go
+++ b/gateway/daemon/admin_test.go
@@ -43,6 +43,10 @@
 		}
 	}
 	f.call("POST", chatPath, chatBody, nil)
+	series, err := f.daemon.Burn.Series([]string{"a1"})
+	if err != nil || len(series) == 0 || series[0].Good != 1 || series[0].Total != 1 {
+		t.Errorf("objectives = %+v, %v", series, err)
+	}
 	eventually(t, "metrics of the request", func() bool {
 		_, body := get("/metrics")
 		return strings.Contains(body, `gateway_completed_requests{process="g1",zone="z1"} 1`) &&
--- a/gateway/daemon/base.go
+++ b/gateway/daemon/base.go
@@ -11,6 +11,7 @@
 	"siskinstand.example/gateway/control"
 	"siskinstand.example/gateway/suspects"
 	pb "siskinstand.example/peerpb"
+	"siskinstand.example/service/burn"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
 )
@@ -23,6 +24,7 @@
 	Metrics     *metrics.Metrics
 	Invariants  *invariant.Registry
 	Suspects    *suspects.Table
+	Burn        *burn.Recorder
 	loop        atomic.Pointer[control.Loop]
 }
 
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now)}
+	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now), Burn: burn.New(burn.Config{})}
 	b.Invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
 		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
 		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -77,7 +77,7 @@
 	d.Base.loop.Store(d.loop)
 	dispatcher := dispatch.New(dispatch.Config{
 		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.parts.Claims, Suspects: d.Suspects,
-		Invariants: d.Invariants, Scope: d.Metrics.Scope,
+		Invariants: d.Invariants, Scope: d.Metrics.Scope, Objectives: d.Burn,
 		Routing:     routing.Policy{PrefixShare: s.Routing.PrefixShare, DefaultRate: s.Routing.DefaultRate},
 		Retry:       retry.Policy{Share: s.Retry.Share, MinimumPerSecond: s.Retry.MinimumPerSecond, Burst: s.Retry.Burst},
 		MaxAttempts: s.Retry.MaxAttempts, Backoff: s.Retry.Backoff, BackoffLimit: s.Retry.BackoffLimit,
--- a/gateway/dispatch/attempt.go
+++ b/gateway/dispatch/attempt.go
@@ -165,6 +165,7 @@
 		return nil
 	}
 	s.admitted = true
+	s.x.objectives.admitted = true
 	if !s.renewal.stop() {
 		// The cancellation of the group is on its way; the sidecar's answer
 		// says whether the leader had started.
@@ -215,6 +216,7 @@
 		x.firstToken = true
 		x.d.metrics.firstToken.RecordDuration(time.Since(x.started))
 	}
+	x.objectives.chunk(time.Now(), chunk.Tokens)
 	piece := Piece{Data: chunk.Data}
 	if chunk.Position == 0 && message.GetPosition() == 0 {
 		piece.Status, piece.Header = int(message.GetHttpStatus()), message.GetHeaders()
--- a/gateway/dispatch/dispatcher.go
+++ b/gateway/dispatch/dispatcher.go
@@ -48,8 +48,16 @@
 
 func (d *Dispatcher) execute(ctx context.Context, r *Request, sink Sink) (Result, error) {
 	d.firstAttempt(r.Pool.Name)
-	x := &execution{d: d, r: r, sink: sink, assembler: assembly.New(r.ID), started: time.Now()}
+	now := time.Now()
+	x := &execution{
+		d: d, r: r, sink: sink, assembler: assembly.New(r.ID), started: now,
+		objectives: newObjectives(d.config.Objectives, r, now),
+	}
 	result, failure := x.run(ctx)
+	// A caller that hung up is no failure of the service.
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		x.objectives.end(time.Now(), failure == nil, r.Deadline)
+	}
 	if failure != nil {
 		return Result{}, x.finalError(ctx, failure)
 	}
--- a/gateway/dispatch/execution.go
+++ b/gateway/dispatch/execution.go
@@ -40,6 +40,7 @@
 	// another attempt makes the request not_run again.
 	mayHaveRun bool
 	firstToken bool
+	objectives objectives
 	// last is the failure of the latest attempt.
 	last *verdict.Error
 }
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -88,6 +88,7 @@
 	Suspects   Suspects
 	Invariants *invariant.Registry
 	Scope      tally.Scope
+	Objectives Objectives
 	Routing    routing.Policy
 	Retry      retry.Policy
 	// MaxAttempts bounds the offers of one request, refused ones included.
