gateway/peer: release claims of unknown outcome

Cause: a claim that took effect after its caller had been refused held its key for 24 h, although the call had not run. Module files are tidied, tests of gateway/peer start gateways in one way. Conclusion: a refused call can be repeated with its key.

--- a/gateway/peer/claims.go
+++ b/gateway/peer/claims.go
@@ -48,7 +48,8 @@
 // Claims returns the book of this gateway.
 func (n *Node) Claims() *Claims { return &Claims{node: n} }
 
-// Claim claims a key for this process.
+// Claim claims a key for this process. A claim that ends with an error is
+// released later, because it may have taken effect.
 func (c *Claims) Claim(ctx context.Context, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error) {
 	response, err := c.forward(ctx, key, &peerpb.ClaimRequest{ClaimId: claimID, Op: opClaim, BodyHash: bodyHash})
 	if err == nil {
@@ -56,7 +57,11 @@
 			return record, nil
 		}
 	}
-	return c.node.Book.Claim(ctx, key, claimID, bodyHash)
+	record, err := c.node.Book.Claim(ctx, key, claimID, bodyHash)
+	if err != nil {
+		c.node.abandon(key, claimID)
+	}
+	return record, err
 }
 
 // Release gives up a claim whose call certainly did not run.
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -73,6 +73,7 @@
 	// reading is the reader role; readingSet wakes the control goroutine.
 	reading    atomic.Bool
 	readingSet chan struct{}
+	abandoned  chan abandoned
 }
 
 // beat is the reader's last heartbeat as of a time.
@@ -96,7 +97,7 @@
 	n := &Node{
 		Config: c, clients: newClients(c.DialOptions),
 		events: make(chan heard, 256), calls: make(chan struct{}, maxCalls), started: time.Now(),
-		readingSet: make(chan struct{}, 1),
+		readingSet: make(chan struct{}, 1), abandoned: make(chan abandoned, maxAbandoned),
 	}
 	n.peers.Store(&map[string]spread.Peer{})
 	n.beat.Store(&beat{})
@@ -136,6 +137,7 @@
 	defer refresh.Stop()
 	defer n.clients.keep(nil)
 	defer n.running.Wait()
+	n.running.Go(func() { n.releaseAbandoned(ctx) })
 	n.refreshPeers(state)
 	for {
 		changed := n.Changed()
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -44,24 +44,33 @@
 }
 
 func (f *fleet) startWith(t *testing.T, id string, book LocalBook, permits Permits) *member {
+	t.Helper()
+	return f.serve(t, New(Config{
+		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), TryRead: func() {}, Book: book, Permits: permits,
+		Peers: f.list, DialOptions: plain,
+	}))
+}
+
+var plain = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+
+// serve runs a node, its server and further parts until the member stops.
+func (f *fleet) serve(t *testing.T, n *Node, parts ...func(context.Context) error) *member {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.mu.Lock()
-	f.peers = append(f.peers, spread.Peer{ID: id, Zone: "z", Address: listener.Addr().String()})
+	f.peers = append(f.peers, spread.Peer{ID: n.ID, Zone: n.Zone, Address: listener.Addr().String()})
 	f.mu.Unlock()
-	n := New(Config{
-		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {}, Book: book, Permits: permits,
-		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
-	})
 	server := grpc.NewServer()
 	n.Register(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
-	group.Go(func() { _ = n.Run(ctx) })
+	for _, run := range append(parts, n.Run) {
+		group.Go(func() { _ = run(ctx) })
+	}
 	m := &member{Node: n, stop: sync.OnceFunc(func() {
 		cancel()
 		server.Stop()
--- a/gateway/peer/system_test.go
+++ b/gateway/peer/system_test.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
-	"sync"
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-
 	"siskinstand.example/coord/claim"
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/invariant"
-	"siskinstand.example/coord/spread"
 	fake "siskinstand.example/fakes/kvstore"
 	"siskinstand.example/fakes/server"
 	"siskinstand.example/gateway/kvstore"
@@ -25,8 +18,11 @@
 // system is a set of gateways wired as main does, on one store.
 type system struct {
 	fleet
-	fake  *fake.Store
-	store store.Store
+	fake     *fake.Store
+	store    store.Store
+	head     config.Head
+	document *config.Document
+	version  int64
 }
 
 func newSystem(t *testing.T) *system {
@@ -40,18 +36,14 @@
 	t.Cleanup(s.Close)
 	limits := store.DefaultLimits()
 	limits.CallTimeout = time.Second
-	return &system{fleet: fleet{invariants: invariant.NewRegistry(nil)}, fake: f, store: store.NewHTTP(s.Address(), limits)}
+	return &system{
+		fleet: fleet{invariants: invariant.NewRegistry(nil)}, fake: f, store: store.NewHTTP(s.Address(), limits),
+		head: config.EmptyHead(), document: config.EmptyDocument(),
+	}
 }
 
 func (s *system) gateway(t *testing.T, id, zone string) *member {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.mu.Lock()
-	s.peers = append(s.peers, spread.Peer{ID: id, Zone: zone, Address: listener.Addr().String()})
-	s.mu.Unlock()
 	inForce, alarms := config.NewInForce(s.invariants), &kvstore.Alarms{}
 	book := kvstore.NewBook(kvstore.BookConfig{Store: s.store, ProcessID: id, Invariants: s.invariants})
 	var node *Node
@@ -59,44 +51,17 @@
 		Store: s.store, Zone: zone, ProcessID: id, InForce: inForce, Alarms: alarms,
 		Reading: func(reading bool) { node.Reading(reading) },
 	})
-	node = New(Config{
-		ID: id, Zone: zone, InForce: inForce, Alarms: alarms, Peers: s.list, TryRead: reader.Try, Book: book,
-		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
-	})
-	grpcServer := grpc.NewServer()
-	node.Register(grpcServer)
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { _ = grpcServer.Serve(listener) })
-	for _, run := range []func(context.Context) error{node.Run, reader.Run, book.Run} {
-		group.Go(func() { _ = run(ctx) })
-	}
-	m := &member{Node: node, stop: sync.OnceFunc(func() {
-		cancel()
-		grpcServer.Stop()
-		group.Wait()
-	})}
-	t.Cleanup(m.stop)
-	return m
+	node = New(Config{ID: id, Zone: zone, InForce: inForce, Alarms: alarms, TryRead: reader.Try, Book: book, Peers: s.list, DialOptions: plain})
+	return s.serve(t, node, reader.Run, book.Run)
 }
 
-// accept writes an edit of the zone's state based on the newest document.
-func (s *system) accept(t *testing.T, base *config.Document, id, state string) uint64 {
+// accept writes an edit of the zone's state to the store.
+func (s *system) accept(t *testing.T, id, state string) uint64 {
 	t.Helper()
-	head, version := config.EmptyHead(), int64(0)
-	pair, err := s.store.Get(t.Context(), config.HeadKey)
-	if err == nil {
-		if head, err = config.DecodeHead(pair.Value); err != nil {
-			t.Fatal(err)
-		}
-		version = pair.Version
-	} else if !errors.Is(err, store.ErrNotFound) {
-		t.Fatal(err)
-	}
-	plan, err := config.PlanEdit(head, base, config.Edit{
-		ID: id, Author: "ann", Base: base.Revision(), Time: time.Now(),
-		Rows: []config.RowEdit{{RowID: config.RowID{Table: config.TablePools, Section: "zone z1"}, Text: "state = " + state + "\n"}},
-	})
+	edit := config.Edit{ID: id, Author: "ann", Base: s.head.Revision, Time: time.Now(), Rows: []config.RowEdit{
+		{RowID: config.RowID{Table: config.TablePools, Section: "zone z1"}, Text: "state = " + state + "\n"},
+	}}
+	plan, err := config.PlanEdit(s.head, s.document, edit)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,21 +70,23 @@
 			t.Fatal(err)
 		}
 	}
-	value, err := plan.Head.Encode()
-	if err != nil {
+	value, _ := plan.Head.Encode()
+	if s.version, err = s.store.CompareAndSwap(t.Context(), config.HeadKey, value, s.version, 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.store.CompareAndSwap(t.Context(), config.HeadKey, value, version, 0); err != nil {
+	s.document, err = s.document.Apply(config.Change{Base: s.head.Revision, Revision: plan.Head.Revision, Rows: edit.Rows})
+	if err != nil {
 		t.Fatal(err)
 	}
-	return plan.Head.Revision
+	s.head = plan.Head
+	return s.head.Revision
 }
 
 // Guards against parts that work alone but not wired together: reader leases
 // of two zones, a reader that stops, claims through the preferred gateway.
 func TestSystem(t *testing.T) {
 	s := newSystem(t)
-	first := s.accept(t, config.EmptyDocument(), "c1", "out")
+	first := s.accept(t, "c1", "out")
 	var members []*member
 	for i := range 4 {
 		members = append(members, s.gateway(t, fmt.Sprintf("g%d", i), fmt.Sprintf("z%d", i%2)))
@@ -141,11 +108,29 @@
 	if claimed != 1 {
 		t.Errorf("%d of 4 gateways claimed the key, want 1", claimed)
 	}
+	// A claim of unknown outcome must not hold its key: its caller gives up
+	// within the 50 ms that a batch waits, after which the claim takes effect.
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if r, err := members[3].Claims().Claim(short, claim.NewKey("a", "r", "lost"), "lost", 1); err == nil {
+		t.Errorf("claim of a caller that gave up = %s", r.State)
+	}
+	deadline := time.Now().Add(15 * time.Second)
+	for i := 0; ; i++ {
+		r, err := members[0].Claims().Claim(t.Context(), claim.NewKey("a", "r", "lost"), fmt.Sprint("again", i), 1)
+		if err == nil && r.State == claim.StateClaimed {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the key is still %s after 15 s, %v", r.State, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
 	for _, m := range members[:3] {
 		m.stop()
 	}
 	began := time.Now()
-	second := s.accept(t, members[3].InForce.Document(), "c2", "in")
+	second := s.accept(t, "c2", "in")
 	members[3].assertReaches(t, second)
 	t.Logf("in force %s after three of four gateways stopped and an edit was made", time.Since(began).Round(100*time.Millisecond))
 	if s.invariants.Total() != 0 {
