--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -101,6 +101,45 @@
 	}
 }
 
+// Guards against short prompts at a light load from which the limit never
+// grows, and whose base latency is taken for a prefill speed.
+func TestLightLoadOfShortPrompts(t *testing.T) {
+	l := New(start, DefaultConfig(600_000, 200_000))
+	now := start
+	for i := range 1_000 {
+		id := fmt.Sprint(i)
+		l.Admitted(now, id, 1_000, 1_100, 1_100)
+		now = now.Add(10 * time.Millisecond)
+		l.FirstToken(now, id)
+		l.Ended(now, id, false)
+	}
+	if l.Limit() < 300_000 || l.PrefillRate() != 200_000 {
+		t.Errorf("limit = %d, rate = %g; want at least 300000 and 200000", l.Limit(), l.PrefillRate())
+	}
+}
+
+// Guards against a speed learnt from answers within the base latency, after
+// which first tokens at the true speed look late.
+func TestQuickAnswersDoNotRaiseTheExpectation(t *testing.T) {
+	const rate = 50_000
+	l, now := New(start, DefaultConfig(600_000, rate)), start
+	for i := range 1_000 {
+		id := fmt.Sprint(i)
+		l.Admitted(now, id, 1_000, 1_100, l.Limit())
+		now = now.Add(20 * time.Millisecond)
+		l.FirstToken(now, id)
+	}
+	if l.PrefillRate() > 2*rate {
+		t.Errorf("learnt %g tokens/s, the engine prefills %d", l.PrefillRate(), rate)
+	}
+	before := l.Limit()
+	l.Admitted(now, "long", 100_000, 100_100, l.Limit())
+	l.FirstToken(now.Add(2*time.Second), "long")
+	if l.Limit() < before {
+		t.Errorf("limit fell from %d to %d on a first token at the true speed", before, l.Limit())
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
