--- a/gateway/peer/claims.go
+++ b/gateway/peer/claims.go
@@ -96,11 +96,15 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	request.Sender, request.KeyHash = c.node.sender(), key[:]
-	response, err := client.Claim(ctx, request)
+	response, err := client.Claim(callCtx, request)
 	if err != nil {
+		// A caller's own short deadline says nothing about the connection.
+		if ctx.Err() == nil {
+			c.node.clients.failed(address, err)
+		}
 		klog.V(1).InfoS("preferred appender does not answer", "address", address, "err", err)
 	}
 	return response, err
--- a/gateway/peer/exchange.go
+++ b/gateway/peer/exchange.go
@@ -25,6 +25,7 @@
 		Sender: n.sender(), ReaderBeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects(),
 	})
 	if err != nil {
+		n.clients.failed(to.Address, err)
 		return err
 	}
 	n.mergeSuspects(delta.GetSuspects())
