gateway/peer: keep the port open in the reconnect test

Cause: the test closed its port and opened it again, so another process could take it. Change: one listener refuses, swallows or serves connections. Conclusion: the verdict does not depend on other processes.

--- a/gateway/peer/client_test.go
+++ b/gateway/peer/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,33 @@
 	"siskinstand.example/coord/spread"
 )
 
+// The ways in which a partition treats new connections.
+const (
+	refuse int32 = iota
+	swallow
+	serve
+)
+
+// partitioned is a listener behind a partition.
+type partitioned struct {
+	net.Listener
+	mode atomic.Int32
+}
+
+func (p *partitioned) Accept() (net.Conn, error) {
+	for {
+		conn, err := p.Listener.Accept()
+		if err != nil || p.mode.Load() == serve {
+			return conn, err
+		}
+		if p.mode.Load() == refuse {
+			conn.Close()
+			continue
+		}
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+	}
+}
+
 // Guards against a gateway that stays behind after a partition: first the peer
 // refuses connections, then it swallows what is sent on one that stays open.
 func TestReconnect(t *testing.T) {
@@ -19,42 +47,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := listener.Addr().String()
-	listener.Close()
+	p := &partitioned{Listener: listener}
+	server := grpc.NewServer()
+	New(Config{ID: "p", InForce: config.NewInForce(nil)}).Register(server)
+	go func() { _ = server.Serve(p) }()
+	defer server.Stop()
 	n := New(Config{ID: "n", InForce: config.NewInForce(nil), DialOptions: plain})
 	defer n.clients.keep(nil)
-	to := spread.Peer{ID: "p", Address: address}
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		if n.exchange(t.Context(), to) == nil {
-			t.Fatal("exchange without a peer")
-		}
-	}
-	silent, err := net.Listen("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		for {
-			conn, err := silent.Accept()
-			if err != nil {
-				return
+	to := spread.Peer{ID: "p", Address: listener.Addr().String()}
+	for _, mode := range []int32{refuse, swallow} {
+		p.mode.Store(mode)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			if n.exchange(t.Context(), to) == nil {
+				t.Fatal("exchange through a partition")
 			}
-			go func() { _, _ = io.Copy(io.Discard, conn) }()
 		}
-	}()
-	time.Sleep(1500 * time.Millisecond)
-	if n.exchange(t.Context(), to) == nil {
-		t.Fatal("exchange with a peer that does not answer")
 	}
-	silent.Close()
-	listener, err = net.Listen("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	New(Config{ID: "p", InForce: config.NewInForce(nil)}).Register(server)
-	go func() { _ = server.Serve(listener) }()
-	defer server.Stop()
+	p.mode.Store(serve)
 	for began := time.Now(); n.exchange(t.Context(), to) != nil; time.Sleep(100 * time.Millisecond) {
 		if time.Since(began) > 4*time.Second {
 			t.Fatal("no exchange 4 s after the peer answers again")
