admission: drop a pledge that may not enter

Cause: an item above the concurrency limit that waited alone was pledged memory. When other work arrived it could no longer run alone until the age bound, but the pledge stayed and nothing else fitted beside it: the endpoint drained and stayed idle for up to 20 s. A limit that fell below a pledged item did the same.

Change: a pledge ends as soon as its item may not enter.

Without the change the new test admits nothing.

Conclusion: endpoints no longer idle beside a queue.

--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -69,9 +69,14 @@
 
 // nextInTurn returns the next item of the fair order.
 func (q *Queue) nextInTurn(now time.Time) *entry {
+	if q.pledged != nil && !q.mayEnter(now, q.pledged) {
+		// The limit fell, or others arrived behind an item that waited alone.
+		// Draining for it would leave the endpoint idle.
+		q.pledged = nil
+	}
 	if q.pledged == nil {
 		e := q.turn(now, func(e *entry) bool {
-			return !q.overShare(now, e) && q.withinWindow(e) && (e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e))
+			return !q.overShare(now, e) && q.withinWindow(e) && q.mayEnter(now, e)
 		})
 		if e == nil {
 			return nil
@@ -158,6 +163,11 @@
 	return len(q.running) == 0 && e.Cost() > q.capacity.LimitTokens && q.mayRunAlone(now, e)
 }
 
+// mayEnter reports whether e may run once enough running work has ended.
+func (q *Queue) mayEnter(now time.Time, e *entry) bool {
+	return e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e)
+}
+
 // mayRunAlone reports whether the endpoint may drain for an item that exceeds
 // the concurrency limit by itself. Other waiting work goes first until the age
 // bound, because its first tokens raise the limit.
--- a/coord/admission/queue_test.go
+++ b/coord/admission/queue_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("retry times fall into %d seconds, want at least 10", len(times))
 	}
 }
+
+// Guards against an endpoint that stays idle for an item above the limit,
+// which was to run alone until other work arrived.
+func TestPledgeEndsWhenItMayNotEnter(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 10_000})
+	offerAll(t, q, start, item("running", "a", 1_000))
+	q.Admit(start)
+	offerAll(t, q, start, item("large", "a", 50_000))
+	now := start.Add(q.config.AloneAfter)
+	if out := q.Admit(now); len(out) != 0 {
+		t.Fatalf("admitted %v beside the running item", out)
+	}
+	offerAll(t, q, now, item("small", "b", 1_000))
+	if out := q.Admit(now); len(out) != 1 || out[0].Item.ID != "small" {
+		t.Errorf("admitted %v, want the small item", out)
+	}
+}
