ramp: expect the delay by prompts that overtake

Cause: the expected time of a first token counted only the work present at admission. Shorter prompts that arrive later run before a long one, so on a warm engine under load long prompts looked late and cut the limit.

Change: each new prompt adds its work to the longer ones in flight.

With the old code the limit of the new test falls.

Conclusion: the limit of a warm engine stays up under a mixed load.

--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -124,15 +124,32 @@
 	for _, tokens := range l.pending[:min(sizeOf(promptTokens)+3, len(l.pending))] {
 		f.work += float64(tokens)
 	}
-	f.expected = l.config.BaseLatency
-	if l.baseline > 0 {
-		f.expected += time.Duration(f.work / l.baseline * float64(time.Second))
-	}
+	f.expected = l.config.BaseLatency + l.prefillTime(f.work)
 	l.remove(id)
+	l.delayLonger(promptTokens)
 	l.flights[id] = f
 	l.pending[sizeOf(promptTokens)] += promptTokens
 }
 
+// delayLonger adds a new prompt to the work before the longer prompts in
+// flight, which it overtakes in the engine. Without it, a long prompt among
+// short ones looks late on a warm engine.
+func (l *Limiter) delayLonger(promptTokens int64) {
+	for _, other := range l.flights {
+		if other.prompt > promptTokens {
+			other.work += float64(promptTokens)
+			other.expected += l.prefillTime(float64(promptTokens))
+		}
+	}
+}
+
+func (l *Limiter) prefillTime(tokens float64) time.Duration {
+	if l.baseline <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / l.baseline * float64(time.Second))
+}
+
 func sizeOf(promptTokens int64) int { return bits.Len64(uint64(max(promptTokens, 0))) }
 
 func (l *Limiter) remove(id string) {
--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// Guards against a long prompt that counts as late on a warm engine because
+// short ones overtook it.
+func TestOvertakenPromptIsNotLate(t *testing.T) {
+	const rate = 50_000
+	l, now := New(start, DefaultConfig(600_000, rate)), start
+	for l.warm < l.config.WarmEvidence || l.Limit() < 200_000 {
+		l.Admitted(now, "a", 4_000, 4_100, l.Limit())
+		now = now.Add(100 * time.Millisecond)
+		l.FirstToken(now, "a")
+	}
+	before := l.Limit()
+	l.Admitted(now, "long", 50_000, 50_100, l.Limit())
+	// Short prompts take four fifths of the engine, so that the long one needs
+	// five times its own second.
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		l.Admitted(now, id, 2_000, 2_100, l.Limit())
+		now = now.Add(50 * time.Millisecond)
+		l.FirstToken(now, id)
+		l.Tick(now)
+	}
+	l.FirstToken(now, "long")
+	if l.Limit() < before {
+		t.Errorf("limit fell from %d to %d", before, l.Limit())
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
