admission: report the backlog in the engine too

Cause: the load that gateways see counted only what waits at the sidecar. Below the concurrency limit nothing waits there, so the order of two candidates took no account of prompts that the engine had still to prefill.

--- a/coord/admission/admission.go
+++ b/coord/admission/admission.go
@@ -104,3 +104,8 @@
 	ReservedTokens       int64
 	PendingPrefillTokens int64
 }
+
+// BacklogTokens is the work before a new prompt: what waits here and what the
+// engine has not prefilled yet. Gateways order their candidates by it, because
+// on an endpoint below its limit nothing waits here.
+func (l Load) BacklogTokens() int64 { return l.QueuedTokens + l.PendingPrefillTokens }
--- a/coord/admission/queue_test.go
+++ b/coord/admission/queue_test.go
@@ -179,3 +179,18 @@
 		t.Errorf("admitted %v, want the small item", out)
 	}
 }
+
+// Guards against a load that looks idle while the engine has prompts before it.
+func TestBacklogCountsPendingPrefill(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 100_000})
+	offerAll(t, q, start, item("running", "a", 50_000))
+	q.Admit(start)
+	offerAll(t, q, start, item("waiting", "a", 1_000))
+	if got := q.Load().BacklogTokens(); got != 51_100 {
+		t.Errorf("backlog is %d tokens, want 51100", got)
+	}
+	q.FirstToken(start, "running")
+	if got := q.Load().BacklogTokens(); got != 1_100 {
+		t.Errorf("backlog is %d tokens after the first token, want 1100", got)
+	}
+}
--- a/loadgen/bench/sidecar.go
+++ b/loadgen/bench/sidecar.go
@@ -221,7 +221,7 @@
 func (s *sidecar) load() *pb.Load {
 	l := s.queue.Load()
 	return &pb.Load{
-		QueuedTokens: l.QueuedTokens, RunningTokens: l.ReservedTokens,
+		QueuedTokens: l.BacklogTokens(), RunningTokens: l.ReservedTokens,
 		QueuedRequests: int32(l.QueuedItems), RunningRequests: int32(l.RunningItems),
 		PrefillTokensPerSecond: int64(s.limiter.PrefillRate()), LimitTokens: s.limiter.Limit(),
 	}
