--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -46,6 +46,8 @@
 	// Known lists the suspects to send to sidecars. The version changes with
 	// the list, but not with the suspects' age.
 	Known() (suspects []*pb.Suspect, version uint64)
+	// Version returns the version of Known.
+	Version() uint64
 }
 
 // Loop is the control goroutine with its state.
@@ -56,13 +58,18 @@
 
 	// The control goroutine owns what follows.
 	snapshot   config.Snapshot
+	document   *config.Document
 	configured bool
 	listed     bool
 	table      *membership.Table
 	endpoints  map[string]*sidecar.Endpoint
+	gateways   map[string]hostlist.Host
 	streams    map[string]*controlStream
 	slices     map[string]*pb.Slice
 	dirty      bool
+	refreshed  time.Time
+	// suspectVersion is that of the latest requests to sidecars.
+	suspectVersion uint64
 }
 
 // New returns a loop with an empty view.
@@ -71,6 +78,7 @@
 		config: c, inbox: make(chan message, inboxMessages),
 		table:     membership.New(c.Policy),
 		endpoints: map[string]*sidecar.Endpoint{},
+		gateways:  map[string]hostlist.Host{},
 		streams:   map[string]*controlStream{},
 		slices:    map[string]*pb.Slice{},
 	}
@@ -119,11 +127,11 @@
 			l.handle(m, time.Now())
 			l.handleWaiting()
 		case <-ticker.C:
-			l.dirty = true
+			l.dirty = l.dirty || l.table.Due(l.refreshed, time.Now()) || l.suspectsChanged()
 		}
 		if l.dirty {
-			l.dirty = false
-			l.refresh(ctx, time.Now())
+			l.dirty, l.refreshed = false, time.Now()
+			l.refresh(ctx, l.refreshed)
 		}
 	}
 }
@@ -154,7 +162,7 @@
 		}
 	case responded:
 		if l.current(m.endpoint) {
-			l.table.Responded(m.endpoint.Name, now)
+			l.dirty = l.table.Responded(m.endpoint.Name, now) || l.dirty
 		}
 	case unreachable:
 		if l.current(m.endpoint) {
@@ -169,9 +177,20 @@
 // current tells whether a message is about the endpoint's present incarnation.
 func (l *Loop) current(e *sidecar.Endpoint) bool { return l.endpoints[e.Name] == e }
 
+func (l *Loop) suspectsChanged() bool { return l.config.Suspects.Version() != l.suspectVersion }
+
 func (l *Loop) applyHosts(u hostlist.Update) {
 	var rows []membership.Row
+	if u.Full {
+		clear(l.gateways)
+	}
+	for _, name := range u.Removed {
+		delete(l.gateways, name)
+	}
 	for _, h := range u.Hosts {
+		if h.Role == hostlist.RoleGateway {
+			l.gateways[h.Name] = h
+		}
 		if h.Role != hostlist.RoleEndpoint {
 			continue
 		}
@@ -186,15 +205,20 @@
 }
 
 func (l *Loop) applyConfig() {
-	s, ok := l.config.Source.Current()
-	if !ok {
+	s := l.config.Source.Current()
+	var document *config.Document
+	if source, ok := l.config.Source.(documentSource); ok {
+		document = source.Document()
+		s = document.Snapshot()
+	}
+	if s.Revision == 0 {
 		return
 	}
 	if l.configured && s.Revision < l.snapshot.Revision {
 		l.config.Invariants.Check(false, invariant.ConfigMonotonic, "revision %d follows %d", s.Revision, l.snapshot.Revision)
 		return
 	}
-	l.snapshot, l.configured, l.dirty = s, true, true
+	l.snapshot, l.document, l.configured, l.dirty = s, document, true, true
 	klog.InfoS("configuration in force", logging.FieldRevision, s.Revision)
 }
 
--- /dev/null
+++ b/gateway/peer/operators.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"siskinstand.example/peerpb"
+)
+
+// permitTimeout bounds a request that is passed on to the budget's holder.
+const permitTimeout = 2 * time.Second
+
+// LoadPermit answers for the weight-load budget, or passes the request on to
+// the gateway that holds it. A request is passed on once.
+func (n *Node) LoadPermit(ctx context.Context, r *peerpb.LoadPermitRequest) (*peerpb.LoadPermitResponse, error) {
+	if n.Permits == nil {
+		return nil, status.Error(codes.FailedPrecondition, "this process knows no weight-load budget")
+	}
+	answer, err := n.Permits.Request(r.GetSender().GetProcessId(), r.GetBytes())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	if answer.Holder == n.ID {
+		return &peerpb.LoadPermitResponse{
+			Sender: n.sender(), Granted: answer.Granted, RetryAfterMs: answer.RetryAfter.Milliseconds(), Fence: answer.Fence,
+		}, nil
+	}
+	holder, known := (*n.peers.Load())[answer.Holder]
+	if r.GetForwarded() || !known {
+		return nil, status.Errorf(codes.Unavailable, "the weight-load budget is held by %q", answer.Holder)
+	}
+	client, err := n.clients.get(holder.Address)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return client.LoadPermit(ctx, &peerpb.LoadPermitRequest{Sender: r.GetSender(), Bytes: r.GetBytes(), Forwarded: true})
+}
+
+// Status reports this process, its alarms and what main adds to it.
+func (n *Node) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	response := &peerpb.StatusResponse{Role: "gateway", State: "serving"}
+	if n.Config.Status != nil {
+		response = n.Config.Status()
+	}
+	if n.Current().Revision == 0 {
+		response.State = "no_configuration"
+	}
+	response.Sender = n.sender()
+	now := time.Now()
+	for _, a := range n.Alarms.List() {
+		response.Alarms = append(response.Alarms, &peerpb.Alarm{Name: string(a.Name), Message: a.Message, Count: a.Count})
+	}
+	for id, p := range *n.peers.Load() {
+		seen, ok := n.seen.get(id)
+		if !ok {
+			seen.at = n.started
+		}
+		response.Peers = append(response.Peers, &peerpb.PeerStatus{
+			ProcessId: id, Zone: p.Zone, ConfigRevision: seen.revision, SeenAgeMs: now.Sub(seen.at).Milliseconds(),
+		})
+	}
+	return response, nil
+}
+
+// maxBurnAccounts bounds the accounts of one request; an account has up to 72
+// series in each service, of about 60 bytes.
+const maxBurnAccounts = 200
+
+// Burn reports the service-level burn of this process.
+func (n *Node) Burn(_ context.Context, r *peerpb.BurnRequest) (*peerpb.BurnResponse, error) {
+	response := &peerpb.BurnResponse{Sender: n.sender()}
+	if n.Config.Burn == nil {
+		return response, nil
+	}
+	accounts := r.GetAccounts()
+	if len(accounts) > maxBurnAccounts {
+		return nil, status.Errorf(codes.InvalidArgument, "%d accounts; accepted: up to %d", len(accounts), maxBurnAccounts)
+	}
+	series, err := n.Config.Burn.Series(accounts)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	for _, s := range series {
+		response.Series = append(response.Series, &peerpb.BurnSeries{
+			Account: s.Account, Service: s.Service, Class: s.Class, Objective: string(s.Objective),
+			WindowS: int64(time.Duration(s.Window) / time.Second), Good: s.Good, Total: s.Total, Histogram: s.Histogram,
+		})
+	}
+	response.WorstAccounts = n.Config.Burn.Worst(min(int(r.GetWorst()), maxBurnAccounts))
+	return response, nil
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,51 +1,56 @@
 package main
 
 import (
-	"errors"
-
+	"siskinstand.example/gateway/cluster"
 	"siskinstand.example/gateway/config"
 	"siskinstand.example/gateway/daemon"
 	"siskinstand.example/gateway/tablefile"
 	"siskinstand.example/platform/hostlist"
+	"siskinstand.example/platform/kvstore"
 	"siskinstand.example/service/logging"
 )
 
 // check reads the tables and keys that the settings name.
 func check(s config.Settings) error {
-	if s.Tables.FromFiles() {
+	if s.Store.Address == "" {
 		if _, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll); err != nil {
 			return err
 		}
 	}
-	return daemon.CheckKeys(s.TLS)
+	_, err := daemon.LoadKeys(s.TLS)
+	return err
 }
 
 func serve(s config.Settings) error {
 	if err := logging.Setup(s.Log); err != nil {
 		return err
 	}
-	parts, err := openParts(s)
+	keys, err := daemon.LoadKeys(s.TLS)
+	if err != nil {
+		return err
+	}
+	base, err := daemon.NewBase(s, keys)
+	if err != nil {
+		return err
+	}
+	parts, err := openParts(base)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(s, parts)
+	d, err := daemon.New(base, parts)
 	if err != nil {
 		return err
 	}
 	return d.Run()
 }
 
-// openParts connects the gateway to the platform. The reader of the key-value
-// store (gateway/kvstore), the exchange with other gateways (gateway/peer) and
-// the claim log take their places here: they set Source and Claims and add
-// their long-running parts to Extra.
-func openParts(s config.Settings) (daemon.Parts, error) {
-	hosts, err := openHosts(s.Platform)
-	if err != nil {
-		return daemon.Parts{}, err
-	}
-	if !s.Tables.FromFiles() {
-		return daemon.Parts{}, errors.New("[tables] routes: required as long as the tables are not read from the key-value store")
+// openParts connects the gateway to the platform: to the key-value store and
+// the other gateways, or to table files alone.
+func openParts(b *daemon.Base) (daemon.Parts, error) {
+	s := b.Settings
+	hosts := hostlist.NewHTTP(s.Platform.HostList, hostlist.DefaultLimits())
+	if s.Store.Address != "" {
+		return cluster.Open(b, kvstore.NewHTTP(s.Store.Address, kvstore.DefaultLimits()), hosts)
 	}
 	source, err := tablefile.Open(s.Tables.Routes, s.Tables.Pools, s.Tables.Poll)
 	if err != nil {
@@ -58,7 +63,3 @@
 		Extra:  []daemon.Part{{Name: "tables", Run: source.Run}},
 	}, nil
 }
-
-func openHosts(config.Platform) (hostlist.List, error) {
-	return nil, errors.New("[platform] host_list: the adapter of the host list is not part of this build")
-}
