--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -70,9 +70,14 @@
 
 // nextInTurn returns the next item of the fair order.
 func (q *Queue) nextInTurn(now time.Time) *entry {
+	if q.pledged != nil && !q.mayEnter(now, q.pledged) {
+		// The limit fell, or others arrived behind an item that waited alone.
+		// Draining for it would leave the endpoint idle.
+		q.pledged = nil
+	}
 	if q.pledged == nil {
 		e := q.turn(now, func(e *entry) bool {
-			return !q.overShare(now, e) && q.withinWindow(e) && (e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e))
+			return !q.overShare(now, e) && q.withinWindow(e) && q.mayEnter(now, e)
 		})
 		if e == nil {
 			return nil
@@ -159,6 +164,11 @@
 	return len(q.running) == 0 && e.Cost() > q.capacity.LimitTokens && q.mayRunAlone(now, e)
 }
 
+// mayEnter reports whether e may run once enough running work has ended.
+func (q *Queue) mayEnter(now time.Time, e *entry) bool {
+	return e.Cost() <= q.capacity.LimitTokens || q.mayRunAlone(now, e)
+}
+
 // mayRunAlone reports whether the endpoint may drain for an item that exceeds
 // the concurrency limit by itself. While other work waits, such items get at
 // most aloneShare of the endpoint's time, unless one is past the age bound.
@@ -225,9 +235,30 @@
 	if !now.Before(e.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "deadline passed in the queue")
 	}
-	if now.Add(q.prefillTime(e.PromptTokens)).After(e.Deadline) {
+	if now.Add(q.timeToFinish(e)).After(e.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.ReasonDeadlineTooNear, "%s are left for a prompt of %d tokens",
 			e.Deadline.Sub(now).Round(time.Millisecond), e.PromptTokens)
 	}
 	return nil
 }
+
+// timeToFinish estimates the time from admission to the end of the answer.
+// Only while other work waits does it count the answer: refusing the item then
+// gives its place to work that can finish, and without other work the length of
+// the answer can be learnt from it.
+func (q *Queue) timeToFinish(e *entry) time.Duration {
+	if len(q.waiting) <= 1 {
+		return q.prefillTime(e.PromptTokens)
+	}
+	ahead := int64(0)
+	for class := range e.class + 1 {
+		ahead += q.pending[class]
+	}
+	answer := seconds(finishMargin * q.decodeTime(e.OutputTokens).Seconds())
+	return waitFactor*q.prefillTime(ahead) + q.prefillTime(e.PromptTokens) + answer
+}
+
+// finishMargin covers answers that are 40% longer than the mean, the error of
+// length estimates in the design. Work that is admitted last would otherwise
+// end just after its deadline.
+const finishMargin = 1.4
--- a/coord/admission/queue_test.go
+++ b/coord/admission/queue_test.go
@@ -163,6 +163,38 @@
 	}
 }
 
+// Guards against an endpoint that stays idle for an item above the limit,
+// which was to run alone until other work arrived.
+func TestPledgeEndsWhenItMayNotEnter(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 10_000})
+	offerAll(t, q, start, item("running", "a", 1_000))
+	q.Admit(start)
+	offerAll(t, q, start, item("large", "a", 50_000))
+	now := start.Add(q.config.AloneAfter)
+	if out := q.Admit(now); len(out) != 0 {
+		t.Fatalf("admitted %v beside the running item", out)
+	}
+	offerAll(t, q, now, item("small", "b", 1_000))
+	if out := q.Admit(now); len(out) != 1 || out[0].Item.ID != "small" {
+		t.Errorf("admitted %v, want the small item", out)
+	}
+}
+
+// Guards against a load that looks idle while the engine has prompts before it.
+func TestBacklogCountsPendingPrefill(t *testing.T) {
+	q := newQueue(Capacity{MemoryTokens: 100_000, LimitTokens: 100_000})
+	offerAll(t, q, start, item("running", "a", 50_000))
+	q.Admit(start)
+	offerAll(t, q, start, item("waiting", "a", 1_000))
+	if got := q.Load().BacklogTokens(); got != 51_100 {
+		t.Errorf("backlog is %d tokens, want 51100", got)
+	}
+	q.FirstToken(start, "running")
+	if got := q.Load().BacklogTokens(); got != 1_100 {
+		t.Errorf("backlog is %d tokens after the first token, want 1100", got)
+	}
+}
+
 // Guards against prompts above a cold endpoint's limit that wait for the age
 // bound although each of them needs little time, and against such prompts
 // running back to back while short work waits.
