budget: refuse permits to a former sidecar

Cause: a permit named only the process. A sidecar that was paused while its successor took over the endpoint could ask anew and order the engine again.

Change: requests name endpoint and incarnation; the budget refuses a lower incarnation than one that has asked as superseded. The holder looks up the model's size in the weight store if the request gives none.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -23,11 +23,24 @@
 	repeatWindow = 30 * time.Second
 	// jitterParts spreads the retries over a quarter of their delay.
 	jitterParts = 4
+	// maxEndpoints bounds the endpoints whose incarnation is kept. The design
+	// size is 12,000 endpoints.
+	maxEndpoints = 65_536
 )
 
-// Permit answers a request. RetryAfter is set if it is not granted.
+// Process is a sidecar that asks for its endpoint. A later sidecar of the
+// endpoint has a higher incarnation.
+type Process struct {
+	Endpoint    string
+	Incarnation uint64
+}
+
+// Permit answers a request. RetryAfter is set if it is not granted. Superseded
+// means that a later sidecar of the endpoint has asked, so that this one must
+// not order a load at all.
 type Permit struct {
 	Granted    bool
+	Superseded bool
 	RetryAfter time.Duration
 }
 
@@ -44,22 +57,28 @@
 	// busyUntil is when the loads granted so far end at the store's full rate.
 	busyUntil time.Time
 	grants    map[string]grant
+	// newest holds the highest incarnation of each endpoint that has asked.
+	newest map[string]uint64
 }
 
 // New returns the budget of a holder that begins now. rate is in bytes a
 // second; 0 grants nothing. The permits of a former holder are not known, so
 // the burst counts as used.
 func New(now time.Time, rate int64, burst time.Duration) *Budget {
-	return &Budget{rate: rate, burst: burst, busyUntil: now.Add(burst), grants: map[string]grant{}}
+	return &Budget{rate: rate, burst: burst, busyUntil: now.Add(burst), grants: map[string]grant{}, newest: map[string]uint64{}}
 }
 
 // SetRate takes a changed rate of the weight store; loads granted before keep
 // their end.
 func (b *Budget) SetRate(rate int64) { b.rate = rate }
 
-// Request decides on a load of a process.
-func (b *Budget) Request(now time.Time, process string, bytes int64) Permit {
+// Request decides on a load that a process wants to order.
+func (b *Budget) Request(now time.Time, p Process, bytes int64) Permit {
 	b.expire(now)
+	process := p.Endpoint
+	if !b.isNewest(p) {
+		return Permit{Superseded: true, RetryAfter: b.retry(process, maxRetry)}
+	}
 	if g, ok := b.grants[process]; ok && g.bytes == bytes {
 		return Permit{Granted: true}
 	}
@@ -77,6 +96,17 @@
 	return Permit{Granted: true}
 }
 
+func (b *Budget) isNewest(p Process) bool {
+	known, ok := b.newest[p.Endpoint]
+	if p.Incarnation < known {
+		return false
+	}
+	if ok || len(b.newest) < maxEndpoints {
+		b.newest[p.Endpoint] = p.Incarnation
+	}
+	return true
+}
+
 // duration avoids the overflow of bytes times nanoseconds.
 func (b *Budget) duration(bytes int64) time.Duration {
 	seconds := float64(bytes) / float64(b.rate)
--- a/gateway/kvstore/budget.go
+++ b/gateway/kvstore/budget.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/budget"
@@ -24,6 +25,8 @@
 	budgetInterval = 15 * time.Second
 	budgetSpread   = 5 * time.Second
 	rateInterval   = time.Minute
+	// maxSizes bounds the models whose size is kept.
+	maxSizes = 1024
 )
 
 // BudgetConfig names the process and its stores.
@@ -37,6 +40,14 @@
 	Burst time.Duration
 }
 
+// LoadRequest is a sidecar's request for a permit. Without a size the holder
+// looks up the size of the model.
+type LoadRequest struct {
+	Process budget.Process
+	Model   string
+	Bytes   int64
+}
+
 // PermitAnswer is the holder's decision, or only the name of the holder if that
 // is another process.
 type PermitAnswer struct {
@@ -54,6 +65,8 @@
 	holder string
 	lease  *heldLease
 	state  *budget.Budget
+	// sizes caches the size of each model in the weight store.
+	sizes map[string]int64
 }
 
 // NewBudget returns a budget that is not held.
@@ -64,23 +77,61 @@
 	if c.Burst == 0 {
 		c.Burst = budget.DefaultBurst
 	}
-	return &Budget{config: c}
+	return &Budget{config: c, sizes: map[string]int64{}}
 }
 
 // Request decides on a load of a process if the budget is held here.
-func (b *Budget) Request(process string, bytes int64) (PermitAnswer, error) {
+func (b *Budget) Request(ctx context.Context, r LoadRequest) (PermitAnswer, error) {
+	if holder := b.otherHolder(); holder != "" {
+		return PermitAnswer{Holder: holder}, nil
+	}
+	if r.Bytes == 0 {
+		var err error
+		if r.Bytes, err = b.size(ctx, r.Model); err != nil {
+			return PermitAnswer{}, err
+		}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.lease != nil && b.lease.usable() {
-		return PermitAnswer{
-			Permit: b.state.Request(time.Now(), process, bytes),
-			Fence:  uint64(b.lease.id), Holder: b.config.ProcessID,
-		}, nil
-	}
-	if b.holder == "" || b.holder == b.config.ProcessID {
+	if b.lease == nil || !b.lease.usable() {
 		return PermitAnswer{}, errNoBudget
 	}
-	return PermitAnswer{Holder: b.holder}, nil
+	return PermitAnswer{
+		Permit: b.state.Request(time.Now(), r.Process, r.Bytes),
+		Fence:  uint64(b.lease.id), Holder: b.config.ProcessID,
+	}, nil
+}
+
+// otherHolder names the process that holds the budget if it is not this one.
+func (b *Budget) otherHolder() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lease != nil || b.holder == b.config.ProcessID {
+		return ""
+	}
+	return b.holder
+}
+
+// size asks the weight store once for each model. Weights of a model version do
+// not change.
+func (b *Budget) size(ctx context.Context, model string) (int64, error) {
+	b.mu.Lock()
+	bytes, known := b.sizes[model]
+	b.mu.Unlock()
+	if known {
+		return bytes, nil
+	}
+	object, err := b.config.Weights.Stat(ctx, model)
+	if err != nil {
+		return 0, eris.Wrap(err, "size of the model")
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.sizes) >= maxSizes {
+		clear(b.sizes)
+	}
+	b.sizes[model] = object.Bytes
+	return object.Bytes, nil
 }
 
 // Run tries to get the lease now and then, and holds it as long as it can.
--- a/gateway/kvstore/budget_test.go
+++ b/gateway/kvstore/budget_test.go
@@ -31,7 +31,7 @@
 func assertHolder(t *testing.T, b *Budget, want string) PermitAnswer {
 	t.Helper()
 	synctest.Wait()
-	answer, err := b.Request("endpoint", 100)
+	answer, err := b.Request(t.Context(), LoadRequest{Process: budget.Process{Endpoint: "endpoint"}, Bytes: 100})
 	if answer.Holder != want || (want == "") != (err != nil) {
 		t.Errorf("%s: holder %q, %v, want %q", b.config.ProcessID, answer.Holder, err, want)
 	}
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -33,7 +33,7 @@
 
 // Permits decides on weight loads, or names the gateway that does.
 type Permits interface {
-	Request(process string, bytes int64) (kvstore.PermitAnswer, error)
+	Request(ctx context.Context, r kvstore.LoadRequest) (kvstore.PermitAnswer, error)
 }
 
 // Config names the process and its parts. Suspects, Permits, Status and Burn
--- a/gateway/peer/operators.go
+++ b/gateway/peer/operators.go
@@ -7,6 +7,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"siskinstand.example/coord/budget"
+	"siskinstand.example/gateway/kvstore"
 	"siskinstand.example/peerpb"
 )
 
@@ -19,13 +21,13 @@
 	if n.Permits == nil {
 		return nil, status.Error(codes.FailedPrecondition, "this process knows no weight-load budget")
 	}
-	answer, err := n.Permits.Request(r.GetSender().GetProcessId(), r.GetBytes())
+	answer, err := n.Permits.Request(ctx, loadRequestOf(r))
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	if answer.Holder == n.ID {
 		return &peerpb.LoadPermitResponse{
-			Sender: n.sender(), Granted: answer.Granted, RetryAfterMs: answer.RetryAfter.Milliseconds(), Fence: answer.Fence,
+			Sender: n.sender(), Granted: answer.Granted, RetryAfterMs: answer.RetryAfter.Milliseconds(), Fence: answer.Fence, Superseded: answer.Superseded,
 		}, nil
 	}
 	holder, known := (*n.peers.Load())[answer.Holder]
@@ -38,7 +40,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	return client.LoadPermit(ctx, &peerpb.LoadPermitRequest{Sender: r.GetSender(), Bytes: r.GetBytes(), Forwarded: true})
+	return client.LoadPermit(ctx, &peerpb.LoadPermitRequest{
+		Sender: r.GetSender(), Endpoint: r.GetEndpoint(), Model: r.GetModel(), Bytes: r.GetBytes(), Forwarded: true,
+	})
+}
+
+func loadRequestOf(r *peerpb.LoadPermitRequest) kvstore.LoadRequest {
+	process := budget.Process{Endpoint: r.GetEndpoint(), Incarnation: r.GetSender().GetIncarnation()}
+	return kvstore.LoadRequest{Process: process, Model: r.GetModel(), Bytes: r.GetBytes()}
 }
 
 // Status reports this process, its alarms and what main adds to it.
--- a/gateway/peer/operators_test.go
+++ b/gateway/peer/operators_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 // fixedPermits grants at the holder and names it elsewhere.
 type fixedPermits struct{ holder string }
 
-func (p fixedPermits) Request(string, int64) (kvstore.PermitAnswer, error) {
+func (p fixedPermits) Request(context.Context, kvstore.LoadRequest) (kvstore.PermitAnswer, error) {
 	return kvstore.PermitAnswer{Permit: budget.Permit{Granted: true, RetryAfter: time.Second}, Fence: 7, Holder: p.holder}, nil
 }
 
