gateway: hold the weight-load budget and tell sidecars the model

Cause: the leased budget was tested code that no program ran, and the slice did not name the pool's model.

Change: with [platform] weight_store, the gateway competes for the budget's lease and answers Peer.LoadPermit. Control streams carry the address of the Peer service and the model on which all pools of the endpoint agree.

--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -20,6 +20,7 @@
 	pb "siskinstand.example/peerpb"
 	"siskinstand.example/platform/hostlist"
 	store "siskinstand.example/platform/kvstore"
+	"siskinstand.example/platform/weightstore"
 )
 
 // stopTimeout bounds the calls of peers that are open at the end.
@@ -35,6 +36,7 @@
 	reader := kvstore.NewReader(kvstore.ReaderConfig{
 		Store: s, Zone: process.Zone, ProcessID: process.ID, InForce: inForce, Alarms: alarms,
 	})
+	permits, parts := weightBudget(b, s)
 	node := peer.New(peer.Config{
 		ID: process.ID, Zone: process.Zone, Incarnation: b.Incarnation, Seed: routing.HashName(process.ID) ^ b.Incarnation,
 		InForce: inForce, Alarms: alarms, Book: book, TryRead: reader.Try,
@@ -42,6 +44,7 @@
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy()},
 		Suspects:    exchange{b},
 		Burn:        b.Burn,
+		Permits:     permits,
 		Status:      func() *pb.StatusResponse { return status(b) },
 	})
 	reader.Reading = node.Reading
@@ -51,15 +54,29 @@
 	}
 	return daemon.Parts{
 		Source: inForce, Hosts: hosts, Claims: node.Claims(),
-		Extra: []daemon.Part{
+		PeerAddress: b.Settings.Peers.Address,
+		Extra: append(parts, []daemon.Part{
 			{Name: "claim book", Run: book.Run},
 			{Name: "configuration reader", Run: reader.Run},
 			{Name: "peers", Run: node.Run},
 			{Name: "peer listener", Run: func(ctx context.Context) error { return serve(ctx, b, node, listener) }},
-		},
+		}...),
 	}, nil
 }
 
+// weightBudget returns the leased role of the weight-load budget. Without a
+// weight store the gateway only knows no permits.
+func weightBudget(b *daemon.Base, s store.Store) (peer.Permits, []daemon.Part) {
+	address := b.Settings.Platform.WeightStore
+	if address == "" {
+		return nil, nil
+	}
+	budget := kvstore.NewBudget(kvstore.BudgetConfig{
+		Store: s, Weights: weightstore.NewHTTP(address, weightstore.DefaultLimits()), ProcessID: b.Settings.Process.ID,
+	})
+	return budget, []daemon.Part{{Name: "weight-load budget", Run: budget.Run}}
+}
+
 func serve(ctx context.Context, b *daemon.Base, node *peer.Node, l net.Listener) error {
 	var options []grpc.ServerOption
 	if b.Keys.Peers != nil {
--- a/gateway/control/loop.go
+++ b/gateway/control/loop.go
@@ -27,6 +27,8 @@
 // Config constructs a Loop.
 type Config struct {
 	GatewayID string
+	// PeerAddress is the gateway's own Peer service, empty without one.
+	PeerAddress string
 	// Subset is the number of endpoints with a control stream.
 	Subset       int
 	HostInterval time.Duration
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -78,6 +78,7 @@
 		Endpoint: name, Revision: l.snapshot.Revision,
 		ZoneOut: l.snapshot.Tables.ZoneOut(e.Zone), HostLeaving: l.snapshot.Tables.HostLeaving(name),
 	}
+	var models []string
 	for _, pool := range pools {
 		if e.Service != pool.Service || !pool.InZone(e.Zone) {
 			continue
@@ -85,11 +86,18 @@
 		if s.Pool == "" {
 			s.Pool = pool.Name
 		}
+		if pool.Model != "" {
+			models = append(models, pool.Model)
+		}
 		s.MaxPromptTokens = max(s.MaxPromptTokens, pool.MaxPromptTokens)
 		if l.document != nil {
 			s.ChangedRevision = max(s.ChangedRevision, l.document.Slice(pool.Name, e.Zone, name).ChangedRevision)
 		}
 	}
+	// Pools that share an endpoint but name different models give no order.
+	if models = slices.Compact(models); len(models) == 1 {
+		s.Model = models[0]
+	}
 	if l.document == nil {
 		s.ChangedRevision = l.seenChange(name, s)
 	}
@@ -111,7 +119,7 @@
 }
 
 func sameSlice(a, b *pb.Slice) bool {
-	return a.GetPool() == b.GetPool() && a.GetZoneOut() == b.GetZoneOut() &&
+	return a.GetPool() == b.GetPool() && a.GetModel() == b.GetModel() && a.GetZoneOut() == b.GetZoneOut() &&
 		a.GetHostLeaving() == b.GetHostLeaving() && a.GetMaxPromptTokens() == b.GetMaxPromptTokens()
 }
 
@@ -152,8 +160,10 @@
 // controlStream is a running control stream.
 type controlStream struct {
 	endpoint *sidecar.Endpoint
-	cancel   context.CancelFunc
-	requests chan *pb.ControlRequest
+	// peerAddress is where the sidecar reaches this gateway's Peer service.
+	peerAddress string
+	cancel      context.CancelFunc
+	requests    chan *pb.ControlRequest
 	// sent and version are those of the latest request.
 	sent    *pb.Slice
 	version uint64
@@ -165,7 +175,7 @@
 	if s.sent != nil && proto.Equal(s.sent, slice) && s.version == version {
 		return
 	}
-	request := &pb.ControlRequest{Slice: slice, Suspects: suspects}
+	request := &pb.ControlRequest{Slice: slice, Suspects: suspects, PeerAddress: s.peerAddress}
 	s.sent, s.version = slice, version
 	select {
 	case <-s.requests:
@@ -176,7 +186,7 @@
 
 func (l *Loop) startStream(loop context.Context, e *sidecar.Endpoint) *controlStream {
 	ctx, cancel := context.WithCancel(loop)
-	s := &controlStream{endpoint: e, cancel: cancel, requests: make(chan *pb.ControlRequest, 1)}
+	s := &controlStream{endpoint: e, peerAddress: l.config.PeerAddress, cancel: cancel, requests: make(chan *pb.ControlRequest, 1)}
 	l.streams[e.Name] = s
 	go func() {
 		defer cancel()
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -27,6 +27,9 @@
 	Source control.ConfigSource
 	Hosts  hostlist.List
 	Claims claim.Book
+	// PeerAddress is where sidecars reach the gateway's Peer service; empty
+	// without one.
+	PeerAddress string
 	// Extra are further parts that run until the gateway stops.
 	Extra []Part
 }
@@ -69,7 +72,7 @@
 	s := d.Settings
 	client := sidecar.NewClient(d.connections, d.sender)
 	d.loop = control.New(control.Config{
-		GatewayID: s.Process.ID, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
+		GatewayID: s.Process.ID, PeerAddress: d.parts.PeerAddress, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
 		Policy: membership.Policy{Silence: s.Sidecars.ForgetAfter, ProbeAfter: s.Sidecars.ProbeAfter, ProbeLimit: s.Sidecars.ProbeLimit},
 		Source: d.parts.Source, Hosts: d.parts.Hosts, Client: client,
 		Invariants: d.Invariants, Suspects: d.Suspects,
