sidecar: order the engine to load the pool's model

Cause: engine.Apply had no caller, so an engine with another model than its pool's answered with that model.

The endpoint refuses work meanwhile.

--- a/sidecar/config/engine.go
+++ b/sidecar/config/engine.go
@@ -1,6 +1,10 @@
 package config
 
-import "time"
+import (
+	"time"
+
+	"siskinstand.example/coord/fence"
+)
 
 // Engine is the section of the engine's address and limits.
 type Engine struct {
@@ -9,5 +13,9 @@
 	PrefillRate  float64       `ini:"prefill_tokens_per_second" default:"0" min:"0" unit:"tokens/s" help:"expected prefill speed; 0 takes the engine's report"`
 	DialTimeout  time.Duration `ini:"dial_timeout" default:"1s" min:"1ms" max:"1m" help:"time limit of a connection to the engine"`
 	CallTimeout  time.Duration `ini:"call_timeout" default:"2s" min:"1ms" max:"1m" help:"time limit of a small call to the engine"`
+	Fencing      string        `ini:"fencing" default:"checks" oneof:"checks,ignores" help:"whether the engine refuses orders with an old fencing number or ignores the number"`
 	StallTimeout time.Duration `ini:"stall_timeout" default:"30s" min:"100ms" max:"1h" help:"longest silence of a stream"`
 }
+
+// FenceMode returns what the engine does with fencing numbers.
+func (e Engine) FenceMode() fence.Mode { return fence.Mode(e.Fencing) }
--- a/sidecar/control/engine.go
+++ b/sidecar/control/engine.go
@@ -119,6 +119,9 @@
 		l.reconcile(now, m)
 	default:
 		w.nextProbe = now.Add(probeInterval)
+		if l.wrongModel() {
+			l.handBack(l.open())
+		}
 		l.sweep(now, m)
 	}
 }
--- a/sidecar/control/gate.go
+++ b/sidecar/control/gate.go
@@ -67,6 +67,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "endpoint is starting").WithRetryAfter(time.Second)
 	case l.phase == phaseDown:
 		return verdict.New(verdict.NotRun, verdict.ReasonEngineDown, "engine is down").WithRetryAfter(time.Second)
+	case l.wrongModel():
+		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "engine serves model %q, the pool's is %q", l.watch.model, l.slice.Model).WithRetryAfter(time.Second)
 	case l.slice.ZoneOut:
 		return verdict.New(verdict.NotRun, verdict.ReasonZoneOut, "availability zone %s is out", l.config.Zone)
 	case l.slice.HostLeaving:
@@ -75,6 +77,27 @@
 	return nil
 }
 
+// wrongModel reports whether the engine serves another model than its pool's.
+// Plain services, which are not ramped, serve none.
+func (l *Loop) wrongModel() bool {
+	return l.config.Ramped && l.watch.incarnation != "" && l.slice.Model != "" && l.watch.model != l.slice.Model
+}
+
+// modelToLoad returns the model that the engine has to be ordered to load now,
+// or an empty text. A change of model ends what runs, so it waits for running
+// attempts and for holds, which are part of runs led by other engines.
+func (l *Loop) modelToLoad() string {
+	if !l.wrongModel() || l.phase == phaseDown || l.draining || l.slice.HostLeaving || l.holds.Tokens() > 0 {
+		return ""
+	}
+	for _, t := range l.attempts {
+		if t.ran {
+			return ""
+		}
+	}
+	return l.slice.Model
+}
+
 // suspectsFor attaches suspects to refusals that tell of a death.
 func (l *Loop) suspectsFor(refusal *verdict.Error) []suspect.Report {
 	switch refusal.Reason {
--- a/sidecar/control/slice.go
+++ b/sidecar/control/slice.go
@@ -17,6 +17,8 @@
 	ZoneOut         bool
 	HostLeaving     bool
 	MaxPromptTokens int64
+	// Model is what the engine has to serve; empty means that any will do.
+	Model string
 }
 
 // Known reports whether any gateway has sent a slice.
--- a/sidecar/control/snapshot.go
+++ b/sidecar/control/snapshot.go
@@ -36,8 +36,10 @@
 	TotalTokens int64
 	HeldTokens  int64
 	Model       string
-	Slice       Slice
-	Suspects    []suspect.Report
+	// LoadModel is the model that the engine has to be ordered to load now.
+	LoadModel string
+	Slice     Slice
+	Suspects  []suspect.Report
 	// Changed is closed when a snapshot that differs significantly from this
 	// one follows.
 	Changed chan struct{}
@@ -54,7 +56,7 @@
 		return StateEngineDown
 	case l.draining || l.slice.ZoneOut || l.slice.HostLeaving:
 		return StateDraining
-	case l.phase == phaseStarting:
+	case l.phase == phaseStarting || l.wrongModel():
 		return StateStarting
 	default:
 		return StateServing
@@ -67,7 +69,7 @@
 	next := &Snapshot{
 		State: l.state(), Load: l.queue.Load(), TotalTokens: l.watch.total, HeldTokens: l.holds.Tokens(), Model: l.watch.model,
 		Slice: l.slice, Changed: old.Changed, Suspects: old.Suspects, suspectsAt: old.suspectsAt,
-		Capacity: l.capacity(),
+		Capacity: l.capacity(), LoadModel: l.modelToLoad(),
 	}
 	if now.Sub(old.suspectsAt) >= suspectRefresh || len(old.Suspects) != min(l.suspects.Len(), maxReports) || next.State != old.State {
 		next.Suspects = l.suspects.Reports(now, maxReports)
@@ -84,7 +86,7 @@
 
 // differs reports whether gateways should hear of a snapshot at once.
 func (s *Snapshot) differs(old *Snapshot) bool {
-	if old == nil || s.State != old.State || s.Slice != old.Slice || s.Model != old.Model || len(s.Suspects) != len(old.Suspects) {
+	if old == nil || s.State != old.State || s.Slice != old.Slice || s.Model != old.Model || s.LoadModel != old.LoadModel || len(s.Suspects) != len(old.Suspects) {
 		return true
 	}
 	tokens := func(l admission.Load) int64 { return l.QueuedTokens + l.ReservedTokens }
--- a/sidecar/gateway/control.go
+++ b/sidecar/gateway/control.go
@@ -50,11 +50,13 @@
 }
 
 func (s *Server) receive(stream peerpb.Sidecar_ControlServer) {
+	defer s.gateways.note(stream, "")
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		s.gateways.note(stream, m.PeerAddress)
 		if m.Slice != nil {
 			s.config.Loop.SetSlice(sliceOf(m.Slice))
 		}
@@ -72,7 +74,7 @@
 func sliceOf(s *peerpb.Slice) control.Slice {
 	return control.Slice{
 		Revision: s.Revision, ChangedRevision: s.ChangedRevision, Endpoint: s.Endpoint, Pool: s.Pool,
-		ZoneOut: s.ZoneOut, HostLeaving: s.HostLeaving, MaxPromptTokens: s.MaxPromptTokens,
+		ZoneOut: s.ZoneOut, HostLeaving: s.HostLeaving, MaxPromptTokens: s.MaxPromptTokens, Model: s.Model,
 	}
 }
 
--- a/sidecar/gateway/server.go
+++ b/sidecar/gateway/server.go
@@ -27,8 +27,9 @@
 type Server struct {
 	peerpb.UnimplementedSidecarServer
 	peerpb.UnimplementedPeerServer
-	config Config
-	burn   *burn.Recorder
+	config   Config
+	burn     *burn.Recorder
+	gateways gateways
 }
 
 // New returns a server.
--- /dev/null
+++ b/sidecar/member/permit.go
@@ -0,0 +1,28 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/budget"
+	"siskinstand.example/peerpb"
+)
+
+// LoadPermit asks the gateway at address for a permit to load a model.
+func (p *Pool) LoadPermit(ctx context.Context, address, endpoint, model string) (budget.Permit, error) {
+	c, err := p.take(address)
+	if err != nil {
+		return budget.Permit{}, err
+	}
+	defer p.giveBack(c)
+	response, err := peerpb.NewPeerClient(c.conn).LoadPermit(ctx, &peerpb.LoadPermitRequest{Sender: p.sender, Endpoint: endpoint, Model: model})
+	if err != nil {
+		return budget.Permit{}, eris.Wrapf(err, "ask gateway at %s for a permit", address)
+	}
+	return budget.Permit{
+		Granted: response.Granted, Superseded: response.Superseded,
+		RetryAfter: time.Duration(response.RetryAfterMs) * time.Millisecond,
+	}, nil
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/budget"
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/platform/engine"
@@ -24,6 +25,7 @@
 	"siskinstand.example/sidecar/control"
 	"siskinstand.example/sidecar/gateway"
 	"siskinstand.example/sidecar/member"
+	"siskinstand.example/sidecar/orders"
 )
 
 const (
@@ -65,12 +67,18 @@
 	loop := control.New(loopConfig(s, id, model, invariants, m))
 	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone}, keys.Client())
 	defer members.Close()
-	server := newServer(s, keys, gateway.New(gateway.Config{
+	service := gateway.New(gateway.Config{
 		Loop: loop, Engine: model, Members: members, Invariants: invariants,
 		Endpoint: s.Endpoint.Name, EngineAddress: s.Engine.Address, Zone: s.Endpoint.Zone,
 		ProcessID: id.processID, Incarnation: id.incarnation, MaxBodyBytes: s.Listen.MaxBodyBytes,
-	}))
-	return serve(s, loop, server, keys, m)
+	})
+	runner := orders.New(orders.Config{
+		Loop: loop, Engine: model, Incarnation: id.incarnation, Mode: s.Engine.FenceMode(), Scope: m.Scope,
+		Permits: orders.Gateways{Addresses: service.Gateways, Call: func(ctx context.Context, address, model string) (budget.Permit, error) {
+			return members.LoadPermit(ctx, address, s.Endpoint.Name, model)
+		}},
+	})
+	return serve(s, parts{loop: loop, server: newServer(s, keys, service), orders: runner, keys: keys, metrics: m})
 }
 
 func newInvariants(endpoint string, m *metrics.Metrics) *invariant.Registry {
@@ -80,7 +88,16 @@
 	})
 }
 
-func serve(s config.Settings, loop *control.Loop, server *grpc.Server, keys *certs.Keys, m *metrics.Metrics) error {
+// parts are the running parts of a sidecar.
+type parts struct {
+	loop    *control.Loop
+	server  *grpc.Server
+	orders  *orders.Runner
+	keys    *certs.Keys
+	metrics *metrics.Metrics
+}
+
+func serve(s config.Settings, p parts) error {
 	peers, err := net.Listen("tcp", s.Listen.Address)
 	if err != nil {
 		return eris.Wrap(err, "listen for gateways")
@@ -92,17 +109,18 @@
 	}
 	klog.InfoS("sidecar starts", logging.FieldEndpoint, s.Endpoint.Name, logging.FieldZone, s.Endpoint.Zone, "address", peers.Addr(), "admin", probes.Addr())
 	var group rungroup.Group
-	group.Add("control", loop.Run)
-	group.Add("keys", keys.Watch)
+	group.Add("control", p.loop.Run)
+	group.Add("orders", p.orders.Run)
+	group.Add("keys", p.keys.Watch)
 	group.Add("gateways", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, server.Stop)
+		stop := context.AfterFunc(ctx, p.server.Stop)
 		defer stop()
-		return server.Serve(peers)
+		return p.server.Serve(peers)
 	})
 	group.Add("admin", func(ctx context.Context) error {
-		return admin.Serve(ctx, probes, admin.NewHandler(loop, m.Handler))
+		return admin.Serve(ctx, probes, admin.NewHandler(p.loop, p.metrics.Handler))
 	})
-	group.AddSignals(func(ctx context.Context) { drain(ctx, s.Shutdown.Limit, loop, server) })
+	group.AddSignals(func(ctx context.Context) { drain(ctx, s.Shutdown.Limit, p.loop, p.server) })
 	err = group.Run()
 	klog.Flush()
 	return err
