orders: go on asking for a permit after 60 s

Cause: a returning zone of 40 engines needs 160 s of the weight store's rate. After 60 s without a permit, 25 sidecars stopped asking, so the budget granted nothing while they waited up to 5 min.

Change: a sidecar asks until its random time for a load without permit comes.

--- a/sidecar/orders/orders.go
+++ b/sidecar/orders/orders.go
@@ -56,6 +56,8 @@
 	TimeToLive  time.Duration
 	Patience    time.Duration
 	Spread      time.Duration
+	// Random returns a duration below its argument; nil takes rand.N.
+	Random func(time.Duration) time.Duration
 }
 
 // Runner gives the orders of one sidecar.
@@ -76,6 +78,9 @@
 			*d = value
 		}
 	}
+	if c.Random == nil {
+		c.Random = rand.N[time.Duration]
+	}
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
@@ -115,41 +120,48 @@
 	return r.pause(ctx, model, r.former())
 }
 
-// acquire returns true once the engine may load the model.
+// acquire returns true once the engine may load the model: with a permit, or
+// without one at a random time after the patience has ended. Until then it goes
+// on asking, since a busy budget grants many loads later than that.
 func (r *Runner) acquire(ctx context.Context, model string) bool {
-	begin := time.Now()
+	var alone time.Time
+	patience := time.Now().Add(r.config.Patience)
 	for {
 		requested := time.Now()
 		permit := r.ask(ctx, model)
-		if permit.Granted {
+		now := time.Now()
+		switch {
+		case permit.Granted:
 			r.grant(requested)
 			return true
-		}
-		if permit.Superseded {
+		case permit.Superseded:
 			r.count("superseded")
 			klog.ErrorS(nil, "a later sidecar of the endpoint orders loads", "model", model)
 			r.pause(ctx, model, repeatAfter)
 			return false
+		case alone.IsZero() && !now.Before(patience):
+			alone = now.Add(r.config.Random(r.config.Spread))
+			klog.InfoS("no permit yet, the load begins without one", "model", model, "delay", alone.Sub(now))
+		case !alone.IsZero() && !now.Before(alone):
+			return r.loadAlone(now)
 		}
-		left := r.config.Patience - time.Since(begin)
-		if left <= 0 {
-			break
+		next := patience
+		if !alone.IsZero() {
+			next = alone
 		}
-		if !r.pause(ctx, model, min(permit.RetryAfter, left)) {
+		if !r.pause(ctx, model, min(permit.RetryAfter, next.Sub(now))) {
 			return false
 		}
 	}
-	delay := rand.N(r.config.Spread)
-	klog.InfoS("no permit for a load, which begins without one", "model", model, "delay", delay)
-	if !r.pause(ctx, model, delay) {
-		return false
-	}
+}
+
+func (r *Runner) loadAlone(now time.Time) bool {
 	if r.config.Mode == fence.ModeIgnores && !r.config.Permits.Connected() {
 		r.count("not_connected")
 		return false
 	}
 	r.count("without_permit")
-	r.grant(time.Now())
+	r.grant(now)
 	return true
 }
 
