memory: keep exports and imports for their owner's life

Change: such a piece is owned while its owner's entry is valid, and its tokens are kept from admission.

--- a/coord/memory/memory.go
+++ b/coord/memory/memory.go
@@ -135,7 +135,7 @@
 }
 
 // Foreign returns the tokens that the engine held at the last sweep without an
-// entry. They are not available to admission until they are freed.
+// entry, those of exports and imports among them. They are not available to admission until they are freed.
 func (l *Ledger) Foreign() int64 { return l.foreign }
 
 // Leaked returns the tokens that had no owner for more than twice the grace.
@@ -151,6 +151,12 @@
 	for _, p := range pieces {
 		id := l.match(p)
 		seen[id] = true
+		if l.ownerLives(now, p) {
+			// Admission must not use the tokens, which no entry accounts for.
+			l.foreign += p.Tokens
+			delete(l.unowned, id)
+			continue
+		}
 		if l.owned(now, id, p) {
 			delete(l.unowned, id)
 			continue
@@ -176,6 +182,19 @@
 	return p.ID
 }
 
+// ownerLives reports whether an export or import without an entry of its own
+// belongs to a run or hold that has not expired. Its life ends with that one's.
+func (l *Ledger) ownerLives(now time.Time, p Piece) bool {
+	if p.Kind != KindExport && p.Kind != KindImport {
+		return false
+	}
+	if _, own := l.entries[p.ID]; own {
+		return false
+	}
+	owner, ok := l.entries[p.Owner]
+	return ok && now.Before(owner.Expires)
+}
+
 func (l *Ledger) owned(now time.Time, id string, p Piece) bool {
 	e, ok := l.entries[id]
 	if ok && now.Before(e.Expires) {
--- a/coord/memory/memory_test.go
+++ b/coord/memory/memory_test.go
@@ -37,6 +37,9 @@
 func (w *world) sweep(t *rapid.T, lost bool) {
 	for _, a := range w.l.Sweep(w.now, w.asked, w.report) {
 		until, owned := w.owned[a.Piece.ID]
+		if _, alive := w.owned[a.Piece.Owner]; !owned && alive {
+			until, owned = w.owned[a.Piece.Owner], true
+		}
 		if owned && w.now.Before(until) {
 			t.Fatalf("%s gives back %+v, which is owned until %s", a.Kind, a.Piece, until)
 		}
@@ -67,6 +70,13 @@
 				id := fmt.Sprint(w.next)
 				w.pieces[id] = Piece{ID: id, Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Tokens: 10}
 			},
+			"transfer": func(t *rapid.T) {
+				owner := fmt.Sprint(rapid.IntRange(1, w.next+1).Draw(t, "owner"))
+				w.next++
+				id := fmt.Sprint(w.next)
+				kind := rapid.SampledFrom([]Kind{KindExport, KindImport}).Draw(t, "kind")
+				w.pieces[id] = Piece{ID: id, Kind: kind, Owner: owner, Tokens: 10}
+			},
 			"release": func(t *rapid.T) {
 				id := fmt.Sprint(rapid.IntRange(1, w.next+1).Draw(t, "id"))
 				w.l.Release(id)
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -144,6 +144,8 @@
 	e.mux.HandleFunc("POST /engine/free", e.freeHandler)
 	e.mux.HandleFunc("POST /engine/hold", e.holdHandler)
 	e.mux.HandleFunc("POST /engine/order", e.orderHandler)
+	e.mux.HandleFunc("POST /engine/export", e.transferHandler(engineapi.PieceExport))
+	e.mux.HandleFunc("POST /engine/import", e.transferHandler(engineapi.PieceImport))
 }
 
 // Handler returns the engine's HTTP interface with its control endpoint.
--- /dev/null
+++ b/fakes/engine/transfer.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"siskinstand.example/fakes/server"
+	engineapi "siskinstand.example/platform/engine"
+)
+
+// transferHandler accounts for the memory of an export or import of KV cache.
+// No cache is copied.
+func (e *Engine) transferHandler(kind engineapi.PieceKind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			PieceID string `json:"piece_id"`
+			Owner   string `json:"owner"`
+			Tokens  int64  `json:"tokens"`
+		}
+		if !server.ReadJSON(w, r, &body) {
+			return
+		}
+		if body.PieceID == "" || body.Owner == "" || body.Tokens <= 0 {
+			writeError(w, http.StatusBadRequest, "bad_request", "a transfer needs an identifier, an owner and tokens")
+			return
+		}
+		e.mu.Lock()
+		ok := e.memory.copy(engineapi.Piece{ID: body.PieceID, Kind: kind, Owner: body.Owner, Tokens: body.Tokens}, time.Now())
+		e.mu.Unlock()
+		if !ok {
+			writeError(w, http.StatusConflict, "overloaded", "not enough free memory for the transfer")
+			return
+		}
+		server.WriteJSON(w, struct{}{})
+	}
+}
