ramp: measure the rate over the time in which prompts are in flight

Cause: each first token gave a sample of all prompts before it over its own time. Prompts that the engine had almost finished counted in full, and the rate of engines of one speed was seen between half and three times the true one. Routing compares these rates, and admission predicts waits from them.

Change: the rate is the tokens of the prompts that ended over the time in which the work in flight needs more than the base latency, over about 20 s.

With the old code the new test fails.

--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -58,8 +58,11 @@
 	// which keeps cached prefixes from raising the expectation.
 	baselineWeight = 0.02
 	maxSampleStep  = math.Ln2
-	// rateWeight follows the present speed for predictions.
-	rateWeight = 0.2
+	// The rate is measured over about rateWindow in which prompts are in
+	// flight, and from rateMinimum on. A window shorter than the prefill of
+	// the longest prompts would swing with each of them.
+	rateWindow  = 20 * time.Second
+	rateMinimum = 500 * time.Millisecond
 	// minSampleTokens is the least prefill work from which a rate is learnt;
 	// below it the base latency dominates.
 	minSampleTokens = 512
@@ -71,7 +74,9 @@
 	limit     float64
 	threshold float64
 	baseline  float64
-	rate      float64
+	measured  time.Time
+	busy      time.Duration
+	prefilled float64
 	flights   map[string]*flight
 	// pending sums the prompts of flights by the binary length of the prompt.
 	pending  [65]int64
@@ -94,7 +99,7 @@
 
 // New returns a limiter at its floor.
 func New(now time.Time, c Config) *Limiter {
-	l := &Limiter{config: c, baseline: c.NominalRate, rate: c.NominalRate}
+	l := &Limiter{config: c, baseline: c.NominalRate}
 	l.Reset(now)
 	return l
 }
@@ -105,6 +110,7 @@
 	l.threshold = float64(l.config.CeilingTokens)
 	l.flights = map[string]*flight{}
 	clear(l.pending[:])
+	l.measured, l.busy, l.prefilled = now, 0, 0
 	l.lastCut, l.evidence = now, now
 	l.warm = 0
 }
@@ -114,11 +120,37 @@
 
 // PrefillRate returns the present prefill speed in tokens a second; 0 means
 // that it is not known.
-func (l *Limiter) PrefillRate() float64 { return l.rate }
+func (l *Limiter) PrefillRate() float64 {
+	if l.busy < rateMinimum || l.prefilled == 0 {
+		return l.baseline
+	}
+	return l.prefilled / l.busy.Seconds()
+}
+
+// measure counts the time since the last event and reports whether it counted.
+// It does so only while the prompts in flight need more than the base latency,
+// which dominates below that.
+func (l *Limiter) measure(now time.Time) bool {
+	inFlight := int64(0)
+	for _, tokens := range l.pending {
+		inFlight += tokens
+	}
+	loaded := l.baseline > 0 && l.prefillTime(float64(inFlight)) > l.config.BaseLatency
+	if loaded && now.After(l.measured) {
+		l.busy += now.Sub(l.measured)
+	}
+	l.measured = now
+	if l.busy > rateWindow {
+		l.busy /= 2
+		l.prefilled /= 2
+	}
+	return loaded
+}
 
 // Admitted records an item that is handed to the engine. inFlight is the sum
 // of reserved tokens with it.
 func (l *Limiter) Admitted(now time.Time, id string, promptTokens, cost, inFlight int64) {
+	l.measure(now)
 	f := &flight{admitted: now, prompt: promptTokens, cost: cost, utilised: float64(inFlight) >= l.limit/2}
 	f.work = float64(promptTokens)
 	// Prompts of more than four times the length have a lower priority in the
@@ -167,6 +199,9 @@
 	if f == nil {
 		return
 	}
+	if l.measure(now) {
+		l.prefilled += float64(f.prompt)
+	}
 	l.remove(id)
 	elapsed := now.Sub(f.admitted)
 	known := l.baseline > 0
@@ -220,7 +255,7 @@
 	}
 	sample := f.work / max(elapsed, time.Millisecond).Seconds()
 	if l.baseline <= 0 {
-		l.baseline, l.rate = sample, sample
+		l.baseline = sample
 		return
 	}
 	if f.expected < 2*l.config.BaseLatency && elapsed <= f.expected {
@@ -228,12 +263,12 @@
 	}
 	step := math.Log(sample / l.baseline)
 	l.baseline *= math.Exp(baselineWeight * min(max(step, -maxSampleStep), maxSampleStep))
-	l.rate += rateWeight * (min(sample, 2*l.baseline) - l.rate)
 }
 
 // Ended forgets an item. A failure of the engine lowers the limit, because a
 // cold endpoint fails under load that a warm one takes.
 func (l *Limiter) Ended(now time.Time, id string, engineFailed bool) {
+	l.measure(now)
 	l.remove(id)
 	if engineFailed {
 		l.cut(now, lateFactor)
--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -167,6 +167,24 @@
 	}
 }
 
+// Guards against a rate that counts prompts again which the engine had almost
+// finished when the next one came.
+func TestRateCountsWorkOnce(t *testing.T) {
+	const rate, prompt, service = 100_000, 40_000, 400 * time.Millisecond
+	l := New(start, DefaultConfig(600_000, rate))
+	now := start
+	l.Admitted(now, "0", prompt, prompt, prompt)
+	for i := range 100 {
+		end := now.Add(service)
+		l.Admitted(end.Add(-service/10), fmt.Sprint(i+1), prompt, prompt, 2*prompt)
+		l.FirstToken(end, fmt.Sprint(i))
+		now = end
+	}
+	if got := l.PrefillRate(); got < 0.9*rate || got > 1.1*rate {
+		t.Errorf("rate = %g, the engine prefills %d tokens/s", got, rate)
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
