ramp: count a first token as late only against all work in flight

Cause: the expected time of a first token assumes that short prompts run before longer ones. Admission gives a prompt past the age bound the highest priority, so under overload short prompts ran behind long ones, looked late by more than eight times and set the limit to its floor. Engines were idle a third of the time beside full queues.

Change: lateness is measured against the time that the engine needs for everything in flight, in whatever order. First tokens still raise the limit only if they come in the expected time.

With the old code the new test fails.

A cold engine is noticed later while a very long prompt is in flight.

--- a/coord/ramp/ramp.go
+++ b/coord/ramp/ramp.go
@@ -93,6 +93,10 @@
 	cost     int64
 	work     float64
 	expected time.Duration
+	// latest is the time if the engine runs everything in flight first, in
+	// whatever order. Only a later first token speaks against the engine:
+	// admission gives aged prompts a priority that the lengths do not show.
+	latest   time.Duration
 	utilised bool
 	overdue  bool
 }
@@ -131,11 +135,7 @@
 // It does so only while the prompts in flight need more than the base latency,
 // which dominates below that.
 func (l *Limiter) measure(now time.Time) bool {
-	inFlight := int64(0)
-	for _, tokens := range l.pending {
-		inFlight += tokens
-	}
-	loaded := l.baseline > 0 && l.prefillTime(float64(inFlight)) > l.config.BaseLatency
+	loaded := l.baseline > 0 && l.prefillTime(float64(l.inFlight())) > l.config.BaseLatency
 	if loaded && now.After(l.measured) {
 		l.busy += now.Sub(l.measured)
 	}
@@ -147,6 +147,15 @@
 	return loaded
 }
 
+// inFlight returns the prompt tokens without a first token.
+func (l *Limiter) inFlight() int64 {
+	sum := int64(0)
+	for _, tokens := range l.pending {
+		sum += tokens
+	}
+	return sum
+}
+
 // Admitted records an item that is handed to the engine. inFlight is the sum
 // of reserved tokens with it.
 func (l *Limiter) Admitted(now time.Time, id string, promptTokens, cost, inFlight int64) {
@@ -159,6 +168,7 @@
 		f.work += float64(tokens)
 	}
 	f.expected = l.config.BaseLatency + l.prefillTime(f.work)
+	f.latest = l.config.BaseLatency + l.prefillTime(float64(l.inFlight()+promptTokens))
 	l.remove(id)
 	l.delayLonger(promptTokens)
 	l.flights[id] = f
@@ -173,6 +183,7 @@
 		if other.prompt > promptTokens {
 			other.work += float64(promptTokens)
 			other.expected += l.prefillTime(float64(promptTokens))
+			other.latest += l.prefillTime(float64(promptTokens))
 		}
 	}
 }
@@ -210,13 +221,13 @@
 		return
 	}
 	l.evidence = now
-	late := float64(elapsed) / float64(f.expected)
+	late := float64(elapsed) / float64(f.latest)
 	switch {
 	case late > lateFactor:
 		if !f.overdue {
 			l.cut(now, late)
 		}
-	case late <= onTimeFactor:
+	case float64(elapsed) <= onTimeFactor*float64(f.expected):
 		l.warm += f.prompt
 		if f.utilised || l.warm >= l.config.WarmEvidence {
 			l.grow(f)
@@ -279,7 +290,7 @@
 // lowers the limit of an endpoint that has been idle for long.
 func (l *Limiter) Tick(now time.Time) {
 	for _, f := range l.flights {
-		late := float64(now.Sub(f.admitted)) / float64(f.expected)
+		late := float64(now.Sub(f.admitted)) / float64(f.latest)
 		if late > lateFactor && !f.overdue && l.baseline > 0 {
 			f.overdue = true
 			l.cut(now, late)
--- a/coord/ramp/ramp_test.go
+++ b/coord/ramp/ramp_test.go
@@ -185,6 +185,23 @@
 	}
 }
 
+// Guards against a cut because the engine ran an aged long prompt before a
+// short one, and against work in flight that hides a cold engine.
+func TestLongPromptFirstIsNotLate(t *testing.T) {
+	const rate = 50_000
+	for first, wantCut := range map[time.Duration]bool{2100 * time.Millisecond: false, 10 * time.Second: true} {
+		l := New(start, DefaultConfig(600_000, rate))
+		l.limit = 300_000
+		l.Admitted(start, "long", 100_000, 100_100, 100_100)
+		l.Admitted(start, "short", 1_000, 1_100, 101_200)
+		l.Tick(start.Add(time.Second))
+		l.FirstToken(start.Add(first), "short")
+		if cut := l.Limit() < 300_000; cut != wantCut {
+			t.Errorf("short prompt after %s: limit is %d, want a cut: %t", first, l.Limit(), wantCut)
+		}
+	}
+}
+
 // Guards against a limit outside its bounds after any sequence of evidence.
 func TestLimitStaysInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
