service: count the bytes that gRPC carries

Cause: the limit of 5 KB/s of control for each daemon had no measurement.

Change: package rpcstats is a stats handler for servers and clients with a counter rpc_bytes for each method and direction. Methods that are not ours share one tag, so a caller cannot add time series. Gateway and sidecar use it. HTTP/2 frames, pings and TLS are not counted.

--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -39,7 +39,7 @@
 		ID: process.ID, Zone: process.Zone, Incarnation: b.Incarnation, Seed: routing.HashName(process.ID) ^ b.Incarnation,
 		InForce: inForce, Alarms: alarms, Book: book, TryRead: reader.Try,
 		Peers:       func() []spread.Peer { return peers(b) },
-		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy()},
+		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy(), grpc.WithStatsHandler(b.RPC)},
 		Suspects:    exchange{b},
 		Status:      func() *pb.StatusResponse { return status(b) },
 	})
@@ -60,7 +60,7 @@
 }
 
 func serve(ctx context.Context, b *daemon.Base, node *peer.Node, l net.Listener) error {
-	var options []grpc.ServerOption
+	options := []grpc.ServerOption{grpc.StatsHandler(b.RPC)}
 	if b.Keys.Peers != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(b.Keys.Peers.Server())))
 	}
--- a/gateway/daemon/base.go
+++ b/gateway/daemon/base.go
@@ -13,6 +13,7 @@
 	pb "siskinstand.example/peerpb"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
+	"siskinstand.example/service/rpcstats"
 )
 
 // Base is what all parts of a gateway share.
@@ -21,9 +22,11 @@
 	Incarnation uint64
 	Keys        Keys
 	Metrics     *metrics.Metrics
-	Invariants  *invariant.Registry
-	Suspects    *suspects.Table
-	loop        atomic.Pointer[control.Loop]
+	// RPC counts the bytes of calls from and to other processes.
+	RPC        *rpcstats.Handler
+	Invariants *invariant.Registry
+	Suspects   *suspects.Table
+	loop       atomic.Pointer[control.Loop]
 }
 
 // NewBase opens the metrics and the invariants.
@@ -33,6 +36,7 @@
 		return nil, err
 	}
 	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now)}
+	b.RPC = rpcstats.New(m.Scope, &pb.Sidecar_ServiceDesc, &pb.Peer_ServiceDesc)
 	b.Invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
 		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
 		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/claim"
@@ -52,7 +53,7 @@
 func New(b *Base, p Parts) (*Daemon, error) {
 	s := b.Settings
 	d := &Daemon{Base: b, parts: p}
-	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials())
+	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials(), grpc.WithStatsHandler(b.RPC))
 	d.build()
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
--- a/gateway/sidecar/connections.go
+++ b/gateway/sidecar/connections.go
@@ -29,7 +29,7 @@
 type Connections struct {
 	limit       int
 	dialTimeout time.Duration
-	credentials credentials.TransportCredentials
+	options     []grpc.DialOption
 
 	mu        sync.Mutex
 	byAddress map[string]*list.Element
@@ -42,10 +42,11 @@
 	users   int
 }
 
-// NewConnections returns an empty set.
-func NewConnections(limit int, dialTimeout time.Duration, c credentials.TransportCredentials) *Connections {
+// NewConnections returns an empty set. Options are added to those of each dial.
+func NewConnections(limit int, dialTimeout time.Duration, c credentials.TransportCredentials, options ...grpc.DialOption) *Connections {
 	return &Connections{
-		limit: limit, dialTimeout: dialTimeout, credentials: c,
+		limit: limit, dialTimeout: dialTimeout,
+		options:   append(options, grpc.WithTransportCredentials(c)),
 		byAddress: map[string]*list.Element{}, recent: list.New(),
 	}
 }
@@ -74,8 +75,7 @@
 		entry.users++
 		return entry, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(c.credentials),
+	conn, err := grpc.NewClient("passthrough:///"+address, append(c.options[:len(c.options):len(c.options)],
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
@@ -86,7 +86,7 @@
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: c.dialTimeout,
-		}))
+		}))...)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to sidecar %s", address)
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -17,6 +17,7 @@
 	"siskinstand.example/platform/engine"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
+	"siskinstand.example/service/rpcstats"
 	"siskinstand.example/service/rungroup"
 	"siskinstand.example/sidecar/admin"
 	"siskinstand.example/sidecar/config"
@@ -60,7 +61,7 @@
 	loop := control.New(loopConfig(s, id, model, invariants, m))
 	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone})
 	defer members.Close()
-	server := newServer(s, gateway.New(gateway.Config{
+	server := newServer(s, m, gateway.New(gateway.Config{
 		Loop: loop, Engine: model, Members: members, Invariants: invariants,
 		Endpoint: s.Endpoint.Name, EngineAddress: s.Engine.Address, Zone: s.Endpoint.Zone,
 		ProcessID: id.processID, Incarnation: id.incarnation, MaxBodyBytes: s.Listen.MaxBodyBytes,
@@ -144,9 +145,10 @@
 	return c
 }
 
-func newServer(s config.Settings, service *gateway.Server) *grpc.Server {
+func newServer(s config.Settings, m *metrics.Metrics, service *gateway.Server) *grpc.Server {
 	server := grpc.NewServer(
 		grpc.MaxConcurrentStreams(uint32(s.Listen.MaxStreams)),
+		grpc.StatsHandler(rpcstats.New(m.Scope, &peerpb.Sidecar_ServiceDesc, &peerpb.Peer_ServiceDesc)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 	)
