loadgen: move the handling of processes into a package

Cause: the demo and the capacity run need the same start, wait and stop of processes.

Conclusion: no change of the demo's behaviour.

--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -9,12 +9,16 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"siskinstand.example/coord/config"
 	"siskinstand.example/loadgen/load"
 	"siskinstand.example/loadgen/mix"
+	"siskinstand.example/loadgen/process"
 	"siskinstand.example/loadgen/report"
 )
 
@@ -52,7 +56,7 @@
 type run struct {
 	config    Config
 	layout    *layout
-	processes *processes
+	processes *process.Group
 }
 
 // Run runs the demo. It returns an error if an invariant was broken.
@@ -64,8 +68,8 @@
 	if err != nil {
 		return err
 	}
-	r := &run{config: c, layout: l, processes: newProcesses(c.Binaries, c.Directory)}
-	defer func() { err = errors.Join(err, r.processes.stop()) }()
+	r := &run{config: c, layout: l, processes: process.NewGroup(c.Binaries, c.Directory)}
+	defer func() { err = errors.Join(err, r.processes.Stop()) }()
 	if err := r.start(ctx); err != nil {
 		return err
 	}
@@ -107,18 +111,18 @@
 		starts = append(starts, []string{g.name, "siskin-gateway", "--config", l.path(g.name + ".ini")})
 	}
 	for _, s := range starts {
-		if err := p.start(s[0], s[1], s[2:]...); err != nil {
+		if err := p.Start(s[0], s[1], s[2:]...); err != nil {
 			return err
 		}
 	}
-	if err := p.awaitReady(ctx, "kvstore", "http://"+l.store+"/control"); err != nil {
+	if err := p.AwaitReady(ctx, "kvstore", "http://"+l.store+"/control"); err != nil {
 		return err
 	}
 	if err := r.control(ctx, "apply", "--base", "0", "--routes", l.path("routes.ini"), "--pools", l.path("pools.ini")); err != nil {
 		return err
 	}
 	for name, admin := range l.admins() {
-		if err := p.awaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
+		if err := p.AwaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
 			return err
 		}
 	}
@@ -184,7 +188,7 @@
 		r.checkMemory(ctx),
 		r.checkMetrics(ctx),
 		r.checkFleet(ctx),
-		r.processes.early(),
+		r.processes.Early(),
 	)
 }
 
@@ -249,3 +253,13 @@
 Stop with Ctrl-C.
 `, r.layout.gateways[0].callers, token, model, r.config.Binaries, r.layout.store, outZone)
 }
+
+// control runs siskinctl with the store and returns an error with its output.
+func (r *run) control(ctx context.Context, arguments ...string) error {
+	arguments = append([]string{"--store", r.layout.store}, arguments...)
+	out, err := exec.CommandContext(ctx, filepath.Join(r.config.Binaries, "siskinctl"), arguments...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("siskinctl %s: %w\n%s", strings.Join(arguments, " "), err, out)
+	}
+	return nil
+}
--- a/loadgen/demo/layout.go
+++ b/loadgen/demo/layout.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"siskinstand.example/coord/config"
+	"siskinstand.example/loadgen/process"
 	"siskinstand.example/platform/hostlist"
 )
 
@@ -56,7 +57,7 @@
 // and one plain service.
 func newLayout(directory string) (*layout, error) {
 	const maxAddresses = 64
-	free, err := freeAddresses(maxAddresses)
+	free, err := process.FreeAddresses(maxAddresses)
 	if err != nil {
 		return nil, err
 	}
