loadgen: measure what each role costs and project it

Cause: nothing showed whether the mechanisms carry the design size.

Change: siskin-load capacity runs the real code at growing sizes: tables, views, connections, the start of a replaced gateway, the claim log, sites of 25, 50 and 100 processes, and the spread and a zone's return in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -54,5 +54,10 @@
 run: build
 	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
 
+# capacity measures what each role costs, projects it to the design size and
+# writes the tables of docs/CAPACITY.md.
+capacity: build
+	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
+
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/loadgen/capacity/claims.go
@@ -0,0 +1,273 @@
+package capacity
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/invariant"
+	fakestore "siskinstand.example/fakes/kvstore"
+	"siskinstand.example/fakes/server"
+	"siskinstand.example/gateway/kvstore"
+	store "siskinstand.example/platform/kvstore"
+)
+
+// countingStore counts the compare-and-swaps and their bytes.
+type countingStore struct {
+	store.Store
+	writes, bytes atomic.Int64
+}
+
+// CompareAndSwap counts and passes on.
+func (s *countingStore) CompareAndSwap(ctx context.Context, key string, value []byte, version, lease int64) (int64, error) {
+	s.writes.Add(1)
+	s.bytes.Add(int64(len(value)))
+	return s.Store.CompareAndSwap(ctx, key, value, version, lease)
+}
+
+// localStore starts a store stand-in on loopback in this process.
+func localStore() (*store.HTTP, *fakestore.Store, func(), error) {
+	fake := fakestore.New(fakestore.Config{})
+	s, err := server.Start("127.0.0.1:0", http.Handler(fake.Handler()))
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return store.NewHTTP(s.Address(), store.DefaultLimits()), fake, s.Close, nil
+}
+
+func claimKey(random *rand.Rand) claim.Key {
+	var k claim.Key
+	for i := 0; i < len(k); i += 8 {
+		binary.LittleEndian.PutUint64(k[i:], random.Uint64())
+	}
+	return k
+}
+
+// answerBody is the size of the recorded answer of a plain call.
+const answerBody = 256
+
+type claimFigures struct {
+	writes, bytes, p99 float64
+	// entryBytes is what one call leaves in the log.
+	entryBytes float64
+}
+
+// measureClaims claims and completes calls at a rate through one book.
+func measureClaims(ctx context.Context, seed uint64, rate int) (claimFigures, error) {
+	const duration = 4 * time.Second
+	var f claimFigures
+	base, _, closeStore, err := localStore()
+	if err != nil {
+		return f, err
+	}
+	defer closeStore()
+	counted := &countingStore{Store: base}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	book := kvstore.NewBook(kvstore.BookConfig{Store: counted, ProcessID: "gateway-001", Invariants: invariant.NewRegistry(nil)})
+	go func() { _ = book.Run(ctx) }()
+	random := rand.New(rand.NewPCG(seed, uint64(rate)))
+	total := rate * int(duration/time.Second)
+	times, errs := make([]float64, total), make([]error, total)
+	var calls sync.WaitGroup
+	began := time.Now()
+	for i := range total {
+		key := claimKey(random)
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		calls.Go(func() { times[i], errs[i] = claimOnce(ctx, book, key, fmt.Sprintf("gateway-001/%d", i)) })
+	}
+	calls.Wait()
+	seconds := time.Since(began).Seconds()
+	if err := errors.Join(errs...); err != nil {
+		return f, err
+	}
+	f.writes, f.bytes = float64(counted.writes.Load())/seconds, float64(counted.bytes.Load())/seconds
+	f.p99 = quantile(times, 0.99)
+	f.entryBytes, err = logBytes(ctx, base, total)
+	return f, err
+}
+
+func claimOnce(ctx context.Context, book *kvstore.Book, key claim.Key, id string) (float64, error) {
+	began := time.Now()
+	record, err := book.Claim(ctx, key, id, 1)
+	if err != nil {
+		return 0, err
+	}
+	if record.State != claim.StateClaimed {
+		return 0, fmt.Errorf("claim %s: got state %s", id, record.State)
+	}
+	waited := milliseconds(time.Since(began))
+	return waited, book.Complete(ctx, key, id, *plainResult())
+}
+
+func logBytes(ctx context.Context, s store.Store, calls int) (float64, error) {
+	sum := 0
+	for p := range claim.Partitions {
+		pairs, err := s.List(ctx, claim.Prefix(p))
+		if err != nil {
+			return 0, err
+		}
+		for _, pair := range pairs {
+			sum += len(pair.Value)
+		}
+	}
+	return float64(sum) / float64(calls), nil
+}
+
+// measureRecovery fills one partition with chunks and returns the time until a
+// new book answers its first claim there, and the heap that its copy needs.
+func measureRecovery(ctx context.Context, seed uint64, chunks int) (time.Duration, float64, error) {
+	s, _, closeStore, err := localStore()
+	if err != nil {
+		return 0, 0, err
+	}
+	defer closeStore()
+	random := rand.New(rand.NewPCG(seed, uint64(chunks)))
+	key, err := fillPartition(ctx, s, random, chunks)
+	if err != nil {
+		return 0, 0, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := liveHeap()
+	book := kvstore.NewBook(kvstore.BookConfig{Store: s, ProcessID: "gateway-002", Invariants: invariant.NewRegistry(nil)})
+	go func() { _ = book.Run(ctx) }()
+	began := time.Now()
+	record, err := book.Claim(ctx, key, "gateway-002/1", 1)
+	took := time.Since(began)
+	if err == nil && record.State != claim.StateDone {
+		err = fmt.Errorf("the recovered partition gives state %s for a call that is done", record.State)
+	}
+	return took, float64(liveHeap()) - float64(before), err
+}
+
+// fillPartition appends calls to partition 0 until its chain has the chunks. It
+// returns the key of the last call.
+func fillPartition(ctx context.Context, s store.Store, random *rand.Rand, chunks int) (claim.Key, error) {
+	log := claim.NewLog(0, claim.DefaultExpiry, invariant.NewRegistry(nil))
+	var last claim.Key
+	for batch := 0; ; batch++ {
+		var claims, results []claim.Entry
+		for i := range fillBatch {
+			last = claimKey(random)
+			last[0] = 0
+			key, id, now := append([]byte(nil), last[:]...), fmt.Sprintf("gateway-001/%d-%d", batch, i), time.Now().UnixMilli()
+			claims = append(claims, claim.Entry{Op: claim.OpClaim, Key: key, ClaimID: id, Holder: "gateway-001", UnixMS: now, BodyHash: 1})
+			results = append(results, claim.Entry{Op: claim.OpResult, Key: key, ClaimID: id, UnixMS: now, Result: plainResult()})
+		}
+		for _, entries := range [][]claim.Entry{claims, results} {
+			if err := appendEntries(ctx, s, log, entries); err != nil {
+				return last, err
+			}
+		}
+		if tail, _ := log.Tail(); tail >= chunks {
+			return last, nil
+		}
+	}
+}
+
+// fillBatch is how many calls fillPartition appends at once.
+const fillBatch = 50
+
+// appendEntries writes entries until the log has all of them.
+func appendEntries(ctx context.Context, s store.Store, log *claim.Log, entries []claim.Entry) error {
+	for {
+		var rest []claim.Entry
+		for _, e := range entries {
+			_, needed, err := log.Decide(time.Now(), e)
+			if err != nil {
+				return err
+			}
+			if needed {
+				rest = append(rest, e)
+			}
+		}
+		write, needed, err := log.Plan(rest)
+		if err != nil || !needed {
+			return err
+		}
+		version, err := s.CompareAndSwap(ctx, write.Key, write.Value, write.Version, 0)
+		if err != nil {
+			return err
+		}
+		if err := log.Written(write, version); err != nil {
+			return err
+		}
+		entries = rest
+	}
+}
+
+func plainResult() *claim.Result {
+	return &claim.Result{HTTPStatus: http.StatusOK, ContentType: "application/json", Body: []byte(strings.Repeat("x", answerBody))}
+}
+
+// Assumed rates of calls that may not be repeated; section 1 of the design page
+// gives none.
+const designClaims = 200
+
+func (r *runner) claims(ctx context.Context) error {
+	rates := []int{25, 50, 100, designClaims}
+	measured := map[int]claimFigures{}
+	for _, rate := range rates {
+		f, err := measureClaims(ctx, r.Seed, rate)
+		if err != nil {
+			return err
+		}
+		measured[rate] = f
+	}
+	add := func(name, unit string, limit float64, remedy string, value func(claimFigures) float64) Row {
+		row := Row{Section: "Claim log", Name: name, Unit: unit, Scale: "calls/s", Design: designClaims, Limit: limit, Remedy: remedy}
+		for _, rate := range rates {
+			row.Points = append(row.Points, Point{float64(rate), value(measured[rate])})
+		}
+		return r.add(row.Fit())
+	}
+	r.claimWrites = add("writes to the store (one claim and one result a call)", "writes/s", limitWrites, "a longer batch", func(f claimFigures) float64 { return f.writes })
+	add("bytes written to the store", "KB/s", 0, "", func(f claimFigures) float64 { return f.bytes / kilobyte })
+	add("time of a claim, p99", "ms", 0, "", func(f claimFigures) float64 { return f.p99 })
+	entry := add("bytes of the log for a call", "bytes", 0, "", func(f claimFigures) float64 { return f.entryBytes })
+	return r.recovery(ctx, entry.Value)
+}
+
+// recovery measures reading a chain back and projects the chain of a day.
+func (r *runner) recovery(ctx context.Context, entryBytes float64) error {
+	perSecond := entryBytes / claim.Partitions / claim.MaxChunkBytes
+	day := perSecond * designClaims * claim.DefaultExpiry.Seconds()
+	took := Row{
+		Section: "Claim log", Name: "recovery of one partition after a day", Unit: "s", Scale: "chunks", Design: day,
+		Limit: commitLimit.Seconds(), Remedy: "a summary of sealed chunks, read instead of them, or a lower expiry",
+	}
+	memory := Row{Section: "Claim log", Name: "heap of one partition's copy after a day", Unit: "MB", Scale: "chunks", Design: day}
+	for _, chunks := range []int{20, 80, 240} {
+		d, bytes, err := measureRecovery(ctx, r.Seed, chunks)
+		if err != nil {
+			return err
+		}
+		took.Points = append(took.Points, Point{float64(chunks), d.Seconds()})
+		memory.Points = append(memory.Points, Point{float64(chunks), bytes / megabyte})
+	}
+	took, memory = r.add(took.Fit()), r.add(memory.Fit())
+	perGateway := Row{
+		Section: "Claim log", Name: "heap of 16 partitions in one appender after a day", Unit: "MB", Scale: "calls/s", Design: designClaims,
+		Limit: limitMemory, Remedy: "the index of sealed chunks without their entries, and no result bodies in the copy", Kind: Projected,
+		Value: memory.Value * claim.Partitions,
+	}
+	r.add(perGateway)
+	perCall := memory.Slope * claim.Partitions * perSecond * claim.DefaultExpiry.Seconds()
+	r.add(Row{Section: "Claim log", Name: "calls/s whose index of a day fills 128 MB in one appender", Unit: "calls/s", Kind: Projected, Value: limitMemory / perCall})
+	seconds := took.Slope * perSecond * claim.DefaultExpiry.Seconds()
+	r.add(Row{Section: "Claim log", Name: "calls/s whose partition of a day is read back within 2 s", Unit: "calls/s", Kind: Projected, Value: commitLimit.Seconds() / seconds})
+	return nil
+}
+
+// commitLimit bounds one batch in gateway/kvstore; a partition that takes
+// longer to read back is never recovered by its first batches.
+const commitLimit = 2 * time.Second
--- /dev/null
+++ b/loadgen/capacity/proc.go
@@ -0,0 +1,109 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor times in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
+// processorTime returns the time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	return parseStat(string(data))
+}
+
+// parseStat reads user and system time, the 14th and 15th fields. The name in
+// the second field may hold spaces and brackets.
+func parseStat(text string) (time.Duration, error) {
+	end := strings.LastIndexByte(text, ')')
+	if end < 0 {
+		return 0, fmt.Errorf("unexpected form of stat: %q", text)
+	}
+	fields := strings.Fields(text[end+1:])
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return 0, fmt.Errorf("unexpected form of stat: %q", text)
+	}
+	var ticks int64
+	for _, i := range []int{user, system} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// residentBytes returns VmRSS of a process.
+func residentBytes(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	return parseStatus(string(data))
+}
+
+func parseStatus(text string) (float64, error) {
+	for line := range strings.Lines(text) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 64)
+			return kib * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("no VmRSS in status")
+}
+
+// controlBytes sums what gRPC carried in a process, without attempts and
+// without the calls of the operators' command, which this run makes itself.
+func controlBytes(ctx context.Context, admin string) (float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	sum, lines := 0.0, 0
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		value, ok := rpcBytes(scanner.Text())
+		if ok {
+			sum += value
+			lines++
+		}
+	}
+	if lines == 0 {
+		return 0, fmt.Errorf("%s has no metric rpc_bytes", admin)
+	}
+	return sum, scanner.Err()
+}
+
+// rpcBytes reads one line of the Prometheus text format.
+func rpcBytes(line string) (float64, bool) {
+	name, rest, found := strings.Cut(line, "{")
+	if !found || !strings.HasSuffix(name, "_rpc_bytes") {
+		return 0, false
+	}
+	for _, method := range []string{"Attempt", "Status", "Burn", "other"} {
+		if strings.Contains(rest, `method="`+method+`"`) {
+			return 0, false
+		}
+	}
+	fields := strings.Fields(rest)
+	value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+	return value, err == nil
+}
