gateway: publish the burn of service levels as metrics

Cause: docs/operators/burn.md said that a gateway has the burn figures as metrics, and crash-request.md named gateway_suspects; neither existed. The log line of a request had no verdict and reason as fields.

Change: gauges burn_rate, burn_events and burn_good_events by service, class, objective and window for the sums over accounts, and a gauge of suspects. The sums are kept in a map of their own, so that an update does not walk all series of accounts. The log line of a request carries verdict and reason.

--- a/gateway/caller/admit.go
+++ b/gateway/caller/admit.go
@@ -72,10 +72,26 @@
 		if err != nil {
 			s.refuse(w, c, err)
 		}
-		klog.V(2).InfoS("request", logging.FieldRequest, c.id, logging.FieldAccount, c.account.Name, "path", r.URL.Path, "err", err)
+		c.log(r.URL.Path, err)
 	}
 }
 
+// requestVerbosity is the verbosity that logs every request.
+const requestVerbosity = 2
+
+// log writes the outcome of a request.
+func (c *call) log(path string, err error) {
+	if !klog.V(requestVerbosity).Enabled() {
+		return
+	}
+	fields := []any{logging.FieldRequest, c.id, logging.FieldAccount, c.account.Name, "path", path}
+	if err != nil && !errors.Is(err, errAnswered) {
+		v, _ := refusalOf(err)
+		fields = append(fields, logging.FieldVerdict, v.Verdict, logging.FieldReason, v.Reason, "message", v.Message)
+	}
+	klog.InfoS("request", fields...)
+}
+
 func (s *Server) identify(r *http.Request, c *call) error {
 	c.view = s.config.View()
 	if !c.view.Configured {
--- a/gateway/daemon/admin_test.go
+++ b/gateway/daemon/admin_test.go
@@ -50,7 +50,10 @@
 	eventually(t, "metrics of the request", func() bool {
 		_, body := get("/metrics")
 		return strings.Contains(body, `gateway_completed_requests{process="g1",zone="z1"} 1`) &&
-			strings.Contains(body, `gateway_usable_endpoints{pool="p1",process="g1",zone="z1"} 1`)
+			strings.Contains(body, `gateway_usable_endpoints{pool="p1",process="g1",zone="z1"} 1`) &&
+			strings.Contains(body, `gateway_burn_events{class="1k",objective="answered",process="g1",service="m1",window="5m",zone="z1"} 1`) &&
+			strings.Contains(body, `gateway_burn_rate{class="1k",objective="answered",process="g1",service="m1",window="6h",zone="z1"} 0`) &&
+			strings.Contains(body, `gateway_suspects{process="g1",zone="z1"} 0`)
 	})
 	go f.daemon.Drain(t.Context())
 	eventually(t, "the drain", f.daemon.server.Draining)
--- /dev/null
+++ b/gateway/daemon/burngauges.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"siskinstand.example/service/burn"
+)
+
+// classPlain is the class of plain services, since a tag needs a value.
+const classPlain = "plain"
+
+type burnKey struct {
+	service, class string
+	objective      burn.Objective
+	window         burn.Window
+}
+
+func (k burnKey) tags() map[string]string {
+	return map[string]string{"service": k.service, "class": k.class, "objective": string(k.objective), "window": k.window.String()}
+}
+
+// burnGauges publishes the burn of the sums over accounts. Single accounts are
+// left out because the reporter keeps every series until the process ends.
+type burnGauges struct {
+	scope     tally.Scope
+	published map[burnKey]bool
+}
+
+func newBurnGauges(scope tally.Scope) *burnGauges {
+	return &burnGauges{scope: scope, published: map[burnKey]bool{}}
+}
+
+// update publishes the totals and sets series that have ended to 0.
+func (g *burnGauges) update(totals []burn.Series) {
+	current := map[burnKey]burn.Series{}
+	for _, s := range totals {
+		k := burnKey{s.Service, s.Class, s.Objective, s.Window}
+		if k.class == "" {
+			k.class = classPlain
+		}
+		if s.Total > 0 || g.published[k] {
+			current[k] = s
+		}
+	}
+	for k := range g.published {
+		if _, ok := current[k]; !ok {
+			current[k] = burn.Series{}
+		}
+	}
+	for k, s := range current {
+		g.published[k] = true
+		scope := g.scope.Tagged(k.tags())
+		scope.Gauge("burn_rate").Update(s.Burn(k.objective))
+		scope.Gauge("burn_events").Update(float64(s.Total))
+		scope.Gauge("burn_good_events").Update(float64(s.Good))
+	}
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -46,12 +46,13 @@
 	server      *caller.Server
 	callers     net.Listener
 	admin       net.Listener
+	burn        *burnGauges
 }
 
 // New opens the listeners and builds all parts; nothing runs yet.
 func New(b *Base, p Parts) (*Daemon, error) {
 	s := b.Settings
-	d := &Daemon{Base: b, parts: p}
+	d := &Daemon{Base: b, parts: p, burn: newBurnGauges(b.Metrics.Scope)}
 	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials())
 	d.build()
 	var err error
--- a/gateway/daemon/gauges.go
+++ b/gateway/daemon/gauges.go
@@ -18,6 +18,9 @@
 			return nil
 		case <-ticker.C:
 		}
+		d.burn.update(d.Burn.Totals())
+		known, _ := d.Suspects.Known()
+		d.Metrics.Scope.Gauge("suspects").Update(float64(len(known)))
 		view := d.loop.View()
 		d.Metrics.Scope.Gauge("config_revision").Update(float64(view.Config.Revision))
 		d.Metrics.Scope.Gauge("requests_in_progress").Update(float64(d.server.Requests()))
--- a/service/burn/objective.go
+++ b/service/burn/objective.go
@@ -2,7 +2,10 @@
 // of its service levels. Counts and histograms of processes merge by addition.
 package burn
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Objective is one service level.
 type Objective string
@@ -64,6 +67,15 @@
 	{"slow", HalfHour, SixHours, 6},
 }
 
+// String returns the window as metrics and reports show it, such as 5m.
+func (w Window) String() string {
+	text := strings.TrimSuffix(time.Duration(w).String(), "0s")
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
 // Count holds the good and all events.
 type Count struct{ Good, Total int64 }
 
--- a/service/burn/recorder.go
+++ b/service/burn/recorder.go
@@ -66,7 +66,8 @@
 	config Config
 	mu     sync.Mutex
 	series map[Key]*series
-	totals int
+	// totals are the sums over accounts, which are in series, too.
+	totals map[Key]*series
 	swept  time.Time
 }
 
@@ -76,7 +77,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	return &Recorder{config: c, series: map[Key]*series{}}
+	return &Recorder{config: c, series: map[Key]*series{}, totals: map[Key]*series{}}
 }
 
 // FirstToken records the time to the first token.
@@ -145,18 +146,17 @@
 // total returns the sum over accounts, nil beyond the bound of sums.
 func (r *Recorder) total(now time.Time, k Key) *series {
 	k.Account = AllAccounts
-	if s, ok := r.series[k]; ok {
+	if s, ok := r.totals[k]; ok {
 		return s
 	}
-	if r.totals >= maxTotals {
+	if len(r.totals) >= maxTotals {
 		r.sweep(now)
 	}
-	if r.totals >= maxTotals {
+	if len(r.totals) >= maxTotals {
 		return nil
 	}
 	s := &series{histograms: &[3]turning{}}
-	r.series[k] = s
-	r.totals++
+	r.series[k], r.totals[k] = s, s
 	return s
 }
 
@@ -169,9 +169,7 @@
 	for k, s := range r.series {
 		if now.Sub(s.last) > idleAfter {
 			delete(r.series, k)
-			if k.Account == AllAccounts {
-				r.totals--
-			}
+			delete(r.totals, k)
 		}
 	}
 }
--- a/service/burn/report.go
+++ b/service/burn/report.go
@@ -52,6 +52,23 @@
 	return list, nil
 }
 
+// Totals lists the sums over accounts without histograms, windows without
+// events included.
+func (r *Recorder) Totals() []Series {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	var list []Series
+	for k, s := range r.totals {
+		for i, o := range Objectives() {
+			for _, w := range Windows() {
+				list = append(list, Series{Key: k, Objective: o, Window: w, Count: s.objectives[i].window(now, w)})
+			}
+		}
+	}
+	return list
+}
+
 func encode(h *hdrhistogram.Histogram) ([]byte, error) {
 	if h == nil || h.TotalCount() == 0 {
 		return nil, nil
