siskinctl: run the commands of the operators' pages in a test

Cause: the pages said that a test runs their commands; there was none, and some of their text was wrong.

Change: a test runs each siskinctl command of the console blocks in order against the fake store and two in-process peers. A second test looks up each metric, tag, reason, alarm and exit code of the pages in the code, a third checks that the list of alarms and invariants is complete.

--- /dev/null
+++ b/siskinctl/pages_test.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"siskinstand.example/peerpb"
+	"siskinstand.example/service/burn"
+)
+
+const pagesDir = "../docs/operators"
+
+// Tables that the commands of the pages work on.
+const (
+	pageRoutes = "[account order-desk]\ntoken_sha256 = 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\n" +
+		"weight = 4\n[route chat]\naccounts = order-desk\nmodel = siskin-small\npool = chat\n"
+	pagePools = "[pool chat]\nkind = model\nservice = engine\nmodel = siskin-small\n[zone zilina-a]\nstate = in\n[zone zilina-b]\nstate = in\n"
+)
+
+func readPages(t *testing.T) map[string]string {
+	t.Helper()
+	paths, err := filepath.Glob(pagesDir + "/*.md")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no pages in %s: %v", pagesDir, err)
+	}
+	pages := map[string]string{}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages[filepath.Base(path)] = string(text)
+	}
+	return pages
+}
+
+// pageCommands returns the lines that start with "$ siskinctl" in the console
+// blocks of a page.
+func pageCommands(text string) []string {
+	var list []string
+	console := false
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "```") {
+			console = line == "```console"
+			continue
+		}
+		if command, ok := strings.CutPrefix(line, "$ siskinctl"); ok && console {
+			list = append(list, strings.TrimSpace(command))
+		}
+	}
+	return list
+}
+
+var pageWord = regexp.MustCompile(`"[^"]*"|[^\s"]+`)
+
+// splitCommand returns the words of a command and the file that its output
+// goes to.
+func splitCommand(t *testing.T, line string) (words []string, file string) {
+	t.Helper()
+	line, file, _ = strings.Cut(line, " > ")
+	for _, w := range pageWord.FindAllString(line, -1) {
+		w = strings.Trim(w, `"`)
+		if strings.ContainsAny(w, "$`|<>&;'\\") {
+			t.Fatalf("%q needs a shell, which this test has not", line)
+		}
+		words = append(words, w)
+	}
+	return words, file
+}
+
+type pagePeer struct {
+	burnPeer
+	status *peerpb.StatusResponse
+}
+
+func (p pagePeer) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return stubPeer{status: p.status}.Status(ctx, r)
+}
+
+// pageFixture has a store with the tables and two gateways.
+func pageFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.run(exitOK, "accepted", "apply", "--base", "0", "--routes", f.file("r.ini", pageRoutes), "--pools", f.file("p.ini", pagePools))
+	for i := range 2 {
+		recorder := burn.New(burn.Config{})
+		recorder.Answered(burn.Key{Account: "order-desk", Service: "siskin-small", Class: "1k"}, burn.FirstTokenLimit, i == 0)
+		f.args = append(f.args, "--gateway", servePeer(t, pagePeer{burnPeer{recorder: recorder}, &peerpb.StatusResponse{
+			Sender: &peerpb.Sender{ProcessId: fmt.Sprintf("gateway-%d", i+1), Zone: "zilina-a", ConfigRevision: 1}, Role: "gateway", State: "serving",
+		}}))
+	}
+	return f
+}
+
+// Guards against pages whose commands the program no longer accepts. Each page
+// starts from the same tables; its commands run in order and have to succeed.
+func TestPageCommands(t *testing.T) {
+	count := 0
+	for name, text := range readPages(t) {
+		t.Run(name, func(t *testing.T) {
+			f := pageFixture(t)
+			t.Chdir(f.dir)
+			for _, line := range pageCommands(text) {
+				count++
+				words, file := splitCommand(t, line)
+				out := f.run(exitOK, "", words...)
+				if file != "" {
+					f.file(file, out)
+				}
+			}
+		})
+	}
+	if count < 20 {
+		t.Errorf("%d commands found on the pages; the search for them is broken", count)
+	}
+}
+
+// sources joins the code of modules without their tests.
+func sources(t *testing.T, modules ...string) string {
+	t.Helper()
+	var all strings.Builder
+	for _, module := range modules {
+		err := filepath.WalkDir("../"+module, func(path string, d os.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			all.Write(data)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return all.String()
+}
+
+var (
+	codeSpan   = regexp.MustCompile("`([^`\n]+)`")
+	codeName   = regexp.MustCompile(`^[a-z]+(_[a-z0-9]+)+$`)
+	labelled   = regexp.MustCompile(`^([a-z_]+)\{([a-z_]+)="([a-z_]+)"\}$`)
+	exitCited  = regexp.MustCompile(`exit codes? (\d)(?: or (\d))?`)
+	metricName = regexp.MustCompile(`^(gateway|sidecar)_([a-z_]+)$`)
+)
+
+// isMetric reports whether the program registers the metric.
+func isMetric(t *testing.T, name string) bool {
+	m := metricName.FindStringSubmatch(name)
+	return m != nil && regexp.MustCompile(`(Gauge|Counter|Histogram|Timer)\("`+m[2]+`"`).MatchString(sources(t, m[1]))
+}
+
+// unknownNames returns the names in a page's code spans that the programs don't
+// have as a metric, a tag or a string of their code.
+func unknownNames(t *testing.T, code, text string) []string {
+	var unknown []string
+	for _, span := range codeSpan.FindAllStringSubmatch(text, -1) {
+		if m := labelled.FindStringSubmatch(span[1]); m != nil {
+			if !isMetric(t, m[1]) || !strings.Contains(code, `{"`+m[2]+`": `) || !strings.Contains(code, `"`+m[3]+`"`) {
+				unknown = append(unknown, span[1])
+			}
+			continue
+		}
+		for word := range strings.FieldsSeq(span[1]) {
+			word = strings.Trim(word, `="`)
+			if codeName.MatchString(word) && !strings.Contains(code, `"`+word+`"`) && !isMetric(t, word) {
+				unknown = append(unknown, word)
+			}
+		}
+	}
+	return unknown
+}
+
+// Guards against pages that name a metric, tag, reason, alarm, setting or exit
+// code that the programs don't have.
+func TestPageNames(t *testing.T) {
+	code := sources(t, "coord", "gateway", "sidecar", "service", "siskinctl")
+	if got := unknownNames(t, code, "`gateway_bogus{pool=\"x\"}` and `no_such_reason`"); len(got) != 2 {
+		t.Errorf("the check of names finds %q, want both", got)
+	}
+	for page, text := range readPages(t) {
+		for _, name := range unknownNames(t, code, text) {
+			t.Errorf("%s: no program has the name %s", page, name)
+		}
+		for _, cited := range exitCited.FindAllStringSubmatch(text, -1) {
+			for _, number := range cited[1:] {
+				if number != "" && !strings.Contains(exitHelp, "\n  "+number+"  ") {
+					t.Errorf("%s: there is no exit code %s", page, number)
+				}
+			}
+		}
+	}
+}
+
+// Guards against an alarm or invariant that the page of alarms leaves out.
+func TestAlarmsPageIsComplete(t *testing.T) {
+	page := readPages(t)["alarms.md"]
+	declared := regexp.MustCompile(`Name\s+= "([a-z_]+)"`)
+	for _, path := range []string{"../gateway/kvstore/alarms.go", "../coord/invariant/invariant.go"} {
+		code, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := declared.FindAllStringSubmatch(string(code), -1)
+		if len(found) < 3 {
+			t.Errorf("%s: %d names found; the search for them is broken", path, len(found))
+		}
+		for _, m := range found {
+			if name := m[1]; !strings.Contains(page, "| `"+name+"` |") {
+				t.Errorf("alarms.md does not list %s", name)
+			}
+		}
+	}
+}
