demo: keep a fixed address for callers and settings for siskinctl

Cause: make run chose a free port for callers, so no written example call could work, and siskinctl needed the addresses typed by hand.

The demo writes siskinctl.ini beside the other settings and prints how to use it.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 PACKAGES    := $(MODULES:%=./%/...)
 PROGRAMS    := gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
 SEED        ?= 1
+CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
 
 .PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto clean
@@ -50,9 +51,10 @@
 demo: build
 	bin/siskin-load demo --bin bin --dir out/demo --seed $(SEED) --plot out/demo/first-token.svg
 
-# run does the same and keeps everything running.
+# run does the same and keeps everything running. CALLERS is the address of the
+# first gateway.
 run: build
-	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --callers $(CALLERS) --stay
 
 clean:
 	rm -rf bin out
--- a/loadgen/demo.go
+++ b/loadgen/demo.go
@@ -16,6 +16,7 @@
 	Rate      float64 `long:"rate" default:"30" description:"requests a second"`
 	Seed      uint64  `long:"seed" default:"1" description:"seed of the mix"`
 	Plot      string  `long:"plot" description:"file for an SVG of the times to first token"`
+	Callers   string  `long:"callers" value-name:"HOST:PORT" description:"address of the first gateway for callers; default: a free port"`
 	Stay      bool    `long:"stay" description:"keep everything running and print an example call"`
 }
 
@@ -25,6 +26,6 @@
 	defer stop()
 	return demo.Run(ctx, demo.Config{
 		Binaries: c.Binaries, Directory: c.Directory, Rate: c.Rate, Seed: c.Seed,
-		Stay: c.Stay, Plot: c.Plot, Out: os.Stdout,
+		Stay: c.Stay, Plot: c.Plot, Callers: c.Callers, Out: os.Stdout,
 	})
 }
--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -31,6 +31,9 @@
 	// Plot is the file for an SVG, if set.
 	Plot string
 	Out  io.Writer
+	// Callers is the address of the first gateway for callers; empty takes a free
+	// port.
+	Callers string
 }
 
 // Times of the demo. A zone that was taken out may get new work for zoneGrace.
@@ -64,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Callers != "" {
+		l.gateways[0].callers = c.Callers
+	}
 	r := &run{config: c, layout: l, processes: newProcesses(c.Binaries, c.Directory)}
 	defer func() { err = errors.Join(err, r.processes.stop()) }()
 	if err := r.start(ctx); err != nil {
@@ -244,8 +250,10 @@
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
   -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which birds visit the feeder?"}]}'
 
-%s/siskinctl --store %s edit pools "zone %s" state=out
+export SISKINCTL_SETTINGS=%s
+%s/siskinctl edit pools "zone %s" state=out
+%s/siskinctl burn --html burn.html
 
 Stop with Ctrl-C.
-`, r.layout.gateways[0].callers, token, model, r.config.Binaries, r.layout.store, outZone)
+`, r.layout.gateways[0].callers, token, model, r.layout.path(operatorSettings), r.config.Binaries, outZone, r.config.Binaries)
 }
--- a/loadgen/demo/layout.go
+++ b/loadgen/demo/layout.go
@@ -20,6 +20,8 @@
 	engineLabel   = "engine"
 	region        = "region-1"
 	enginesByZone = 2
+	// operatorSettings is the file of siskinctl's settings.
+	operatorSettings = "siskinctl.ini"
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -107,6 +109,9 @@
 	if err := l.write("hosts.json", string(hosts)); err != nil {
 		return err
 	}
+	if err := l.write(operatorSettings, l.operatorSettings()); err != nil {
+		return err
+	}
 	if err := l.write("routes.ini", routes()); err != nil {
 		return err
 	}
@@ -181,6 +186,15 @@
 `, g.name, g.zone, region, g.callers, g.admin, g.peers, l.hosts, l.store)
 }
 
+// operatorSettings are those of siskinctl.
+func (l *layout) operatorSettings() string {
+	var gateways []string
+	for _, g := range l.gateways {
+		gateways = append(gateways, g.peers)
+	}
+	return fmt.Sprintf("[store]\naddress = %s\n\n[fleet]\ngateways = %s\n", l.store, strings.Join(gateways, ", "))
+}
+
 func routes() string {
 	hash := config.HashToken(token)
 	return fmt.Sprintf(`[account demo]
