--- a/loadgen/capacity/zone.go
+++ b/loadgen/capacity/zone.go
@@ -49,7 +49,7 @@
 				return
 			}
 			result.requests++
-			p := b.Request(line.now, name, weightBytes)
+			p := b.Request(line.now, budget.Process{Endpoint: name, Incarnation: 1}, weightBytes)
 			if p.Granted {
 				result.permitted++
 				begins = append(begins, line.now)
