models: name the functions of claims and edits, add abandoned claims

Change: comments name the functions; a refused call may release its claim. Four searches of at most 500 MB run at once, 2 GB together.

--- a/models/claim.pml
+++ b/models/claim.pml
@@ -230,7 +230,7 @@
 	/* Rule: the claim is in the store before the call is dispatched, and a
 	 * claim is unique because its appender has read every unexpired chunk and
 	 * swaps on the tail that it read: gateway/dispatch Dispatcher.runClaimed,
-	 * claim.Book.Claim. */
+	 * gateway/kvstore partition.commit, claim.Log.Plan. */
 #ifdef NO_CLAIM_FIRST
 	goto attempt;
 #endif
@@ -253,7 +253,8 @@
 	}
 	atomic { writeState[me] = claimed; writeVersion[me] = seen; answer[me] = none }
 	/* Rule: a lost answer is resolved by reading back the identifier; the same
-	 * swap is repeated if the tail has not moved: claim.Book.Claim. */
+	 * swap is repeated if the tail has not moved: gateway/kvstore
+	 * partition.reset and partition.refresh, claim.Log.Decide. */
 	atomic {
 		if
 		:: answer[me] == ok -> goto attempt
@@ -266,9 +267,13 @@
 		fi
 	}
 unavailable:
-	/* Rule: without a confirmed claim the call is refused before dispatch:
-	 * gateway/dispatch Dispatcher.runClaimed. */
-	atomic { answeredNotRun[me] = true; goto finished }
+	/* Rule: without a confirmed claim the call is refused before dispatch, and
+	 * a claim that may have taken effect is released: gateway/dispatch
+	 * Dispatcher.runClaimed, gateway/peer Node.abandon, claim.Log.Decide. */
+	if
+	:: goto release
+	:: goto finishNotRun
+	fi;
 
 attempt:
 	atomic { id = ID(me, s); started = false; cancelled = false; asked = false; up[id] ! offer }
--- a/models/config.pml
+++ b/models/config.pml
@@ -129,8 +129,7 @@
 
 	/* Rule: an edit names the revision it was based on; it is refused if a
 	 * gateway has a newer revision than the store: config.PlanEdit for the
-	 * base; the question to the gateways belongs to siskinctl's edit command
-	 * (docs/models.md). */
+	 * base; siskinctl/editor Apply does not ask the gateways (docs/models.md). */
 	atomic {
 		verdict[me] = pending;
 		base[me] = head;
@@ -158,7 +157,7 @@
 		:: answer[me] == ok -> goto accept
 #ifndef NO_CONFLICT_READ_BACK
 		/* Rule: a conflict after an unknown outcome is read back too:
-		 * config.Head.Resolve. */
+		 * siskinctl/editor swapHead. */
 		:: answer[me] == conflict && doubtful -> goto readBack
 		:: answer[me] == conflict && !doubtful -> goto refuse
 #else
@@ -168,7 +167,7 @@
 		fi
 	}
 readBack:
-	/* Rule: after a lost answer the head is read: config.Head.Resolve. */
+	/* Rule: after a lost answer the head is read: siskinctl/editor resolve. */
 #ifdef NO_READ_BACK
 	if
 	:: goto accept
@@ -263,7 +262,7 @@
 	:: atomic { serving[me] && head != revision[me] -> install(head, headChanges) }
 #endif
 	/* Rule: whichever peer is behind pulls: spread.State.Heard,
-	 * config.InForce.Since, config.InForce.Apply. */
+	 * gateway/peer Node.exchange, config.InForce.Since. */
 #ifndef NO_EXCHANGE
 	:: atomic { PULLS(NEXT) -> install(revision[NEXT], changes[NEXT]) }
 	:: atomic { PULLS(LAST) -> install(revision[LAST], changes[LAST]) }
@@ -277,7 +276,7 @@
 		serving[me] = false; revision[me] = 0; changes[me] = 0 }
 	/* Rule: a process that starts takes the newer of what a serving gateway
 	 * and the store have; it serves nothing if it reaches neither:
-	 * config.InForce.Advance. */
+	 * gateway/peer Node.pullSnapshot, config.InForce.Advance. */
 #ifndef NO_PEER_FIRST
 	:: atomic { STARTS_FROM(NEXT) -> install(revision[NEXT], changes[NEXT]) }
 	:: atomic { STARTS_FROM(LAST) -> install(revision[LAST], changes[LAST]) }
--- a/models/run.sh
+++ b/models/run.sh
@@ -4,7 +4,7 @@
 # violate the named assertion. Exits non-zero otherwise.
 set -euo pipefail
 cd "$(dirname "$0")"
-readonly memory_mb=900 depth=1000000 jobs=3
+readonly memory_mb=500 depth=1000000 jobs=4
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
