coord/config: rebuild only the rows that a change touches

Change: zones, hosts and accounts that are set change in clones of their maps with the checks of a full rebuild; pools, routes, deleted accounts and rows that are not valid take the full rebuild. A document knows the edits from its previous revision, so the history needs no comparison.

--- a/coord/config/document.go
+++ b/coord/config/document.go
@@ -55,6 +55,10 @@
 	deleted uint64
 	rows    map[RowID]row
 	tables  *Tables
+	// since is the revision from which edits lead to this document; 0 means
+	// that they are not known.
+	since uint64
+	edits []RowEdit
 }
 
 // EmptyDocument is the configuration before the first edit.
@@ -84,10 +88,27 @@
 		}
 		d.rows[r.RowID] = row{text: r.Text, revision: r.Revision, section: section}
 	}
-	return d.checked()
+	if previous.revision == 0 {
+		return d.rebuild()
+	}
+	return d.checked(previous, Diff(previous, d))
+}
+
+// checked sets the tables. The edits are those that lead from the previous
+// document to this one.
+func (d *Document) checked(previous *Document, edits []RowEdit) (*Document, error) {
+	d.since, d.edits = previous.revision, edits
+	if independent(edits) {
+		if tables, ok := previous.tables.rebuilt(edits, d.rows); ok {
+			d.tables = tables
+			return d, nil
+		}
+	}
+	return d.rebuild()
 }
 
-func (d *Document) checked() (*Document, error) {
+// rebuild sets the tables from all rows.
+func (d *Document) rebuild() (*Document, error) {
 	sections := map[Table][]inifile.Section{}
 	for id, r := range d.rows {
 		sections[id.Table] = append(sections[id.Table], r.section)
@@ -173,7 +194,8 @@
 // Apply returns the document after the changes that lie ahead of it; older
 // changes are skipped. It fails if a change starts after the revision reached.
 func (d *Document) Apply(changes ...Change) (*Document, error) {
-	next := &Document{revision: d.revision, deleted: d.deleted, rows: d.rows}
+	next := &Document{revision: d.revision, deleted: d.deleted, rows: maps.Clone(d.rows)}
+	touched := map[RowID]bool{}
 	for _, c := range changes {
 		if c.Revision <= next.revision {
 			continue
@@ -184,15 +206,23 @@
 		if err := next.applyOne(c); err != nil {
 			return nil, err
 		}
+		for _, r := range c.Rows {
+			touched[r.RowID] = true
+		}
 	}
 	if next.revision == d.revision {
 		return d, nil
 	}
-	return next.checked()
+	var edits []RowEdit
+	for id := range touched {
+		edits = appendEdit(edits, id, d, next)
+	}
+	sortRows(edits)
+	return next.checked(d, edits)
 }
 
+// applyOne changes the rows, which the document must not share.
 func (d *Document) applyOne(c Change) error {
-	d.rows = maps.Clone(d.rows)
 	for _, r := range c.Rows {
 		section, err := parseRow(r)
 		if err != nil {
@@ -216,10 +246,8 @@
 // Diff lists the edits that turn one document into the other.
 func Diff(from, to *Document) []RowEdit {
 	var edits []RowEdit
-	for id, r := range to.rows {
-		if old, ok := from.rows[id]; !ok || !old.equal(r) {
-			edits = append(edits, RowEdit{RowID: id, Text: r.text, Revision: r.revision})
-		}
+	for id := range to.rows {
+		edits = appendEdit(edits, id, from, to)
 	}
 	for id := range from.rows {
 		if _, ok := to.rows[id]; !ok {
@@ -230,6 +258,28 @@
 	return edits
 }
 
+// appendEdit adds the edit of one row if the documents differ in it.
+func appendEdit(edits []RowEdit, id RowID, from, to *Document) []RowEdit {
+	old, had := from.rows[id]
+	r, has := to.rows[id]
+	switch {
+	case has && (!had || !old.equal(r)):
+		return append(edits, RowEdit{RowID: id, Text: r.text, Revision: r.revision})
+	case had && !has:
+		return append(edits, RowEdit{RowID: id})
+	}
+	return edits
+}
+
+// editsFrom returns the edits from another document, without a comparison of
+// all rows where they are known. A revision has only one content.
+func (d *Document) editsFrom(from *Document) []RowEdit {
+	if d.since > 0 && d.since == from.revision {
+		return d.edits
+	}
+	return Diff(from, d)
+}
+
 // SplitRows splits the text of a table into rows. Lines that hold only a
 // comment are not kept.
 func SplitRows(table Table, f File) ([]RowEdit, error) {
--- a/coord/config/inforce.go
+++ b/coord/config/inforce.go
@@ -56,7 +56,10 @@
 	if !f.publish(next) {
 		return false
 	}
-	f.remember(Change{Revision: next.revision, Base: now.revision, Rows: Diff(now, next)})
+	// A peer at revision 0 fetches a snapshot, which is sent in pieces.
+	if now.revision > 0 {
+		f.remember(Change{Revision: next.revision, Base: now.revision, Rows: next.editsFrom(now)})
+	}
 	return true
 }
 
@@ -85,12 +88,8 @@
 	return true
 }
 
-// remember keeps a change for Since. The first configuration of a process is
-// not kept: a peer at revision 0 fetches a snapshot, which is sent in pieces.
+// remember keeps a change for Since.
 func (f *InForce) remember(c Change) {
-	if c.Base == 0 {
-		return
-	}
 	f.history = append(f.history, c)
 	f.rows += len(c.Rows)
 	for len(f.history) > 0 && (len(f.history) > maxHistoryChanges || f.rows > maxHistoryRows) {
--- a/loadgen/capacity/claims.go
+++ b/loadgen/capacity/claims.go
@@ -36,7 +36,7 @@
 // localStore starts a store stand-in on loopback in this process.
 func localStore() (*store.HTTP, *fakestore.Store, func(), error) {
 	fake := fakestore.New(fakestore.Config{})
-	s, err := server.Start("127.0.0.1:0", http.Handler(fake.Handler()))
+	s, err := server.Start("127.0.0.1:0", fake.Handler())
 	if err != nil {
 		return nil, nil, nil, err
 	}
--- a/loadgen/capacity/stats.go
+++ b/loadgen/capacity/stats.go
@@ -14,11 +14,3 @@
 	rank := int(math.Ceil(q * float64(len(sorted))))
 	return sorted[min(max(rank, 1), len(sorted))-1]
 }
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
-	}
-	return sum / float64(len(values))
-}
