gateway/kvstore: read a long claim chain outside the time of a commit

Cause: a partition whose chain takes longer to read than a commit's 2 s was never read, so all its calls were refused for good after its appender was replaced.

Change: the chain is read before the batch with up to 2 minutes.

--- a/gateway/kvstore/book.go
+++ b/gateway/kvstore/book.go
@@ -99,7 +99,7 @@
 	if err := e.Check(); err != nil {
 		return claim.Record{}, err
 	}
-	o := &operation{entry: e, done: make(chan answer, 1)}
+	o := &operation{ctx: ctx, entry: e, done: make(chan answer, 1)}
 	select {
 	case b.partitions[claim.Partition(claim.Key(e.Key))].waiting <- o:
 	default:
--- a/gateway/kvstore/book_test.go
+++ b/gateway/kvstore/book_test.go
@@ -215,3 +215,38 @@
 		second.stop()
 	})
 }
+
+// slowList is a store with a long chain.
+type slowList struct {
+	*memStore
+	delay time.Duration
+}
+
+func (s slowList) List(ctx context.Context, prefix string) ([]kvstore.Pair, error) {
+	select {
+	case <-time.After(s.delay):
+		return s.memStore.List(ctx, prefix)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against a partition whose chain takes longer to read than one commit,
+// which was never read, and against a claim made after its caller had given up.
+func TestBookRecoversLongChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBook(slowList{newMemStore(), 3 * commitTimeout}, "p1", invariant.NewRegistry(nil))
+		defer b.stop()
+		key := claim.NewKey("account", "route", "key")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := b.Claim(ctx, key, "first", 1); err == nil {
+			t.Fatal("claimed before the chain was read")
+		}
+		time.Sleep(4 * commitTimeout)
+		record, err := b.Claim(t.Context(), key, "second", 1)
+		if err != nil || record.State != claim.StateClaimed {
+			t.Errorf("got %+v, %v", record, err)
+		}
+	})
+}
--- a/gateway/kvstore/partition.go
+++ b/gateway/kvstore/partition.go
@@ -12,6 +12,10 @@
 	"siskinstand.example/platform/kvstore"
 )
 
+// loadTimeout bounds reading a whole chain. A day of 10 calls a second leaves
+// some 600 chunks of 64 KiB in a partition, which do not fit commitTimeout.
+const loadTimeout = 2 * time.Minute
+
 // expireInterval is the time between searches for chunks to delete.
 const expireInterval = 10 * time.Minute
 
@@ -22,6 +26,8 @@
 
 // operation is one entry that a caller waits for.
 type operation struct {
+	// ctx is the caller's; it ends when nobody waits for the answer.
+	ctx   context.Context
 	entry claim.Entry
 	done  chan answer
 }
@@ -53,7 +59,11 @@
 		for len(batch) < maxBatch && len(p.waiting) > 0 {
 			batch = append(batch, <-p.waiting)
 		}
-		p.commit(ctx, batch)
+		if err := p.recover(ctx); err != nil {
+			p.fail(batch, err)
+		} else {
+			p.commit(ctx, batch)
+		}
 		if ctx.Err() == nil {
 			p.expire(ctx)
 			pause(ctx, writeInterval-time.Since(began))
@@ -61,6 +71,17 @@
 	}
 }
 
+// recover reads the chain if it is not loaded. It has more time than a commit,
+// since a chain that takes longer would otherwise never be read.
+func (p *partition) recover(ctx context.Context) error {
+	if p.loaded {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return p.load(ctx)
+}
+
 // commit answers every operation: from the copy if the copy is fresh and the
 // state is known, otherwise after a write. A lost answer is resolved by reading
 // the chain again, since each entry carries its claim's identifier.
@@ -104,6 +125,11 @@
 	var entries []claim.Entry
 	var rest []*operation
 	for _, o := range *batch {
+		if o.entry.Op == claim.OpClaim && o.ctx.Err() != nil {
+			// The caller was refused; its claim would block the key for a day.
+			o.done <- answer{err: o.ctx.Err()}
+			continue
+		}
 		record, appendIt, err := p.log.Decide(time.Now(), o.entry)
 		switch {
 		case appendIt:
