--- a/loadgen/demo/layout.go
+++ b/loadgen/demo/layout.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"siskinstand.example/coord/config"
+	"siskinstand.example/loadgen/process"
 	"siskinstand.example/platform/hostlist"
 )
 
@@ -20,6 +21,8 @@
 	engineLabel   = "engine"
 	region        = "region-1"
 	enginesByZone = 2
+	// operatorSettings is the file of siskinctl's settings.
+	operatorSettings = "siskinctl.ini"
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -56,7 +59,7 @@
 // and one plain service.
 func newLayout(directory string) (*layout, error) {
 	const maxAddresses = 64
-	free, err := freeAddresses(maxAddresses)
+	free, err := process.FreeAddresses(maxAddresses)
 	if err != nil {
 		return nil, err
 	}
@@ -107,6 +110,9 @@
 	if err := l.write("hosts.json", string(hosts)); err != nil {
 		return err
 	}
+	if err := l.write(operatorSettings, l.operatorSettings()); err != nil {
+		return err
+	}
 	if err := l.write("routes.ini", routes()); err != nil {
 		return err
 	}
@@ -181,6 +187,15 @@
 `, g.name, g.zone, region, g.callers, g.admin, g.peers, l.hosts, l.store)
 }
 
+// operatorSettings are those of siskinctl.
+func (l *layout) operatorSettings() string {
+	var gateways []string
+	for _, g := range l.gateways {
+		gateways = append(gateways, g.peers)
+	}
+	return fmt.Sprintf("[store]\naddress = %s\n\n[fleet]\ngateways = %s\n", l.store, strings.Join(gateways, ", "))
+}
+
 func routes() string {
 	hash := config.HashToken(token)
 	return fmt.Sprintf(`[account demo]
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -18,6 +18,7 @@
 	"siskinstand.example/platform/engine"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
+	"siskinstand.example/service/rpcstats"
 	"siskinstand.example/service/rungroup"
 	"siskinstand.example/sidecar/admin"
 	"siskinstand.example/sidecar/certs"
@@ -78,7 +79,7 @@
 			return members.LoadPermit(ctx, address, s.Endpoint.Name, model)
 		}},
 	})
-	return serve(s, parts{loop: loop, server: newServer(s, keys, service), orders: runner, keys: keys, metrics: m})
+	return serve(s, parts{loop: loop, server: newServer(s, m, keys, service), orders: runner, keys: keys, metrics: m})
 }
 
 func newInvariants(endpoint string, m *metrics.Metrics) *invariant.Registry {
@@ -168,10 +169,11 @@
 	return c
 }
 
-func newServer(s config.Settings, keys *certs.Keys, service *gateway.Server) *grpc.Server {
+func newServer(s config.Settings, m *metrics.Metrics, keys *certs.Keys, service *gateway.Server) *grpc.Server {
 	server := grpc.NewServer(
 		grpc.Creds(keys.Server()),
 		grpc.MaxConcurrentStreams(uint32(s.Listen.MaxStreams)),
+		grpc.StatsHandler(rpcstats.New(m.Scope, &peerpb.Sidecar_ServiceDesc, &peerpb.Peer_ServiceDesc)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 	)
