certs: share one package between gateway and sidecar

Change: service/certs returns TLS configurations; each program turns them into gRPC credentials and decides what it does without keys.

--- a/gateway/daemon/admin_test.go
+++ b/gateway/daemon/admin_test.go
@@ -21,7 +21,7 @@
 
 	"google.golang.org/grpc/credentials"
 
-	"siskinstand.example/gateway/certs"
+	"siskinstand.example/service/certs"
 )
 
 // Guards against a balancer that sends callers to a gateway that cannot serve,
--- a/gateway/daemon/keys.go
+++ b/gateway/daemon/keys.go
@@ -6,8 +6,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"siskinstand.example/gateway/certs"
 	"siskinstand.example/gateway/config"
+	"siskinstand.example/service/certs"
 )
 
 // Keys are the TLS keys of a gateway; nil means that TLS is off.
--- a/sidecar/member/member_test.go
+++ b/sidecar/member/member_test.go
@@ -20,8 +20,7 @@
 
 	"siskinstand.example/coord/group"
 	"siskinstand.example/peerpb"
-	"siskinstand.example/sidecar/certs"
-	"siskinstand.example/sidecar/config"
+	"siskinstand.example/service/certs"
 )
 
 // authority signs certificates for one fleet.
@@ -72,13 +71,21 @@
 
 func (a *authority) keys() *certs.Keys {
 	_, _, certificate, key := a.issue(a, false)
-	k, err := certs.Load(config.TLS{Certificate: certificate, Key: key, Authority: a.path})
+	k, err := certs.Load(certs.Files{Certificate: certificate, Key: key, Authority: a.path})
 	if err != nil {
 		a.t.Fatal(err)
 	}
 	return k
 }
 
+func (a *authority) server() credentials.TransportCredentials {
+	return credentials.NewTLS(a.keys().Server())
+}
+
+func (a *authority) client() credentials.TransportCredentials {
+	return credentials.NewTLS(a.keys().Client())
+}
+
 type holder struct {
 	peerpb.UnimplementedSidecarServer
 	held bool
@@ -109,11 +116,11 @@
 		held    bool
 		fails   bool
 	}{
-		"same fleet":           {serve(fleet.keys().Server(), true), fleet.keys().Client(), true, false},
-		"refused":              {serve(fleet.keys().Server(), false), fleet.keys().Client(), false, false},
-		"client is a stranger": {serve(fleet.keys().Server(), true), stranger.keys().Client(), false, true},
-		"server is a stranger": {serve(stranger.keys().Server(), true), fleet.keys().Client(), false, true},
-		"client without TLS":   {serve(fleet.keys().Server(), true), insecure.NewCredentials(), false, true},
+		"same fleet":           {serve(fleet.server(), true), fleet.client(), true, false},
+		"refused":              {serve(fleet.server(), false), fleet.client(), false, false},
+		"client is a stranger": {serve(fleet.server(), true), stranger.client(), false, true},
+		"server is a stranger": {serve(stranger.server(), true), fleet.client(), false, true},
+		"client without TLS":   {serve(fleet.server(), true), insecure.NewCredentials(), false, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -21,7 +21,6 @@
 	"siskinstand.example/service/rpcstats"
 	"siskinstand.example/service/rungroup"
 	"siskinstand.example/sidecar/admin"
-	"siskinstand.example/sidecar/certs"
 	"siskinstand.example/sidecar/config"
 	"siskinstand.example/sidecar/control"
 	"siskinstand.example/sidecar/gateway"
@@ -54,7 +53,7 @@
 
 func run(s config.Settings) error {
 	id := newIdentity(s.Endpoint.Name)
-	keys, err := certs.Load(s.TLS)
+	keys, err := loadKeys(s.TLS)
 	if err != nil {
 		return err
 	}
@@ -66,7 +65,7 @@
 	invariants := newInvariants(s.Endpoint.Name, m)
 	model := newEngine(s)
 	loop := control.New(loopConfig(s, id, model, invariants, m))
-	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone}, keys.Client())
+	members := member.NewPool(&peerpb.Sender{ProcessId: id.processID, Incarnation: id.incarnation, Zone: s.Endpoint.Zone}, keys.client())
 	defer members.Close()
 	service := gateway.New(gateway.Config{
 		Loop: loop, Engine: model, Members: members, Invariants: invariants,
@@ -94,7 +93,7 @@
 	loop    *control.Loop
 	server  *grpc.Server
 	orders  *orders.Runner
-	keys    *certs.Keys
+	keys    transportKeys
 	metrics *metrics.Metrics
 }
 
@@ -112,7 +111,7 @@
 	var group rungroup.Group
 	group.Add("control", p.loop.Run)
 	group.Add("orders", p.orders.Run)
-	group.Add("keys", p.keys.Watch)
+	group.Add("keys", p.keys.watch)
 	group.Add("gateways", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, p.server.Stop)
 		defer stop()
@@ -169,9 +168,9 @@
 	return c
 }
 
-func newServer(s config.Settings, m *metrics.Metrics, keys *certs.Keys, service *gateway.Server) *grpc.Server {
+func newServer(s config.Settings, m *metrics.Metrics, keys transportKeys, service *gateway.Server) *grpc.Server {
 	server := grpc.NewServer(
-		grpc.Creds(keys.Server()),
+		grpc.Creds(keys.server()),
 		grpc.MaxConcurrentStreams(uint32(s.Listen.MaxStreams)),
 		grpc.StatsHandler(rpcstats.New(m.Scope, &peerpb.Sidecar_ServiceDesc, &peerpb.Peer_ServiceDesc)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
