kvstore: delete shards of unfinished edits

Cause: an editor that crashes between its shards and the head leaves shards that nothing deletes.

Change: the zone's reader lists the shards every 30 min and deletes those that no head has named for an hour, at the version listed, unless the store is older than the revision in force. siskinctl writes a shard of a repeated edit again at a new version, and gives up 10 min after it wrote the shards, so that no head names a shard that was deleted.

--- a/gateway/kvstore/reader.go
+++ b/gateway/kvstore/reader.go
@@ -46,7 +46,8 @@
 	ReaderConfig
 	attempts chan struct{}
 	// shards caches the rows of the last head by digest.
-	shards map[string][]config.RowEdit
+	shards  map[string][]config.RowEdit
+	orphans orphans
 }
 
 // NewReader returns a reader that does not hold the lease.
@@ -60,7 +61,9 @@
 	if c.Alarms == nil {
 		c.Alarms = &Alarms{}
 	}
-	return &Reader{ReaderConfig: c, attempts: make(chan struct{}, 1), shards: map[string][]config.RowEdit{}}
+	return &Reader{
+		ReaderConfig: c, attempts: make(chan struct{}, 1), shards: map[string][]config.RowEdit{}, orphans: orphans{store: c.Store, swept: time.Now()},
+	}
 }
 
 // Try asks for one attempt to get the lease. It does not block.
@@ -134,6 +137,7 @@
 func (r *Reader) watch(ctx context.Context) {
 	version := int64(0)
 	for ctx.Err() == nil {
+		r.sweepOrphans(ctx)
 		pair, err := r.next(ctx, version)
 		if err == nil {
 			version = pair.Version
@@ -153,6 +157,19 @@
 	}
 }
 
+// sweepOrphans runs between two watches, so within 30 s of its time.
+func (r *Reader) sweepOrphans(ctx context.Context) {
+	now := time.Now()
+	if !r.orphans.due(now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	if err := r.orphans.sweep(ctx, now, r.InForce.Current().Revision); err != nil {
+		klog.InfoS("orphaned shards not swept", "err", err)
+	}
+}
+
 func (r *Reader) next(ctx context.Context, version int64) (kvstore.Pair, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -183,6 +200,7 @@
 		r.Alarms.Raise(AlarmUnreadable, err.Error())
 		return nil
 	}
+	r.orphans.named(head)
 	r.checkAge(head.Revision, current)
 	if head.Revision <= current {
 		return nil
--- a/siskinctl/editor/editor.go
+++ b/siskinctl/editor/editor.go
@@ -18,6 +18,9 @@
 const (
 	maxAttempts = 8
 	retryPause  = 200 * time.Millisecond
+	// swapLimit is far below the hour after which gateways delete shards that
+	// no head names.
+	swapLimit = 10 * time.Minute
 )
 
 // NotAcceptedError says that an edit was certainly not accepted.
@@ -103,12 +106,13 @@
 	if err != nil {
 		return 0, &NotAcceptedError{err}
 	}
+	written := time.Now().Round(0)
 	for digest, shard := range plan.Shards {
 		if err := writeShard(ctx, store, digest, shard); err != nil {
 			return 0, &NotAcceptedError{err}
 		}
 	}
-	err = swapHead(ctx, store, t, e, value)
+	err = swapHead(ctx, store, t, e, value, written)
 	var refused *NotAcceptedError
 	switch {
 	case err == nil:
@@ -125,14 +129,19 @@
 }
 
 // writeShard stores a shard. A conflict means that an earlier attempt of this
-// edit stored it, because the digest is unique to the edit.
+// edit stored it, because the digest is unique to the edit. It is written again
+// at a new version, so that the sweep of orphaned shards does not delete it.
 func writeShard(ctx context.Context, store kvstore.Store, digest string, value []byte) error {
 	var err error
+	version := int64(0)
 	for range maxAttempts {
-		_, err = store.CompareAndSwap(ctx, config.ShardPrefix+digest, value, 0, 0)
-		if err == nil || errors.Is(err, kvstore.ErrConflict) {
+		_, err = store.CompareAndSwap(ctx, config.ShardPrefix+digest, value, version, 0)
+		if err == nil {
 			return nil
 		}
+		if errors.Is(err, kvstore.ErrConflict) {
+			version = versionOf(ctx, store, config.ShardPrefix+digest)
+		}
 		if !pause(ctx) {
 			break
 		}
@@ -140,13 +149,28 @@
 	return eris.Wrapf(err, "write shard %s", digest)
 }
 
+// versionOf returns 0 for a key that does not exist or could not be read.
+func versionOf(ctx context.Context, store kvstore.Store, key string) int64 {
+	pair, err := store.Get(ctx, key)
+	if err != nil {
+		return 0
+	}
+	return pair.Version
+}
+
 // swapHead repeats the swap until its outcome is known. A repeated swap cannot
 // take effect twice, because it names the version that it replaces.
-func swapHead(ctx context.Context, store kvstore.Store, t Tables, e config.Edit, value []byte) error {
+func swapHead(ctx context.Context, store kvstore.Store, t Tables, e config.Edit, value []byte, written time.Time) error {
 	// uncertain is true once a swap was sent that may still have taken effect.
 	uncertain := false
 	var cause error
 	for range maxAttempts {
+		// A computer that slept stops the monotonic clock, so the wall clock
+		// counts.
+		if age := time.Now().Round(0).Sub(written); age > swapLimit {
+			cause = eris.Errorf("%s have passed since the shards were written; accepted: up to %s", age, swapLimit)
+			break
+		}
 		_, cause = store.CompareAndSwap(ctx, config.HeadKey, value, t.version, 0)
 		if cause == nil {
 			return nil
--- a/siskinctl/editor/editor_test.go
+++ b/siskinctl/editor/editor_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("error %v, want not accepted", err)
 	}
 }
+
+// Guards against a head that names shards which the sweep of orphaned shards
+// has deleted or is about to delete.
+func TestShardsOfLateEdit(t *testing.T) {
+	_, store := startStore(t)
+	key := config.ShardPrefix + "d"
+	last := int64(0)
+	for range 2 {
+		if err := writeShard(t.Context(), store, "d", []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		pair, err := store.Get(t.Context(), key)
+		if err != nil || pair.Version <= last {
+			t.Errorf("version %d, %v, want more than %d", pair.Version, err, last)
+		}
+		last = pair.Version
+	}
+	tables := Tables{Head: config.EmptyHead(), Document: config.EmptyDocument()}
+	err := swapHead(t.Context(), store, tables, edit("c", 0, "out"), []byte("{}"), time.Now().Add(-swapLimit-time.Second))
+	var refused *NotAcceptedError
+	if !errors.As(err, &refused) {
+		t.Errorf("swap long after the shards = %v, want that it is not accepted", err)
+	}
+}
