peer: never exchange with the gateway itself

Cause: a gateway left itself out of its peers by name only. If its settings and the host list differ in the name, it exchanged with itself, counted itself as a peer and could take its own heartbeat for the zone's reader's.

Change: it leaves out its own address too, refuses a digest with its own identifier and leaves an address that refused one out for a minute. Either raises the alarm gateway_identity.

--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -38,7 +38,7 @@
 	})
 	permits, parts := weightBudget(b, s)
 	node := peer.New(peer.Config{
-		ID: process.ID, Zone: process.Zone, Incarnation: b.Incarnation, Seed: routing.HashName(process.ID) ^ b.Incarnation,
+		ID: process.ID, Address: b.Settings.Peers.Address, Zone: process.Zone, Incarnation: b.Incarnation, Seed: routing.HashName(process.ID) ^ b.Incarnation,
 		InForce: inForce, Alarms: alarms, Book: book, TryRead: reader.Try,
 		Peers:       func() []spread.Peer { return peers(b) },
 		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(b.Keys.PeerCredentials()), grpc.WithNoProxy(), grpc.WithStatsHandler(b.RPC)},
--- a/gateway/kvstore/alarms.go
+++ b/gateway/kvstore/alarms.go
@@ -21,6 +21,9 @@
 	AlarmUnreadable AlarmName = "config_unreadable"
 	// AlarmStoreDown: the zone's reader gets no answer from the store.
 	AlarmStoreDown AlarmName = "store_down"
+	// AlarmIdentity: the host list and the settings name this gateway
+	// differently, or another process has its identifier.
+	AlarmIdentity AlarmName = "gateway_identity"
 )
 
 // Alarm is a raised alarm. Count is the number of times it was raised.
--- a/gateway/peer/exchange.go
+++ b/gateway/peer/exchange.go
@@ -26,6 +26,7 @@
 	})
 	if err != nil {
 		n.clients.failed(to.Address, err)
+		n.noteOwn(to, err)
 		return err
 	}
 	n.mergeSuspects(delta.GetSuspects())
@@ -92,6 +93,9 @@
 
 // Exchange answers a digest with the changes that follow it.
 func (n *Node) Exchange(_ context.Context, d *peerpb.Digest) (*peerpb.Delta, error) {
+	if err := n.refuseOwn(d); err != nil {
+		return nil, err
+	}
 	n.mergeSuspects(d.GetSuspects())
 	revision := d.GetSender().GetConfigRevision()
 	// A sidecar is not in the list of gateways; there is nothing to pull from it.
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -39,7 +39,9 @@
 // Config names the process and its parts. Suspects, Permits, Status and Burn
 // may be nil.
 type Config struct {
-	ID          string
+	ID string
+	// Address is the own one in the host list.
+	Address     string
 	Zone        string
 	Incarnation uint64
 	Seed        uint64
@@ -74,6 +76,7 @@
 	reading    atomic.Bool
 	readingSet chan struct{}
 	abandoned  chan abandoned
+	own        ownAddresses
 }
 
 // beat is the reader's last heartbeat as of a time.
@@ -175,11 +178,9 @@
 func (n *Node) refreshPeers(state *spread.State) {
 	known := map[string]spread.Peer{}
 	var list []spread.Peer
-	for _, p := range n.Peers() {
-		if p.ID != n.ID {
-			known[p.ID] = p
-			list = append(list, p)
-		}
+	for _, p := range n.others(n.Peers()) {
+		known[p.ID] = p
+		list = append(list, p)
 	}
 	n.peers.Store(&known)
 	n.seen.keep(func(id string) bool { _, ok := known[id]; return ok })
