sidecar: fuzz the gRPC input and bound its durations

Cause: nothing fuzzed what gateways send to a sidecar, and make fuzz was named as phony without a rule. A remaining time near the largest integer overflowed and refused the offer as late; holds and ages of suspects had the same fault.

Durations are bounded before the multiplication. make fuzz runs every fuzz target for FUZZTIME and the rapid tests with a random seed that it prints; RAPID_SEED replays it.

Conclusion: the test of the longest remaining time fails before the change and passes after it.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,8 @@
 SEED        ?= 1
 CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
+# RAPID_SEED replays the rapid tests of an earlier make fuzz; empty draws a seed.
+RAPID_SEED  ?=
 
 .PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto clean
 
@@ -38,6 +40,10 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+# fuzz runs every fuzz target for FUZZTIME each, and the rapid tests.
+fuzz:
+	.ci/fuzz $(FUZZTIME) "$(RAPID_SEED)" $(MODULES)
+
 # model checks the Promela specifications and that each rule is needed.
 model:
 	./models/run.sh
--- a/sidecar/gateway/attempt.go
+++ b/sidecar/gateway/attempt.go
@@ -17,8 +17,15 @@
 // cancelTimeout bounds the order to cancel a run that has failed here.
 const cancelTimeout = 2 * time.Second
 
-// maxBudget bounds the remaining time that an offer may state.
-const maxBudget = 24 * time.Hour
+// maxDuration bounds the durations that a message may state, such as the
+// remaining time of an offer.
+const maxDuration = 24 * time.Hour
+
+// durationOf bounds the value before the multiplication, which could overflow.
+func durationOf(milliseconds int64) time.Duration {
+	limit := maxDuration.Milliseconds()
+	return time.Duration(max(min(milliseconds, limit), -limit)) * time.Millisecond
+}
 
 // Attempt runs one attempt of one request.
 func (s *Server) Attempt(stream attemptStream) error {
@@ -65,7 +72,7 @@
 
 func (a *attempt) run() error {
 	a.arrived = time.Now()
-	deadline := a.arrived.Add(min(time.Duration(a.offer.BudgetMs)*time.Millisecond, maxBudget))
+	deadline := a.arrived.Add(durationOf(a.offer.BudgetMs))
 	ctx, stop := context.WithDeadline(a.stream.Context(), deadline)
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/sidecar/gateway/attempt_test.go
+++ b/sidecar/gateway/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -171,3 +172,13 @@
 		t.Errorf("event = %v, want a chunk", e)
 	}
 }
+
+// Guards against a remaining time that overflows and refuses the offer as late.
+func TestLongestBudget(t *testing.T) {
+	f := newFixture(t)
+	o := offer("r1")
+	o.BudgetMs = math.MaxInt64
+	if e := next(t, f.open(t, o)); e.GetAdmitted() == nil {
+		t.Errorf("event = %v, want the admission", e)
+	}
+}
--- a/sidecar/gateway/control.go
+++ b/sidecar/gateway/control.go
@@ -86,7 +86,7 @@
 	for _, s := range list[:min(len(list), maxSuspects)] {
 		r := suspect.Report{
 			Fingerprint: suspect.Fingerprint(s.Fingerprint), Strikes: s.Strikes,
-			Age: time.Duration(s.AgeMs) * time.Millisecond, Cleared: s.Cleared,
+			Age: durationOf(s.AgeMs), Cleared: s.Cleared,
 		}
 		for _, e := range s.Events {
 			r.Events = append(r.Events, suspect.Event(e))
--- a/sidecar/gateway/hold.go
+++ b/sidecar/gateway/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"siskinstand.example/coord/group"
 	"siskinstand.example/peerpb"
@@ -12,7 +11,7 @@
 func (s *Server) Hold(ctx context.Context, r *peerpb.HoldRequest) (*peerpb.HoldResponse, error) {
 	hold := group.Hold{ID: r.HoldId, Group: r.GroupId, Account: r.Account, Tokens: r.Tokens}
 	response := &peerpb.HoldResponse{EngineAddress: s.config.EngineAddress}
-	refusal := s.config.Loop.Hold(ctx, hold, time.Duration(r.TtlMs)*time.Millisecond)
+	refusal := s.config.Loop.Hold(ctx, hold, durationOf(r.TtlMs))
 	response.Sender = s.sender()
 	if refusal != nil {
 		response.Reason = string(refusal.Reason)
