--- a/gateway/control/control_test.go
+++ b/gateway/control/control_test.go
@@ -8,6 +8,7 @@
 
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/membership"
+	pb "siskinstand.example/peerpb"
 	"siskinstand.example/platform/hostlist"
 )
 
@@ -36,3 +37,33 @@
 		l.publish(now)
 	}
 }
+
+// Guards against an order to load one of several models, or none although the
+// pools agree, and against a slice that keeps its revision when the model changes.
+func TestSliceNamesTheModel(t *testing.T) {
+	for name, tc := range map[string]struct{ pools, want string }{
+		"one pool":      {"[pool a]\nkind = model\nservice = s\nmodel = m\n", "m"},
+		"same model":    {"[pool a]\nkind = model\nservice = s\nmodel = m\n[pool b]\nkind = model\nservice = s\nmodel = m\n", "m"},
+		"plain besides": {"[pool a]\nkind = plain\nservice = s\n[pool b]\nkind = model\nservice = s\nmodel = m\n", "m"},
+		"two models":    {"[pool a]\nkind = model\nservice = s\nmodel = m\n[pool b]\nkind = model\nservice = s\nmodel = n\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(Config{})
+			l.applyHosts(hostlist.Update{Full: true, Hosts: []hostlist.Host{{Name: "e", Service: "s", Address: "a", Zone: "z", Role: hostlist.RoleEndpoint}}})
+			slice := func(revision uint64, pools string) *pb.Slice {
+				tables, err := config.Parse(config.File{Name: "r"}, config.File{Name: "p", Text: []byte(pools)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				l.snapshot = config.Snapshot{Revision: revision, Tables: tables}
+				return l.sliceOf("e", tables.Pools())
+			}
+			if got := slice(1, tc.pools).GetModel(); got != tc.want {
+				t.Errorf("model %q, want %q", got, tc.want)
+			}
+			if got := slice(2, strings.ReplaceAll(tc.pools, "model = m\n", "model = k\n")); got.GetChangedRevision() != 2 && tc.want != "" {
+				t.Errorf("the model changed at revision 2, the slice says %d", got.GetChangedRevision())
+			}
+		})
+	}
+}
--- a/sidecar/gateway/attempt_test.go
+++ b/sidecar/gateway/attempt_test.go
@@ -22,6 +22,7 @@
 	client     peerpb.SidecarClient
 	peer       peerpb.PeerClient
 	invariants *invariant.Registry
+	service    *Server
 	// violated is the number of violations that the test causes on purpose.
 	violated int64
 }
@@ -44,6 +45,7 @@
 		Loop: f.loop, Engine: f.engine, Invariants: f.invariants, Members: f.members, Endpoint: "e1", EngineAddress: "127.0.0.1:1",
 		ProcessID: "p1", Incarnation: 1, Zone: "z1", MaxBodyBytes: 1 << 20,
 	})
+	f.service = service
 	peerpb.RegisterSidecarServer(server, service)
 	peerpb.RegisterPeerServer(server, service)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
