budget: end the refusal of a former sidecar after an hour

Cause: a host replaced by one whose clock is behind got no permit until the budget changed its holder.

Change: the refusal ends an hour after the last request of the later sidecar.

--- a/coord/budget/budget.go
+++ b/coord/budget/budget.go
@@ -23,6 +23,10 @@
 	repeatWindow = 30 * time.Second
 	// jitterParts spreads the retries over a quarter of their delay.
 	jitterParts = 4
+	// supersededFor is how long a sidecar is refused after a later one has asked.
+	// A host that was replaced by one whose clock is behind gets permits again
+	// after it.
+	supersededFor = time.Hour
 	// maxEndpoints bounds the endpoints whose incarnation is kept. The design
 	// size is 12,000 endpoints.
 	maxEndpoints = 65_536
@@ -49,6 +53,12 @@
 	at    time.Time
 }
 
+// newest is the latest sidecar of an endpoint and the time of its last request.
+type newest struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // Budget is the state of the budget's holder. It is not safe for concurrent
 // use.
 type Budget struct {
@@ -58,14 +68,14 @@
 	busyUntil time.Time
 	grants    map[string]grant
 	// newest holds the highest incarnation of each endpoint that has asked.
-	newest map[string]uint64
+	newest map[string]newest
 }
 
 // New returns the budget of a holder that begins now. rate is in bytes a
 // second; 0 grants nothing. The permits of a former holder are not known, so
 // the burst counts as used.
 func New(now time.Time, rate int64, burst time.Duration) *Budget {
-	return &Budget{rate: rate, burst: burst, busyUntil: now.Add(burst), grants: map[string]grant{}, newest: map[string]uint64{}}
+	return &Budget{rate: rate, burst: burst, busyUntil: now.Add(burst), grants: map[string]grant{}, newest: map[string]newest{}}
 }
 
 // SetRate takes a changed rate of the weight store; loads granted before keep
@@ -76,7 +86,7 @@
 func (b *Budget) Request(now time.Time, p Process, bytes int64) Permit {
 	b.expire(now)
 	process := p.Endpoint
-	if !b.isNewest(p) {
+	if !b.isNewest(now, p) {
 		return Permit{Superseded: true, RetryAfter: b.retry(process, maxRetry)}
 	}
 	if g, ok := b.grants[process]; ok && g.bytes == bytes {
@@ -96,13 +106,13 @@
 	return Permit{Granted: true}
 }
 
-func (b *Budget) isNewest(p Process) bool {
+func (b *Budget) isNewest(now time.Time, p Process) bool {
 	known, ok := b.newest[p.Endpoint]
-	if p.Incarnation < known {
+	if p.Incarnation < known.incarnation && now.Sub(known.at) < supersededFor {
 		return false
 	}
 	if ok || len(b.newest) < maxEndpoints {
-		b.newest[p.Endpoint] = p.Incarnation
+		b.newest[p.Endpoint] = newest{incarnation: p.Incarnation, at: now}
 	}
 	return true
 }
--- a/coord/budget/budget_test.go
+++ b/coord/budget/budget_test.go
@@ -112,4 +112,7 @@
 	if p := b.Request(start, former, rate); p.Granted || !p.Superseded {
 		t.Errorf("the former sidecar got %+v", p)
 	}
+	if p := b.Request(start.Add(supersededFor), former, rate); p.Superseded {
+		t.Error("a host whose clock was set back gets no permit any more")
+	}
 }
