routing: bound the expected prefix hit

Cause: half of any prompt was expected in the prefix cache of the prefix key's endpoint. For a prompt of 1,000,000 tokens that outweighed a backlog of 500,000 tokens there, although the key covers the first 1,024 bytes only.

Change: the expected hit is at most 8,192 tokens.

With the old code the new case of the test fails.

Conclusion: very long prompts use both candidates.

--- a/coord/routing/routing.go
+++ b/coord/routing/routing.go
@@ -157,6 +157,11 @@
 	return time.Duration(float64(max(tokens, 0)) / float64(rate) * float64(time.Second))
 }
 
+// maxPrefixTokens bounds the expected prefix hit. The prefix key covers the
+// first 1,024 bytes only, so a share of a very long prompt is no expectation;
+// it would hold such prompts on one endpoint for seconds.
+const maxPrefixTokens = 8_192
+
 // Order returns the candidates with the shorter predicted wait first. The
 // fingerprint breaks ties, so that gateways with equal views don't all prefer
 // the endpoint that reported idle last.
@@ -164,7 +169,7 @@
 	if c.Fingerprint == None || c.Prefix == None {
 		return c.Prefix, c.Fingerprint
 	}
-	benefit := p.duration(int64(float64(promptTokens)*p.PrefixShare), prefix)
+	benefit := p.duration(min(int64(float64(promptTokens)*p.PrefixShare), maxPrefixTokens), prefix)
 	waitPrefix := p.PredictWait(prefix) - benefit
 	waitFingerprint := p.PredictWait(fingerprint)
 	if waitPrefix < waitFingerprint || (waitPrefix == waitFingerprint && Mix(k.Fingerprint)&1 == 0) {
--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -107,6 +107,7 @@
 		"unreported work":    {0, Load{QueuedTokens: 10}, Load{UnreportedTokens: 50}, 3},
 		"faster endpoint":    {0, Load{QueuedTokens: 100, TokensPerSecond: 10_000}, Load{QueuedTokens: 50}, 3},
 		"benefit too small":  {50, Load{QueuedTokens: 100}, Load{QueuedTokens: 50}, 5},
+		"long prompt":        {1_000_000, Load{QueuedTokens: 100_000}, Load{}, 5},
 		"tie by fingerprint": {0, Load{}, Load{}, 3},
 	}
 	for name, tc := range tests {
