reference: commit man pages and sample settings of the programs

Change: the programs' option parsers have a name and a description; package service/reference writes man pages from them with the keys of the settings, their units, ranges and defaults. make man writes docs/man and docs/samples; a test of each program fails when they differ and runs mandoc -T lint where it is installed, from warnings on.

Conclusion: the committed pages follow the programs. siskin-fake and siskin-load have no settings file and so no sample.

--- a/fakes/main.go
+++ b/fakes/main.go
@@ -20,12 +20,22 @@
 	PlainService plainserviceCommand `command:"plainservice" description:"plain service that counts the runs of each idempotency key"`
 }
 
+func newParser() *flags.Parser {
+	p := flags.NewNamedParser("siskin-fake", flags.Default)
+	p.ShortDescription = "stand-ins of outside systems for tests and the demo"
+	p.LongDescription = "Each command runs one stand-in and prints the address that it listens on. Its switches are read and set under /control."
+	if _, err := p.AddGroup("Options", "", &options{}); err != nil {
+		panic(err)
+	}
+	return p
+}
+
 func main() {
 	if err := logging.Setup(logging.Config{}); err != nil {
 		klog.ErrorS(err, "set up logging")
 		os.Exit(1)
 	}
-	_, err := flags.Parse(&options{})
+	_, err := newParser().Parse()
 	var help *flags.Error
 	switch {
 	case err == nil:
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -19,9 +19,19 @@
 	Sample bool   `long:"sample" description:"print a commented settings file and exit"`
 }
 
+func newParser(o *options) *flags.Parser {
+	p := flags.NewNamedParser("siskin-gateway", flags.Default)
+	p.ShortDescription = "daemon between callers and sidecars"
+	p.LongDescription = "Serves callers over HTTP and passes their requests to the sidecars of endpoints. SIGTERM and SIGINT end it after its requests; a second one ends it at once."
+	if _, err := p.AddGroup("Options", "", o); err != nil {
+		panic(err)
+	}
+	return p
+}
+
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	if _, err := newParser(&o).Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
 			return
--- /dev/null
+++ b/gateway/reference_test.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"testing"
+
+	"siskinstand.example/service/reference"
+	"siskinstand.example/service/settings"
+
+	"siskinstand.example/gateway/config"
+)
+
+// Guards against committed reference pages that the program no longer writes.
+func TestReference(t *testing.T) {
+	reference.AssertManPage(t, "../docs/man/siskin-gateway.1", newParser(&options{}), settings.Keys[config.Settings]())
+	reference.AssertFile(t, "../docs/samples/gateway.ini", []byte(config.Sample()))
+}
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -15,9 +15,18 @@
 	Demo  demoCommand  `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
 }
 
+func newParser() *flags.Parser {
+	p := flags.NewNamedParser("siskin-load", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "load and experiment tool"
+	p.LongDescription = "Sends loads, runs the demo and measures the decision code."
+	if _, err := p.AddGroup("Options", "", &options{}); err != nil {
+		panic(err)
+	}
+	return p
+}
+
 func main() {
-	parser := flags.NewParser(&options{}, flags.HelpFlag|flags.PassDoubleDash)
-	_, err := parser.Parse()
+	_, err := newParser().Parse()
 	if err == nil {
 		return
 	}
--- a/service/settings/settings.go
+++ b/service/settings/settings.go
@@ -183,38 +183,3 @@
 	}
 	return list
 }
-
-// Sample returns a commented file with every key at its default.
-func Sample[T any]() string {
-	var b strings.Builder
-	root := reflect.TypeFor[T]()
-	for i := range root.NumField() {
-		section := root.Field(i)
-		if i > 0 {
-			b.WriteString("\n")
-		}
-		fmt.Fprintf(&b, "[%s]\n", section.Tag.Get("ini"))
-		for k := range section.Type.NumField() {
-			writeSample(&b, section.Type.Field(k))
-		}
-	}
-	return b.String()
-}
-
-func writeSample(b *strings.Builder, field reflect.StructField) {
-	notes := field.Tag.Get("help")
-	for _, tag := range []string{"unit", "min", "max"} {
-		if v, ok := field.Tag.Lookup(tag); ok {
-			notes += fmt.Sprintf("; %s: %s", tag, v)
-		}
-	}
-	if v, ok := field.Tag.Lookup("oneof"); ok {
-		notes += "; accepted: " + strings.Join(splitList(v), ", ")
-	}
-	fmt.Fprintf(b, "# %s\n", notes)
-	if def, ok := field.Tag.Lookup("default"); ok {
-		fmt.Fprintf(b, "# %s = %s\n", field.Tag.Get("ini"), def)
-		return
-	}
-	fmt.Fprintf(b, "# required\n%s = %s\n", field.Tag.Get("ini"), field.Tag.Get("example"))
-}
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -18,9 +18,19 @@
 	Sample bool   `long:"sample" description:"print a commented settings file and exit"`
 }
 
+func newParser(o *options) *flags.Parser {
+	p := flags.NewNamedParser("siskin-sidecar", flags.Default)
+	p.ShortDescription = "process that admits work to the endpoint on its host"
+	p.LongDescription = "Queues the offers of gateways and passes them to the engine or plain service beside it. SIGTERM and SIGINT end it after its streams; a second one ends it at once."
+	if _, err := p.AddGroup("Options", "", o); err != nil {
+		panic(err)
+	}
+	return p
+}
+
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	if _, err := newParser(&o).Parse(); err != nil {
 		var usage *flags.Error
 		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
 			return
--- /dev/null
+++ b/sidecar/reference_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"siskinstand.example/service/reference"
+	"siskinstand.example/service/settings"
+	"siskinstand.example/sidecar/config"
+)
+
+// Guards against committed reference pages that the program no longer writes.
+func TestReference(t *testing.T) {
+	reference.AssertManPage(t, "../docs/man/siskin-sidecar.1", newParser(&options{}), settings.Keys[config.Settings]())
+	reference.AssertFile(t, "../docs/samples/sidecar.ini", []byte(config.Sample()))
+}
--- a/siskinctl/app.go
+++ b/siskinctl/app.go
@@ -69,18 +69,27 @@
 	return exitCode(err)
 }
 
-func (a *app) execute(args []string) error {
+func (a *app) newParser() (*flags.Parser, error) {
 	parser := flags.NewNamedParser("siskinctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "operators' command of siskinstand"
 	parser.LongDescription = "Edits the routes and pools tables and shows the state of the fleet.\n" + exitHelp
 	parser.SubcommandsOptional = true
 	if _, err := parser.AddGroup("Global options", "", &a.options); err != nil {
-		return err
+		return nil, err
 	}
 	for _, c := range a.commands() {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".\n\nExample:\n  "+c.example, c.run); err != nil {
-			return err
+			return nil, err
 		}
 	}
+	return parser, nil
+}
+
+func (a *app) execute(args []string) error {
+	parser, err := a.newParser()
+	if err != nil {
+		return err
+	}
 	parser.CommandHandler = func(c flags.Commander, rest []string) error {
 		if a.options.Sample {
 			fmt.Fprint(a.out, sampleSettings())
@@ -94,7 +103,7 @@
 		}
 		return a.execCommand(c)
 	}
-	_, err := parser.ParseArgs(args)
+	_, err = parser.ParseArgs(args)
 	return err
 }
 
