--- a/Makefile
+++ b/Makefile
@@ -62,5 +62,10 @@
 	@mkdir -p docs/man docs/samples
 	go test -count=1 -run '^TestReference$$' ./gateway ./sidecar ./siskinctl ./fakes ./loadgen -update
 
+# capacity measures what each role costs, projects it to the design size and
+# writes the tables of docs/CAPACITY.md.
+capacity: build
+	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
+
 clean:
 	rm -rf bin out
--- a/gateway/daemon/base.go
+++ b/gateway/daemon/base.go
@@ -14,6 +14,7 @@
 	"siskinstand.example/service/burn"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
+	"siskinstand.example/service/rpcstats"
 )
 
 // Base is what all parts of a gateway share.
@@ -22,10 +23,12 @@
 	Incarnation uint64
 	Keys        Keys
 	Metrics     *metrics.Metrics
-	Invariants  *invariant.Registry
-	Suspects    *suspects.Table
-	Burn        *burn.Recorder
-	loop        atomic.Pointer[control.Loop]
+	// RPC counts the bytes of calls from and to other processes.
+	RPC        *rpcstats.Handler
+	Invariants *invariant.Registry
+	Suspects   *suspects.Table
+	Burn       *burn.Recorder
+	loop       atomic.Pointer[control.Loop]
 }
 
 // NewBase opens the metrics and the invariants.
@@ -35,6 +38,7 @@
 		return nil, err
 	}
 	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now), Burn: burn.New(burn.Config{})}
+	b.RPC = rpcstats.New(m.Scope, &pb.Sidecar_ServiceDesc, &pb.Peer_ServiceDesc)
 	b.Invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
 		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
 		klog.ErrorS(nil, "invariant violated", logging.FieldInvariant, name, "detail", message)
