gateway, sidecar: start nothing after the deadline, report the engine's backlog

Cause: model variant NO_DEADLINE_CHECK shows that a gateway paused between admission and Start can start a call after its deadline. Change: no Start message after the deadline, verdict not_run; QueuedTokens is the backlog. Figures: TestNoStartAfterDeadline and TestLoadCountsTheEnginesBacklog fail without the change (a nil stream panics; 1000 instead of 51000).

--- a/gateway/dispatch/attempt.go
+++ b/gateway/dispatch/attempt.go
@@ -171,6 +171,11 @@
 		// says whether the leader had started.
 		return nil
 	}
+	if a.GetStartRequired() && !time.Now().Before(s.x.r.Deadline) {
+		// A gateway that was paused reads the admission late. Nothing runs
+		// without the Start message.
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadlinePast, "the deadline passed before the call was started")
+	}
 	if len(s.x.r.Body) > sidecar.InlineBodyBytes {
 		if err := s.stream.SendBody(s.x.r.Body); err != nil {
 			return asFailure(err)
--- a/sidecar/gateway/server.go
+++ b/sidecar/gateway/server.go
@@ -45,7 +45,8 @@
 func loadOf(s *control.Snapshot) *peerpb.Load {
 	used := s.Load.ReservedTokens
 	return &peerpb.Load{
-		QueuedTokens: s.Load.QueuedTokens, RunningTokens: used,
+		// The prompts that the engine has not finished delay a new one too.
+		QueuedTokens: s.Load.BacklogTokens(), RunningTokens: used,
 		QueuedRequests: int32(s.Load.QueuedItems), RunningRequests: int32(s.Load.RunningItems),
 		MemoryTotalTokens: s.TotalTokens, LimitTokens: s.Capacity.LimitTokens,
 		MemoryFreeTokens:       max(s.Capacity.MemoryTokens-used, 0),
