siskinctl: refuse edits of a store that lost changes, restore what is in force

Change: edits ask the gateways for the revision in force (exit code 9); restore writes a gateway's tables back at their revision.

--- a/siskinctl/app.go
+++ b/siskinctl/app.go
@@ -48,7 +48,7 @@
 func (a *app) commands() []command {
 	return []command{
 		getCommand(a), diffCommand(a), checkCommand(a), editCommand(a), applyCommand(a),
-		historyCommand(a), statusCommand(a), burnCommand(a), completionCommand(a),
+		historyCommand(a), restoreCommand(a), statusCommand(a), burnCommand(a), completionCommand(a),
 	}
 }
 
@@ -142,6 +142,9 @@
 		fmt.Fprintf(a.out, "no change to revision %d\n", t.Head.Revision)
 		return nil
 	}
+	if err := a.checkInForce(store, t); err != nil {
+		return err
+	}
 	if id == "" {
 		id = rand.Text()
 	}
--- a/siskinctl/editor/editor.go
+++ b/siskinctl/editor/editor.go
@@ -102,6 +102,22 @@
 	if err != nil {
 		return 0, &NotAcceptedError{err}
 	}
+	return commit(ctx, store, t, e, plan)
+}
+
+// Restore writes the document that is in force over older tables in the store.
+// It returns the revision in force, or the errors of Apply.
+func Restore(ctx context.Context, store kvstore.Store, t Tables, inForce *config.Document, e config.Edit) (uint64, error) {
+	plan, err := config.PlanRestore(t.Head, inForce, e)
+	if err != nil {
+		return 0, &NotAcceptedError{err}
+	}
+	e.Base = t.Head.Revision
+	return commit(ctx, store, t, e, plan)
+}
+
+// commit writes the shards, then the head that names them.
+func commit(ctx context.Context, store kvstore.Store, t Tables, e config.Edit, plan config.Plan) (uint64, error) {
 	value, err := plan.Head.Encode()
 	if err != nil {
 		return 0, &NotAcceptedError{err}
--- a/siskinctl/exit.go
+++ b/siskinctl/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/jessevdk/go-flags"
 
@@ -23,6 +24,7 @@
 	exitUnavailable = 6
 	exitDiffers     = 7
 	exitNotHealthy  = 8
+	exitOlderStore  = 9
 )
 
 const exitHelp = `
@@ -35,7 +37,8 @@
   5  no answer, the edit may have been accepted
   6  store or fleet not reachable, nothing was changed
   7  diff found differences
-  8  status found a process that is behind, unreachable or has an alarm`
+  8  status found a process that is behind, unreachable or has an alarm
+  9  the store is older than the revision in force, nothing was changed`
 
 var (
 	errDiffers    = errors.New("the tables differ")
@@ -53,6 +56,13 @@
 
 func (e *unavailableError) Error() string { return e.message }
 
+// olderStoreError says that the store lost changes.
+type olderStoreError struct{ store, inForce uint64 }
+
+func (e *olderStoreError) Error() string {
+	return fmt.Sprintf("not accepted: the store has revision %d, but revision %d is in force; run siskinctl restore", e.store, e.inForce)
+}
+
 // is reports whether the chain of err holds an error of type T.
 func is[T error](err error) bool {
 	var target T
@@ -67,6 +77,8 @@
 		return exitDiffers
 	case errors.Is(err, errNotHealthy):
 		return exitNotHealthy
+	case is[*olderStoreError](err):
+		return exitOlderStore
 	case is[*usageError](err), is[*flags.Error](err):
 		return exitUsage
 	case is[*editor.UnknownError](err):
--- a/siskinctl/main_test.go
+++ b/siskinctl/main_test.go
@@ -108,6 +108,26 @@
 	return s.status, nil
 }
 
+func (s stubPeer) Snapshot(_ *peerpb.SnapshotRequest, stream peerpb.Peer_SnapshotServer) error {
+	revision := s.status.GetSender().GetConfigRevision()
+	row := &peerpb.RowEdit{Table: "pools", Section: "zone a", Text: "state = out\n", Revision: revision}
+	return stream.Send(&peerpb.SnapshotChunk{Revision: revision, Rows: []*peerpb.RowEdit{row}, Last: true})
+}
+
+// Guards against an edit of a store that came back older. Its revision would be
+// one that is in force already, so the edit would never take effect.
+func TestOlderStore(t *testing.T) {
+	f := newFixture(t)
+	f.run(exitOK, "accepted: revision 1", "edit", "pools", "zone a", "state=in")
+	gateway := servePeer(t, stubPeer{status: &peerpb.StatusResponse{Sender: &peerpb.Sender{ConfigRevision: 5}}})
+	f.args = append(f.args, "--gateway", gateway)
+	f.run(exitOlderStore, "the store has revision 1, but revision 5 is in force", "edit", "pools", "zone b", "state=out")
+	f.run(exitOK, "restored: revision 5 over revision 1", "restore")
+	f.run(exitOK, "state = out", "get", "pools", "--section", "zone a")
+	f.run(exitOK, "no change: the store has revision 5", "restore")
+	f.run(exitOK, "accepted: revision 6", "edit", "pools", "zone b", "state=out")
+}
+
 func servePeer(t *testing.T, p peerpb.PeerServer) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/siskinctl/pages_test.go
+++ b/siskinctl/pages_test.go
@@ -83,6 +83,10 @@
 	return stubPeer{status: p.status}.Status(ctx, r)
 }
 
+func (p pagePeer) Snapshot(r *peerpb.SnapshotRequest, stream peerpb.Peer_SnapshotServer) error {
+	return stubPeer{status: p.status}.Snapshot(r, stream)
+}
+
 // pageFixture has a store with the tables and two gateways.
 func pageFixture(t *testing.T) *fixture {
 	f := newFixture(t)
