coord/config: make the reader's document from the changed shards

Change: AssembleNext takes the rows in which the shards of two heads differ and applies them to the document of the earlier head. The reader falls back to a full Assemble after any failure and for a document of another revision.

A property test compares rows, deletions and tables with a full Assemble over heads that skip edits; race tests of coord/config, gateway/kvstore and gateway/cluster pass.

--- a/coord/config/head.go
+++ b/coord/config/head.go
@@ -217,3 +217,69 @@
 	}
 	return newDocument(previous, h.Revision, h.Deleted, rows)
 }
+
+// AssembleNext builds the document of a head from that of an earlier head. Only
+// the shards that differ are compared; get has to know those of both heads. Any
+// other document leads to a full Assemble.
+func AssembleNext(d *Document, earlier, h Head, get func(ShardRef) ([]RowEdit, error)) (*Document, error) {
+	if earlier.Revision == 0 || earlier.Revision != d.revision || h.Revision <= d.revision {
+		return Assemble(d, h, get)
+	}
+	change := Change{Revision: h.Revision, Base: d.revision}
+	for _, table := range TableNames() {
+		for i, digest := range h.Shards[table] {
+			old := earlier.Shards[table][i]
+			if old == digest {
+				continue
+			}
+			edits, err := shardEdits(ShardRef{table, i, old}, ShardRef{table, i, digest}, get)
+			if err != nil {
+				return nil, err
+			}
+			change.Rows = append(change.Rows, edits...)
+		}
+	}
+	next, err := d.Apply(change)
+	if err != nil {
+		return nil, err
+	}
+	next.deleted = h.Deleted
+	return next, nil
+}
+
+// shardEdits lists the rows in which two versions of a shard differ.
+func shardEdits(from, to ShardRef, get func(ShardRef) ([]RowEdit, error)) ([]RowEdit, error) {
+	known := map[RowID]RowEdit{}
+	if from.Digest != "" {
+		rows, err := get(from)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			known[r.RowID] = r
+		}
+	}
+	var edits []RowEdit
+	kept := map[RowID]bool{}
+	if to.Digest != "" {
+		rows, err := get(to)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			if kept[r.RowID] || r.Text == "" {
+				return nil, eris.Errorf("%s: [%s] is empty or given twice in shard %s", r.Table, r.Section, to.Digest)
+			}
+			kept[r.RowID] = true
+			if known[r.RowID] != r {
+				edits = append(edits, r)
+			}
+		}
+	}
+	for id := range known {
+		if !kept[id] {
+			edits = append(edits, RowEdit{RowID: id})
+		}
+	}
+	return edits, nil
+}
--- a/coord/config/partial_test.go
+++ b/coord/config/partial_test.go
@@ -71,3 +71,38 @@
 		t.Errorf("only %d changes were accepted, so the check shows little", accepted)
 	}
 }
+
+// Guards against a reader whose document, made of the changed shards alone,
+// differs from the store's: a row left over, or a wrong revision of a deletion.
+func TestAssembleNextEqualsFull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		head, document, shards := EmptyHead(), EmptyDocument(), map[string][]byte{}
+		get := func(ref ShardRef) ([]RowEdit, error) { return DecodeShard(shards[ref.Digest], ref) }
+		followed, earlier := document, head
+		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			e := Edit{ID: fmt.Sprint(i), Author: "a", Base: head.Revision, Rows: rapid.SliceOfN(rapid.Custom(drawEdit), 1, 3).Draw(t, "rows")}
+			plan, err := PlanEdit(head, document, e)
+			if err != nil {
+				continue
+			}
+			for digest, value := range plan.Shards {
+				shards[digest] = value
+			}
+			head = plan.Head
+			if document, err = Assemble(EmptyDocument(), head, get); err != nil {
+				t.Fatal(err)
+			}
+			if rapid.Bool().Draw(t, "missed") {
+				continue
+			}
+			next, err := AssembleNext(followed, earlier, head, get)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(document.Rows(), next.Rows()); diff != "" || next.Deleted() != document.Deleted() || !reflect.DeepEqual(next.tables, document.tables) {
+				t.Fatalf("deleted %d, want %d: %s", next.Deleted(), document.Deleted(), diff)
+			}
+			followed, earlier = next, head
+		}
+	})
+}
--- a/gateway/kvstore/reader.go
+++ b/gateway/kvstore/reader.go
@@ -47,6 +47,10 @@
 	attempts chan struct{}
 	// shards caches the rows of the last head by digest.
 	shards map[string][]config.RowEdit
+	// head is the last one put in force from the store, if the rows of its
+	// shards are still known: previous holds those that shards has not.
+	head     config.Head
+	previous map[string][]config.RowEdit
 }
 
 // NewReader returns a reader that does not hold the lease.
@@ -193,13 +197,13 @@
 	} else if err != nil {
 		return err
 	}
-	next, err := config.Assemble(r.InForce.Document(), head, func(ref config.ShardRef) ([]config.RowEdit, error) {
-		return r.shards[ref.Digest], nil
-	})
+	next, err := config.AssembleNext(r.InForce.Document(), r.head, head, r.rows)
+	r.head = config.Head{}
 	if err != nil {
 		r.Alarms.Raise(AlarmUnreadable, err.Error())
 		return nil
 	}
+	r.head = head
 	r.Alarms.Clear(AlarmUnreadable)
 	if r.InForce.Advance(next) {
 		klog.InfoS("configuration in force", "config_revision", head.Revision)
@@ -207,6 +211,17 @@
 	return nil
 }
 
+// rows returns the rows of a shard of this head or of the one before.
+func (r *Reader) rows(ref config.ShardRef) ([]config.RowEdit, error) {
+	if rows, ok := r.shards[ref.Digest]; ok {
+		return rows, nil
+	}
+	if rows, ok := r.previous[ref.Digest]; ok {
+		return rows, nil
+	}
+	return nil, eris.Errorf("shard %s was not read", ref.Digest)
+}
+
 func (r *Reader) checkAge(store, current uint64) {
 	if store < current {
 		r.Alarms.Raise(AlarmStoreOlder, fmt.Sprintf("the store has revision %d, revision %d is in force", store, current))
@@ -234,7 +249,7 @@
 		}
 		next[ref.Digest] = rows
 	}
-	r.shards = next
+	r.previous, r.shards = r.shards, next
 	return nil
 }
 
