--- a/loadgen/capacity.go
+++ b/loadgen/capacity.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"siskinstand.example/loadgen/capacity"
 )
 
@@ -21,6 +24,9 @@
 func (c *capacityCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// The parts that run in this process log as the programs do.
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
 	return capacity.Run(ctx, capacity.Config{
 		Binaries: c.Binaries, Directory: c.Directory, Seed: c.Seed, Page: c.Page, Out: os.Stdout,
 	})
--- a/loadgen/capacity/capacity.go
+++ b/loadgen/capacity/capacity.go
@@ -30,9 +30,9 @@
 	rows     []Row
 	measured []siteFigures
 
-	parse, apply, rebuild, viewHeap  Row
-	startMemory, connectionMemory    Row
-	idleCPU, idleMemory, claimWrites Row
+	parse, read, apply, rebuild, viewHeap Row
+	startMemory, connectionMemory         Row
+	idleCPU, idleMemory, claimWrites      Row
 	// snapshotLoad is the transfer and parse of a snapshot, in seconds.
 	snapshotLoad float64
 }
--- a/loadgen/capacity/claims.go
+++ b/loadgen/capacity/claims.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"siskinstand.example/coord/claim"
+	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/invariant"
 	fakestore "siskinstand.example/fakes/kvstore"
 	"siskinstand.example/fakes/server"
@@ -209,9 +210,12 @@
 	return &claim.Result{HTTPStatus: http.StatusOK, ContentType: "application/json", Body: []byte(strings.Repeat("x", answerBody))}
 }
 
-// Assumed rates of calls that may not be repeated; section 1 of the design page
-// gives none.
-const designClaims = 200
+// Assumed rates of calls that may not be repeated at the peak and as the mean
+// of a day; section 1 of the design page gives none.
+const (
+	designClaims = 200
+	meanClaims   = 100
+)
 
 func (r *runner) claims(ctx context.Context) error {
 	rates := []int{25, 50, 100, designClaims}
@@ -240,12 +244,13 @@
 // recovery measures reading a chain back and projects the chain of a day.
 func (r *runner) recovery(ctx context.Context, entryBytes float64) error {
 	perSecond := entryBytes / claim.Partitions / claim.MaxChunkBytes
-	day := perSecond * designClaims * claim.DefaultExpiry.Seconds()
+	day := perSecond * meanClaims * claim.DefaultExpiry.Seconds()
 	took := Row{
 		Section: "Claim log", Name: "recovery of one partition after a day", Unit: "s", Scale: "chunks", Design: day,
-		Limit: commitLimit.Seconds(), Remedy: "a summary of sealed chunks, read instead of them, or a lower expiry",
+		Limit: config.DefaultPlainTimeout.Seconds(), Remedy: "a summary of sealed chunks, read instead of them, or a lower expiry",
 	}
-	memory := Row{Section: "Claim log", Name: "heap of one partition's copy after a day", Unit: "MB", Scale: "chunks", Design: day}
+	memory := Row{Section: "Claim log", Name: "heap of one partition's copy after a day", Unit: "MB", Scale: "chunks", Design: day,
+		Limit: limitMemory, Remedy: "an index without the entries and result bodies of sealed chunks, which are read when a key is repeated"}
 	for _, chunks := range []int{20, 80, 240} {
 		d, bytes, err := measureRecovery(ctx, r.Seed, chunks)
 		if err != nil {
@@ -255,19 +260,13 @@
 		memory.Points = append(memory.Points, Point{float64(chunks), bytes / megabyte})
 	}
 	took, memory = r.add(took.Fit()), r.add(memory.Fit())
-	perGateway := Row{
-		Section: "Claim log", Name: "heap of 16 partitions in one appender after a day", Unit: "MB", Scale: "calls/s", Design: designClaims,
-		Limit: limitMemory, Remedy: "the index of sealed chunks without their entries, and no result bodies in the copy", Kind: Projected,
-		Value: memory.Value * claim.Partitions,
+	chunksByCall := perSecond * claim.DefaultExpiry.Seconds()
+	carried := func(name string, value float64) {
+		r.add(Row{Section: "Claim log", Name: name, Unit: "calls/s", Kind: Projected, Value: value})
 	}
-	r.add(perGateway)
-	perCall := memory.Slope * claim.Partitions * perSecond * claim.DefaultExpiry.Seconds()
-	r.add(Row{Section: "Claim log", Name: "calls/s whose index of a day fills 128 MB in one appender", Unit: "calls/s", Kind: Projected, Value: limitMemory / perCall})
-	seconds := took.Slope * perSecond * claim.DefaultExpiry.Seconds()
-	r.add(Row{Section: "Claim log", Name: "calls/s whose partition of a day is read back within 2 s", Unit: "calls/s", Kind: Projected, Value: commitLimit.Seconds() / seconds})
+	carried("mean rate whose day fills 128 MB in the appender of one partition", limitMemory/(memory.Slope*chunksByCall))
+	carried("the same if one gateway appends to all 16", limitMemory/(memory.Slope*chunksByCall*claim.Partitions))
+	carried("mean rate whose partition is read back within a caller's deadline of 5 s", config.DefaultPlainTimeout.Seconds()/(took.Slope*chunksByCall))
+	r.add(Row{Section: "Claim log", Name: "log of a day in the store", Unit: "GB", Kind: Projected, Value: entryBytes * meanClaims * secondsPerDay / 1e9})
 	return nil
 }
-
-// commitLimit bounds one batch in gateway/kvstore; a partition that takes
-// longer to read back is never recovered by its first batches.
-const commitLimit = 2 * time.Second
--- a/loadgen/capacity/sites.go
+++ b/loadgen/capacity/sites.go
@@ -96,13 +96,17 @@
 // daemonRows sums what a gateway needs at the design size.
 func (r *runner) daemonRows() {
 	const section = "A gateway at the design size"
-	cpu := r.idleCPU.Value + changeRate*(r.apply.Value+r.rebuild.Value)/10
+	// A millisecond for each change is a tenth of a percent at one change a
+	// second.
+	cpu := func(change Row) float64 { return r.idleCPU.Value + changeRate*(change.Value+r.rebuild.Value)/10 }
 	start, _ := fitLine(r.startMemory.Points)
 	tables := r.startMemory.Value - start
 	view := gcFactor * r.viewHeap.Value
 	idle := r.idleMemory.Value + tables + view
 	r.add(Row{Section: section, Name: "processor time: streams, 0.57 changes/s of 15,000 accounts, views of 12,000 endpoints", Unit: "% of a core",
-		Kind: Projected, Value: cpu, Limit: limitCPU, Remedy: "a parse and a view that change only the rows of the change"})
+		Kind: Projected, Value: cpu(r.apply), Limit: limitCPU, Remedy: "a parse and a view that change only the rows of the change"})
+	r.add(Row{Section: section, Name: "processor time of a zone's reader, the same", Unit: "% of a core",
+		Kind: Projected, Value: cpu(r.read), Limit: limitCPU, Remedy: "a document made of the changed shards only"})
 	r.add(Row{Section: section, Name: "memory: 128 streams, tables and views", Unit: "MB", Kind: Projected, Value: idle, Limit: limitMemory,
 		Remedy: "fewer copies of the rows"})
 	r.add(Row{Section: section, Name: "memory with 1,024 open connections to sidecars and 379 to gateways", Unit: "MB", Kind: Projected,
--- a/loadgen/capacity/tables.go
+++ b/loadgen/capacity/tables.go
@@ -105,9 +105,11 @@
 // tableFigures are the measurements of one table size.
 type tableFigures struct {
 	parse, edit, apply time.Duration
-	heap               float64
-	delta, snapshot    int
-	headBytes, shard   int
+	// read is the reader's part of a change, without the store's answers.
+	read             time.Duration
+	heap             float64
+	delta, snapshot  int
+	headBytes, shard int
 }
 
 // measureTables measures parsing, one change and the messages to a peer.
@@ -133,6 +135,9 @@
 		d, _ := config.NewDocument(1, 0, rows)
 		return d
 	})
+	if f.read, err = measureRead(plan, document, accounts); err != nil {
+		return f, err
+	}
 	number := 0
 	if f.edit, err = medianTime(func() error {
 		number++
@@ -155,6 +160,38 @@
 	return f, f.measureSpread(ctx, document, accounts)
 }
 
+// measureRead measures how a zone's reader puts a change in force whose one new
+// shard it has fetched.
+func measureRead(plan config.Plan, d *config.Document, accounts int) (time.Duration, error) {
+	rows := map[string][]config.RowEdit{}
+	for _, ref := range plan.Head.Refs() {
+		decoded, err := config.DecodeShard(plan.Shards[ref.Digest], ref)
+		if err != nil {
+			return 0, err
+		}
+		rows[ref.Digest] = decoded
+	}
+	next, err := config.PlanEdit(plan.Head, d, weightEdit(d, 1, accounts))
+	if err != nil {
+		return 0, err
+	}
+	return medianTime(func() error {
+		inForce := config.NewInForce(invariant.NewRegistry(nil))
+		inForce.Advance(d)
+		after, err := config.AssembleNext(d, plan.Head, next.Head, func(ref config.ShardRef) ([]config.RowEdit, error) {
+			if known, ok := rows[ref.Digest]; ok {
+				return known, nil
+			}
+			return config.DecodeShard(next.Shards[ref.Digest], ref)
+		})
+		if err != nil {
+			return err
+		}
+		inForce.Advance(after)
+		return nil
+	})
+}
+
 // measureSpread measures what a gateway does for one change of a peer, and the
 // bytes of delta and snapshot as the peer service sends them.
 func (f *tableFigures) measureSpread(ctx context.Context, d *config.Document, accounts int) error {
@@ -225,6 +262,7 @@
 	add("head after the first edit", "bytes", limitValueBytes, "fewer changes in the head", func(f tableFigures) float64 { return float64(f.headBytes) })
 	add("delta of a one-row change", "bytes", 0, "", func(f tableFigures) float64 { return float64(f.delta) })
 	add("snapshot", "MB", 0, "", func(f tableFigures) float64 { return float64(f.snapshot) / megabyte })
+	r.read = add("one-row change put in force in a zone's reader", "ms", 0, "", func(f tableFigures) float64 { return milliseconds(f.read) })
 	r.apply = add("one-row change put in force in a gateway", "ms", 0, "", func(f tableFigures) float64 { return milliseconds(f.apply) })
 	return nil
 }
