--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 PACKAGES    := $(MODULES:%=./%/...)
 PROGRAMS    := gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
 SEED        ?= 1
+CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
 
-.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto clean
+.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto man clean
 
 build:
 	@mkdir -p bin
@@ -50,14 +51,30 @@
 demo: build
 	bin/siskin-load demo --bin bin --dir out/demo --seed $(SEED) --plot out/demo/first-token.svg
 
-# run does the same and keeps everything running.
+# run does the same and keeps everything running. CALLERS is the address of the
+# first gateway.
 run: build
-	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --callers $(CALLERS) --stay
+
+# man writes the manual pages and the sample settings from the programs' option
+# parsers and settings.
+man:
+	@mkdir -p docs/man docs/samples
+	go test -count=1 -run '^TestReference$$' ./gateway ./sidecar ./siskinctl ./fakes ./loadgen -update
 
 # capacity measures what each role costs, projects it to the design size and
 # writes the tables of docs/CAPACITY.md.
 capacity: build
 	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
 
+# fuzz runs each fuzz target for FUZZTIME.
+fuzz:
+	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' $(MODULES)); do \
+		for n in $$(grep -oE '^func Fuzz[A-Za-z0-9]+' $$f | cut -c6-); do \
+			echo "$$n in $$(dirname $$f)"; \
+			go test -run '^$$' -fuzz "^$$n\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$f) || exit 1; \
+		done; \
+	done
+
 clean:
 	rm -rf bin out
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -28,6 +28,9 @@
 	Source control.ConfigSource
 	Hosts  hostlist.List
 	Claims claim.Book
+	// PeerAddress is where sidecars reach the gateway's Peer service; empty
+	// without one.
+	PeerAddress string
 	// Extra are further parts that run until the gateway stops.
 	Extra []Part
 }
@@ -47,12 +50,13 @@
 	server      *caller.Server
 	callers     net.Listener
 	admin       net.Listener
+	burn        *burnGauges
 }
 
 // New opens the listeners and builds all parts; nothing runs yet.
 func New(b *Base, p Parts) (*Daemon, error) {
 	s := b.Settings
-	d := &Daemon{Base: b, parts: p}
+	d := &Daemon{Base: b, parts: p, burn: newBurnGauges(b.Metrics.Scope)}
 	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials(), grpc.WithStatsHandler(b.RPC))
 	d.build()
 	var err error
@@ -70,7 +74,7 @@
 	s := d.Settings
 	client := sidecar.NewClient(d.connections, d.sender)
 	d.loop = control.New(control.Config{
-		GatewayID: s.Process.ID, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
+		GatewayID: s.Process.ID, PeerAddress: d.parts.PeerAddress, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
 		Policy: membership.Policy{Silence: s.Sidecars.ForgetAfter, ProbeAfter: s.Sidecars.ProbeAfter, ProbeLimit: s.Sidecars.ProbeLimit},
 		Source: d.parts.Source, Hosts: d.parts.Hosts, Client: client,
 		Invariants: d.Invariants, Suspects: d.Suspects,
@@ -78,7 +82,7 @@
 	d.Base.loop.Store(d.loop)
 	dispatcher := dispatch.New(dispatch.Config{
 		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.parts.Claims, Suspects: d.Suspects,
-		Invariants: d.Invariants, Scope: d.Metrics.Scope,
+		Invariants: d.Invariants, Scope: d.Metrics.Scope, Objectives: d.Burn,
 		Routing:     routing.Policy{PrefixShare: s.Routing.PrefixShare, DefaultRate: s.Routing.DefaultRate},
 		Retry:       retry.Policy{Share: s.Retry.Share, MinimumPerSecond: s.Retry.MinimumPerSecond, Burst: s.Retry.Burst},
 		MaxAttempts: s.Retry.MaxAttempts, Backoff: s.Retry.Backoff, BackoffLimit: s.Retry.BackoffLimit,
--- a/gateway/peer/claims.go
+++ b/gateway/peer/claims.go
@@ -48,7 +48,8 @@
 // Claims returns the book of this gateway.
 func (n *Node) Claims() *Claims { return &Claims{node: n} }
 
-// Claim claims a key for this process.
+// Claim claims a key for this process. A claim that ends with an error is
+// released later, because it may have taken effect.
 func (c *Claims) Claim(ctx context.Context, key claim.Key, claimID string, bodyHash uint64) (claim.Record, error) {
 	response, err := c.forward(ctx, key, &peerpb.ClaimRequest{ClaimId: claimID, Op: opClaim, BodyHash: bodyHash})
 	if err == nil {
@@ -56,7 +57,11 @@
 			return record, nil
 		}
 	}
-	return c.node.Book.Claim(ctx, key, claimID, bodyHash)
+	record, err := c.node.Book.Claim(ctx, key, claimID, bodyHash)
+	if err != nil {
+		c.node.abandon(key, claimID)
+	}
+	return record, err
 }
 
 // Release gives up a claim whose call certainly did not run.
@@ -91,11 +96,15 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	request.Sender, request.KeyHash = c.node.sender(), key[:]
-	response, err := client.Claim(ctx, request)
+	response, err := client.Claim(callCtx, request)
 	if err != nil {
+		// A caller's own short deadline says nothing about the connection.
+		if ctx.Err() == nil {
+			c.node.clients.failed(address, err)
+		}
 		klog.V(1).InfoS("preferred appender does not answer", "address", address, "err", err)
 	}
 	return response, err
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -33,13 +33,15 @@
 
 // Permits decides on weight loads, or names the gateway that does.
 type Permits interface {
-	Request(process string, bytes int64) (kvstore.PermitAnswer, error)
+	Request(ctx context.Context, r kvstore.LoadRequest) (kvstore.PermitAnswer, error)
 }
 
 // Config names the process and its parts. Suspects, Permits, Status and Burn
 // may be nil.
 type Config struct {
-	ID          string
+	ID string
+	// Address is the own one in the host list.
+	Address     string
 	Zone        string
 	Incarnation uint64
 	Seed        uint64
@@ -73,6 +75,8 @@
 	// reading is the reader role; readingSet wakes the control goroutine.
 	reading    atomic.Bool
 	readingSet chan struct{}
+	abandoned  chan abandoned
+	own        ownAddresses
 }
 
 // beat is the reader's last heartbeat as of a time.
@@ -96,7 +100,7 @@
 	n := &Node{
 		Config: c, clients: newClients(c.DialOptions),
 		events: make(chan heard, 256), calls: make(chan struct{}, maxCalls), started: time.Now(),
-		readingSet: make(chan struct{}, 1),
+		readingSet: make(chan struct{}, 1), abandoned: make(chan abandoned, maxAbandoned),
 	}
 	n.peers.Store(&map[string]spread.Peer{})
 	n.beat.Store(&beat{})
@@ -136,6 +140,7 @@
 	defer refresh.Stop()
 	defer n.clients.keep(nil)
 	defer n.running.Wait()
+	n.running.Go(func() { n.releaseAbandoned(ctx) })
 	n.refreshPeers(state)
 	for {
 		changed := n.Changed()
@@ -173,11 +178,9 @@
 func (n *Node) refreshPeers(state *spread.State) {
 	known := map[string]spread.Peer{}
 	var list []spread.Peer
-	for _, p := range n.Peers() {
-		if p.ID != n.ID {
-			known[p.ID] = p
-			list = append(list, p)
-		}
+	for _, p := range n.others(n.Peers()) {
+		known[p.ID] = p
+		list = append(list, p)
 	}
 	n.peers.Store(&known)
 	n.seen.keep(func(id string) bool { _, ok := known[id]; return ok })
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -44,24 +44,33 @@
 }
 
 func (f *fleet) startWith(t *testing.T, id string, book LocalBook, permits Permits) *member {
+	t.Helper()
+	return f.serve(t, New(Config{
+		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), TryRead: func() {}, Book: book, Permits: permits,
+		Peers: f.list, DialOptions: plain,
+	}))
+}
+
+var plain = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+
+// serve runs a node, its server and further parts until the member stops.
+func (f *fleet) serve(t *testing.T, n *Node, parts ...func(context.Context) error) *member {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.mu.Lock()
-	f.peers = append(f.peers, spread.Peer{ID: id, Zone: "z", Address: listener.Addr().String()})
+	f.peers = append(f.peers, spread.Peer{ID: n.ID, Zone: n.Zone, Address: listener.Addr().String()})
 	f.mu.Unlock()
-	n := New(Config{
-		ID: id, Zone: "z", InForce: config.NewInForce(f.invariants), Peers: f.list, TryRead: func() {}, Book: book, Permits: permits,
-		DialOptions: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
-	})
 	server := grpc.NewServer()
 	n.Register(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = server.Serve(listener) })
-	group.Go(func() { _ = n.Run(ctx) })
+	for _, run := range append(parts, n.Run) {
+		group.Go(func() { _ = run(ctx) })
+	}
 	m := &member{Node: n, stop: sync.OnceFunc(func() {
 		cancel()
 		server.Stop()
@@ -111,7 +120,11 @@
 	for i := range 6 {
 		members = append(members, f.start(t, fmt.Sprintf("g%d", i), nil))
 	}
-	members[0].InForce.Advance(document(t, 5, 20_000))
+	first := document(t, 5, 6_000)
+	if pieces := len(encodeSnapshot(nil, first)); pieces < 2 {
+		t.Fatalf("the snapshot has %d piece, want several", pieces)
+	}
+	members[0].InForce.Advance(first)
 	for _, m := range members {
 		m.assertReaches(t, 5)
 	}
@@ -126,7 +139,7 @@
 	restarted := f.start(t, "g6", nil)
 	for _, m := range append(members[2:], members[0], restarted) {
 		m.assertReaches(t, 6)
-		if !m.Current().Tables.ZoneOut("z") || !m.Current().Tables.HostLeaving("h19999") {
+		if !m.Current().Tables.ZoneOut("z") || !m.Current().Tables.HostLeaving("h5999") {
 			t.Errorf("%s: rows are missing", m.ID)
 		}
 	}
--- a/loadgen/capacity/sites.go
+++ b/loadgen/capacity/sites.go
@@ -76,16 +76,16 @@
 		return r.add(row.Fit())
 	}
 	waiting := byZones("watches that wait at once", func(f siteFigures) float64 { return float64(f.store.MaxWatches) })
-	ranges := byZones("reads without changes", func(f siteFigures) float64 { return float64(f.store.Ranges) / f.perStore })
+	byZones("reads without changes", func(f siteFigures) float64 { return float64(f.store.Ranges) / f.perStore })
 	renewals := byZones("lease renewals", func(f siteFigures) float64 { return float64(f.store.KeepAlives) / f.perStore })
 	// Each reader makes one watch and reads one shard for a change; the edit
 	// writes a shard and the head and deletes the old shard, which it reads.
 	const readsPerReader, readsPerEdit, writesPerEdit = 2, 1, 3
-	// Each gateway reads the key of the budget's lease every 17.5 s on average.
+	// Each gateway reads the key of the budget's lease every 17.5 s on average;
+	// renewals without changes include the holder's.
 	const budgetReads = designGateways / 17.5
-	const budgetRenewals = 0.6
-	reads := waiting.Value + ranges.Value + changeRate*(readsPerReader*designZones+readsPerEdit) + budgetReads
-	writes := renewals.Value + changeRate*writesPerEdit + r.claimWrites.Value + budgetRenewals
+	reads := waiting.Value + changeRate*(readsPerReader*designZones+readsPerEdit) + budgetReads
+	writes := renewals.Value + changeRate*writesPerEdit + r.claimWrites.Value
 	r.add(Row{Section: section, Name: "all reads, waiting watches included", Unit: "calls/s", Kind: Projected, Value: reads, Limit: limitReads, Remedy: "fewer readers"})
 	r.add(Row{Section: section, Name: "all writes", Unit: "calls/s", Kind: Projected, Value: writes, Limit: limitWrites, Remedy: "a longer batch of claims"})
 }
--- a/sidecar/control/engine.go
+++ b/sidecar/control/engine.go
@@ -119,6 +119,9 @@
 		l.reconcile(now, m)
 	default:
 		w.nextProbe = now.Add(probeInterval)
+		if l.wrongModel() {
+			l.handBack(l.open())
+		}
 		l.sweep(now, m)
 	}
 }
@@ -167,7 +170,7 @@
 }
 
 func (l *Loop) strike(now time.Time, t *Ticket, event suspect.Event) {
-	if t.Offer.Fingerprint == 0 {
+	if t.Offer.Fingerprint == 0 || !t.ran {
 		return
 	}
 	mark := l.suspects.Mark
--- a/sidecar/gateway/faults_test.go
+++ b/sidecar/gateway/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"time"
 
@@ -121,6 +122,31 @@
 	wantRefused(t, f.open(t, offer("r1")), "may_have_run", "duplicate_request")
 }
 
+// Guards against a non-repeatable call that the engine did not take and that
+// counts as run all the same, so that its next attempt is refused.
+func TestRefusalOfTheEngineIsNotARun(t *testing.T) {
+	f := newFixture(t)
+	f.engine.refuse = 1
+	o := offer("r1")
+	o.Repeatable = false
+	for attempt, want := range []func(*peerpb.AttemptEvent) bool{
+		func(e *peerpb.AttemptEvent) bool { return e.GetFailed().GetVerdict() == "not_run" },
+		func(e *peerpb.AttemptEvent) bool { return e.GetChunk() != nil },
+		func(e *peerpb.AttemptEvent) bool { return e.GetRefused().GetVerdict() == "may_have_run" },
+	} {
+		o.Attempt = uint32(attempt + 1)
+		stream := f.open(t, o)
+		e := next(t, stream)
+		if e.GetAdmitted() != nil {
+			send(t, stream, &peerpb.AttemptRequest{Kind: &peerpb.AttemptRequest_Start{Start: &peerpb.Start{}}})
+			e = next(t, stream)
+		}
+		if !want(e) {
+			t.Errorf("attempt %d: %v", o.Attempt, e)
+		}
+	}
+}
+
 // Guards against a drain that interrupts a stream or admits new work.
 func TestDrainFinishesStreams(t *testing.T) {
 	f := newFixture(t)
@@ -197,15 +223,19 @@
 	if err != nil || status.State != "serving" || len(status.Endpoints) != 1 || status.Endpoints[0].Load.MemoryTotalTokens != 100_000 {
 		t.Errorf("status = %v, %v", status, err)
 	}
-	burn, err := f.peer.Burn(context.Background(), &peerpb.BurnRequest{})
-	if err != nil || len(burn.Series) != 3 {
-		t.Fatalf("burn = %v, %v; want first_token, token_gap and answered", burn, err)
+	report, err := f.peer.Burn(context.Background(), &peerpb.BurnRequest{Accounts: []string{"a"}, Worst: 1})
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, s := range burn.Series {
-		if s.Total == 0 || s.Class != "1k" || len(s.Histogram) == 0 {
-			t.Errorf("series %v is empty", s)
+	objectives := map[string]int64{}
+	for _, b := range report.Series {
+		if b.Account == "a" && b.Class == "1k" && b.WindowS == 300 {
+			objectives[b.Objective] = b.Total
 		}
 	}
+	if want := map[string]int64{"first_token": 1, "token_gap": 2, "answered": 1}; !maps.Equal(want, objectives) {
+		t.Errorf("events = %v, want %v", objectives, want)
+	}
 }
 
 // Guards against a check of the stream's identity that cannot fail: an engine
