--- a/loadgen/capacity/site.go
+++ b/loadgen/capacity/site.go
@@ -26,12 +26,14 @@
 }
 
 // site is a set of processes on loopback with stand-ins for the platform. All
-// sidecars share one stand-in for an engine, as no traffic reaches it.
+// sidecars share one stand-in for an engine, as no traffic reaches it, and serve
+// the model that it has.
 type site struct {
 	directory string
 	store     string
 	hosts     string
 	engine    string
+	weights   string
 	zones     int
 	gateways  []*daemon
 	sidecars  []*daemon
@@ -40,7 +42,7 @@
 }
 
 // standIns is how many processes stand in for the platform.
-const standIns = 3
+const standIns = 4
 
 // newSite lays out a site whose zones have two gateways each, up to the zones
 // of the design size.
@@ -58,7 +60,7 @@
 		return address
 	}
 	s := &site{
-		directory: directory, store: next(), hosts: next(), engine: next(), zones: min(designZones, max(1, gateways/2)),
+		directory: directory, store: next(), hosts: next(), engine: next(), weights: next(), zones: min(designZones, max(1, gateways/2)),
 		standIns:     process.NewGroup(binaries, directory),
 		sidecarGroup: process.NewGroup(binaries, directory),
 		gatewayGroup: process.NewGroup(binaries, directory),
@@ -67,7 +69,7 @@
 	for i := range sidecars {
 		d := &daemon{name: fmt.Sprintf("endpoint-%05d", i), zone: zoneName(i % s.zones), peers: next(), admin: next()}
 		s.sidecars = append(s.sidecars, d)
-		hosts = append(hosts, d.host(hostlist.RoleEndpoint, serviceLabel(i%designModels)))
+		hosts = append(hosts, d.host(hostlist.RoleEndpoint, serviceLabel(0)))
 		text := fmt.Sprintf("[endpoint]\nname = %s\nzone = %s\nkind = model\n\n[listen]\naddress = %s\n\n[admin]\naddress = %s\n\n[engine]\naddress = %s\n", d.name, d.zone, d.peers, d.admin, s.engine)
 		if err := s.write(d.name+".ini", text); err != nil {
 			return nil, err
@@ -77,8 +79,8 @@
 		d := &daemon{name: fmt.Sprintf("gateway-%03d", i), zone: zoneName(i % s.zones), peers: next(), admin: next()}
 		s.gateways = append(s.gateways, d)
 		hosts = append(hosts, d.host(hostlist.RoleGateway, "gateway"))
-		text := fmt.Sprintf("[process]\nid = %s\nzone = %s\nregion = region-1\n\n[callers]\naddress = %s\n\n[admin]\naddress = %s\n\n[peers]\naddress = %s\n\n[platform]\nhost_list = %s\n\n[store]\naddress = %s\n\n[shutdown]\nnotice = 0s\n",
-			d.name, d.zone, next(), d.admin, d.peers, s.hosts, s.store)
+		text := fmt.Sprintf("[process]\nid = %s\nzone = %s\nregion = region-1\n\n[callers]\naddress = %s\n\n[admin]\naddress = %s\n\n[peers]\naddress = %s\n\n[platform]\nhost_list = %s\nweight_store = %s\n\n[store]\naddress = %s\n\n[shutdown]\nnotice = 0s\n",
+			d.name, d.zone, next(), d.admin, d.peers, s.hosts, s.weights, s.store)
 		if err := s.write(d.name+".ini", text); err != nil {
 			return nil, err
 		}
@@ -102,13 +104,13 @@
 
 func (s *site) kvstore() *kvstore.HTTP { return kvstore.NewHTTP(s.store, kvstore.DefaultLimits()) }
 
-// start starts the stand-ins, writes the tables, and starts our processes. The
-// weight store is not read by any of them and is left out.
+// start starts the stand-ins, writes the tables, and starts our processes.
 func (s *site) start(ctx context.Context, seed uint64, accounts int) (*writer, error) {
 	starts := [][]string{
 		{"kvstore", "kvstore", "--listen", s.store},
 		{"hostlist", "hostlist", "--listen", s.hosts, "--hosts", s.path("hosts.json")},
 		{"engine", "engine", "--listen", s.engine, "--model", "model-00"},
+		{"weightstore", "weightstore", "--listen", s.weights},
 	}
 	for _, a := range starts {
 		if err := s.standIns.Start(a[0], "siskin-fake", a[1:]...); err != nil {
