loadgen/cluster: move the demo's processes into a package

Cause: the fault scenarios need the same processes as the demo, in other numbers, and have to kill, pause and restart them. Change: layout, processes, settings and checks move from loadgen/demo to loadgen/cluster with a shape (numbers of gateways and endpoints). Processes can be killed, paused, stopped and restarted by name. Ports come from below the ephemeral range, so a restarted process finds its port free. Conclusion: the demo is a user of the package.

--- /dev/null
+++ b/loadgen/cluster/check.go
@@ -0,0 +1,184 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"siskinstand.example/fakes/engine"
+	"siskinstand.example/fakes/plainservice"
+	engineapi "siskinstand.example/platform/engine"
+)
+
+func get(ctx context.Context, url string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, fmt.Errorf("%s answered with status %d", url, response.StatusCode)
+	}
+	return response, nil
+}
+
+// GetJSON decodes the answer to a GET request.
+func GetJSON(ctx context.Context, url string, target any) error {
+	response, err := get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(target)
+}
+
+// Started returns how many requests the endpoints of a zone have started.
+func (c *Cluster) Started(ctx context.Context, zone string) (int64, error) {
+	var sum int64
+	for _, e := range c.Layout.Endpoints {
+		if e.Zone != zone {
+			continue
+		}
+		counters := "http://" + e.Backend + "/control/counters"
+		var model engine.Counters
+		var plain plainservice.Counters
+		var err error
+		if e.Plain {
+			err = GetJSON(ctx, counters, &plain)
+		} else {
+			err = GetJSON(ctx, counters, &model)
+		}
+		if err != nil {
+			return 0, err
+		}
+		sum += int64(len(model.Attempts)) + plain.Calls
+	}
+	return sum, nil
+}
+
+// Runs returns how often the plain call with a key ran.
+func (c *Cluster) Runs(ctx context.Context, key string) (int, error) {
+	sum := 0
+	for _, e := range c.Layout.Endpoints {
+		if !e.Plain {
+			continue
+		}
+		var n int
+		if err := GetJSON(ctx, "http://"+e.Backend+"/control/runs?key="+url.QueryEscape(key), &n); err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
+// CheckCold fails if a cold engine got more work than it can handle.
+func (c *Cluster) CheckCold(ctx context.Context) error {
+	for _, e := range c.Layout.Endpoints {
+		if e.Plain {
+			continue
+		}
+		var counters engine.Counters
+		if err := GetJSON(ctx, "http://"+e.Backend+"/control/counters", &counters); err != nil {
+			return err
+		}
+		if n := counters.CollapsedSteps; n > 0 {
+			return fmt.Errorf("invariant ramp_limit broken: %s collapsed for %d steps while it was cold", e.Name, n)
+		}
+	}
+	return nil
+}
+
+// CheckFleet fails if a process is behind the newest revision or has an alarm.
+func (c *Cluster) CheckFleet(ctx context.Context) error {
+	var arguments []string
+	for _, g := range c.Layout.Gateways {
+		arguments = append(arguments, "--gateway", g.Peers)
+	}
+	return c.Control(ctx, append(arguments, "status")...)
+}
+
+// CheckMemory fails if an engine holds memory other than cached prefixes after
+// the load has ended.
+func (c *Cluster) CheckMemory(ctx context.Context) error {
+	const settle = 12 * time.Second
+	deadline := time.Now().Add(settle)
+	for _, e := range c.Layout.Endpoints {
+		if e.Plain {
+			continue
+		}
+		for {
+			var state engineapi.State
+			if err := GetJSON(ctx, "http://"+e.Backend+"/engine/state", &state); err != nil {
+				return err
+			}
+			held := heldPiece(state)
+			if held == "" {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("invariant memory_owner broken: %s still holds %s after %s", e.Name, held, settle)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func heldPiece(state engineapi.State) string {
+	for _, p := range state.Pieces {
+		if p.Kind != engineapi.PiecePrefix {
+			return fmt.Sprintf("%s %s", p.Kind, p.ID)
+		}
+	}
+	return ""
+}
+
+// metricsDelay is longer than the interval at which processes publish counts.
+const metricsDelay = 1500 * time.Millisecond
+
+// CheckMetrics fails if a process counted a violation of an invariant.
+func (c *Cluster) CheckMetrics(ctx context.Context) error {
+	time.Sleep(metricsDelay)
+	for name, admin := range c.Layout.Admins() {
+		response, err := get(ctx, "http://"+admin+"/metrics")
+		if err != nil {
+			return err
+		}
+		scanner := bufio.NewScanner(response.Body)
+		for scanner.Scan() {
+			if value, line := violations(scanner.Text()); value > 0 {
+				response.Body.Close()
+				return fmt.Errorf("%s counted violations: %s", name, line)
+			}
+		}
+		response.Body.Close()
+		if err := scanner.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// violations reads one line of the Prometheus text format.
+func violations(line string) (float64, string) {
+	if strings.HasPrefix(line, "#") || !strings.Contains(line, "invariant_violations") {
+		return 0, ""
+	}
+	fields := strings.Fields(line)
+	value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+	if err != nil {
+		return 0, ""
+	}
+	return value, line
+}
--- /dev/null
+++ b/loadgen/cluster/cluster_test.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	tables "siskinstand.example/coord/config"
+	gatewayconfig "siskinstand.example/gateway/config"
+	"siskinstand.example/platform/engine"
+	sidecarconfig "siskinstand.example/sidecar/config"
+)
+
+// Guards against settings and tables that the programs no longer accept.
+func TestProgramsAcceptSettingsAndTables(t *testing.T) {
+	l, err := newLayout(t.TempDir(), Shape{Gateways: 2, EnginesByZone: 2, PlainByZone: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.writeAll(); err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range l.Gateways {
+		if _, err := gatewayconfig.Load(l.Path(g.Name + ".ini")); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, e := range l.Endpoints {
+		if _, err := sidecarconfig.Load(l.Path(e.Name + ".ini")); err != nil {
+			t.Error(err)
+		}
+	}
+	parsed, err := tables.Parse(readFile(t, l.Path("routes.ini")), readFile(t, l.Path("pools.ini")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := parsed.ModelRoute("demo", Model); !ok || parsed.ZoneOut("zone-b") {
+		t.Error("no route to the model, or a zone is out at the start")
+	}
+}
+
+func readFile(t *testing.T, path string) tables.File {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tables.File{Name: path, Text: text}
+}
+
+// Guards against a process whose failure or refusal to stop goes unseen.
+func TestProcessesReportFailures(t *testing.T) {
+	p := newProcesses("/bin", t.TempDir())
+	if err := p.start("sleeper", "sleep", "60"); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Early(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.start("failing", "false"); err != nil {
+		t.Fatal(err)
+	}
+	var early error
+	for range 500 {
+		if early = p.Early(); early != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if early == nil || !strings.Contains(early.Error(), "failing ended early") {
+		t.Errorf("got %v", early)
+	}
+	if err := p.stop(); err == nil || !strings.Contains(err.Error(), "failing") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against checks that overlook a broken invariant.
+func TestChecksFindViolations(t *testing.T) {
+	for line, want := range map[string]float64{
+		`gateway_invariant_violations{name="zone_out",process="p"} 2`: 2,
+		`gateway_invariant_violations{name="zone_out"} 0`:             0,
+		`# HELP gateway_invariant_violations 3`:                       0,
+		`gateway_requests{name="zone_out"} 5`:                         0,
+	} {
+		if got, _ := violations(line); got != want {
+			t.Errorf("%s: got %g", line, got)
+		}
+	}
+	if held := heldPiece(engine.State{Pieces: []engine.Piece{{Kind: engine.PiecePrefix}, {Kind: engine.PieceHold, ID: "h"}}}); held == "" {
+		t.Error("hold overlooked")
+	}
+}
--- a/loadgen/demo/process.go
+++ b/loadgen/cluster/process.go
@@ -1,8 +1,9 @@
-package demo
+package cluster
 
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,17 +19,21 @@
 // stopLimit is how long a process may take to stop after SIGTERM.
 const stopLimit = 30 * time.Second
 
-// process is one process that the demo started.
+// process is one process that a cluster started.
 type process struct {
-	name string
-	cmd  *exec.Cmd
+	name      string
+	program   string
+	arguments []string
+	cmd       *exec.Cmd
+	// killed is set before a fault ends the process.
+	killed atomic.Bool
 	// done is closed when the process has ended, with its result in err.
 	done chan struct{}
 	err  error
 }
 
-// processes are all processes of the demo, in order of their start.
-type processes struct {
+// Processes are all processes of a cluster, in order of their start.
+type Processes struct {
 	binaries  string
 	directory string
 
@@ -37,40 +43,42 @@
 	ended chan *process
 }
 
-func newProcesses(binaries, directory string) *processes {
-	const maxProcesses = 256
-	return &processes{binaries: binaries, directory: directory, ended: make(chan *process, maxProcesses)}
+func newProcesses(binaries, directory string) *Processes {
+	const maxProcesses = 1024
+	return &Processes{binaries: binaries, directory: directory, ended: make(chan *process, maxProcesses)}
 }
 
 // start runs a program with its output in a log file named after the process.
-func (p *processes) start(name, program string, arguments ...string) error {
-	log, err := os.Create(filepath.Join(p.directory, name+".log"))
+func (p *Processes) start(name, program string, arguments ...string) error {
+	log, err := os.OpenFile(filepath.Join(p.directory, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
 	cmd := exec.Command(filepath.Join(p.binaries, program), arguments...)
 	cmd.Stdout, cmd.Stderr = log, log
-	// Signals from the terminal go to the demo only, which stops its processes
+	// Signals from the terminal go to the tool only, which stops its processes
 	// in order.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
 	}
-	one := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	one := &process{name: name, program: program, arguments: arguments, cmd: cmd, done: make(chan struct{})}
 	p.mu.Lock()
 	p.running = append(p.running, one)
 	p.mu.Unlock()
 	go func() {
 		one.err = cmd.Wait()
 		close(one.done)
-		p.ended <- one
+		if !one.killed.Load() {
+			p.ended <- one
+		}
 	}()
 	return nil
 }
 
-// early returns an error if a process has ended before stop was called.
-func (p *processes) early() error {
+// Early returns an error if a process has ended before stop was called.
+func (p *Processes) Early() error {
 	select {
 	case one := <-p.ended:
 		return fmt.Errorf("%s ended early: %w; see %s", one.name, one.err, filepath.Join(p.directory, one.name+".log"))
@@ -82,7 +90,7 @@
 // stop ends all processes in reverse order of their start, so that gateways
 // drain before the sidecars and engines that they need. It returns an error if
 // a process failed or had to be killed.
-func (p *processes) stop() error {
+func (p *Processes) stop() error {
 	p.mu.Lock()
 	running := p.running
 	p.running = nil
@@ -111,39 +119,49 @@
 	return nil
 }
 
-// control runs siskinctl with the store and returns an error with its output.
-func (r *run) control(ctx context.Context, arguments ...string) error {
-	arguments = append([]string{"--store", r.layout.store}, arguments...)
-	out, err := exec.CommandContext(ctx, filepath.Join(r.config.Binaries, "siskinctl"), arguments...).CombinedOutput()
+// Control runs siskinctl with the store and returns an error with its output.
+func (c *Cluster) Control(ctx context.Context, arguments ...string) error {
+	arguments = append([]string{"--store", c.Layout.Store}, arguments...)
+	out, err := exec.CommandContext(ctx, filepath.Join(c.config.Binaries, "siskinctl"), arguments...).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("siskinctl %s: %w\n%s", strings.Join(arguments, " "), err, out)
 	}
 	return nil
 }
 
+// Ports come from below the range from which the kernel takes those of outgoing
+// connections, so that a process that was killed can listen on its port again.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	start := rand.IntN(lastPort - firstPort)
+	for i := range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(start+i)%(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		listener.Close()
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
 		}
-		// All listeners stay open until the end, so that no port is given twice.
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("only %d of %d ports are free", len(addresses), n)
 }
 
 // awaitReady waits until GET url answers 200.
-func (p *processes) awaitReady(ctx context.Context, name, url string) error {
+func (p *Processes) awaitReady(ctx context.Context, name, url string) error {
 	const limit = 20 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var last error
 	for {
-		if err := p.early(); err != nil {
+		if err := p.Early(); err != nil {
 			return err
 		}
 		var status int
--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"strconv"
 	"time"
 
 	"siskinstand.example/coord/config"
+	"siskinstand.example/loadgen/cluster"
 	"siskinstand.example/loadgen/load"
 	"siskinstand.example/loadgen/mix"
 	"siskinstand.example/loadgen/report"
@@ -50,26 +50,23 @@
 const engineSwitches = `{"prefill_tokens_per_second":100000,"token_time":"5ms","cold":true}`
 
 type run struct {
-	config    Config
-	layout    *layout
-	processes *processes
+	config  Config
+	cluster *cluster.Cluster
 }
 
 // Run runs the demo. It returns an error if an invariant was broken.
 func Run(ctx context.Context, c Config) (err error) {
-	if err := os.MkdirAll(c.Directory, 0o700); err != nil {
-		return err
-	}
-	l, err := newLayout(c.Directory)
+	all, err := cluster.Start(ctx, cluster.Config{
+		Binaries: c.Binaries, Directory: c.Directory, EngineSwitches: engineSwitches,
+		Shape: cluster.Shape{Gateways: 2, EnginesByZone: 2, PlainByZone: 1},
+	})
 	if err != nil {
 		return err
 	}
-	r := &run{config: c, layout: l, processes: newProcesses(c.Binaries, c.Directory)}
-	defer func() { err = errors.Join(err, r.processes.stop()) }()
-	if err := r.start(ctx); err != nil {
-		return err
-	}
-	fmt.Fprintf(c.Out, "started %d endpoints and %d gateways; settings, tables and logs are in %s\n", len(l.endpoints), len(l.gateways), c.Directory)
+	defer func() { err = errors.Join(err, all.Stop()) }()
+	r := &run{config: c, cluster: all}
+	l := all.Layout
+	fmt.Fprintf(c.Out, "started %d endpoints and %d gateways; settings, tables and logs are in %s\n", len(l.Endpoints), len(l.Gateways), c.Directory)
 	err = r.exercise(ctx)
 	if err == nil {
 		fmt.Fprintln(c.Out, "every invariant held")
@@ -83,64 +80,10 @@
 	return err
 }
 
-func (r *run) start(ctx context.Context) error {
-	l, p := r.layout, r.processes
-	if err := l.writeAll(); err != nil {
-		return err
-	}
-	starts := [][]string{
-		{"kvstore", "siskin-fake", "kvstore", "--listen", l.store},
-		{"hostlist", "siskin-fake", "hostlist", "--listen", l.hosts, "--hosts", l.path("hosts.json")},
-		{"weightstore", "siskin-fake", "weightstore", "--listen", l.weights},
-	}
-	for _, e := range l.endpoints {
-		backend := []string{e.name + "-backend", "siskin-fake", "engine", "--listen", e.backend, "--model", model, "--switches", engineSwitches}
-		if e.plain {
-			backend = []string{e.name + "-backend", "siskin-fake", "plainservice", "--listen", e.backend}
-		}
-		starts = append(starts, backend)
-	}
-	for _, e := range l.endpoints {
-		starts = append(starts, []string{e.name, "siskin-sidecar", "--config", l.path(e.name + ".ini")})
-	}
-	for _, g := range l.gateways {
-		starts = append(starts, []string{g.name, "siskin-gateway", "--config", l.path(g.name + ".ini")})
-	}
-	for _, s := range starts {
-		if err := p.start(s[0], s[1], s[2:]...); err != nil {
-			return err
-		}
-	}
-	if err := p.awaitReady(ctx, "kvstore", "http://"+l.store+"/control"); err != nil {
-		return err
-	}
-	if err := r.control(ctx, "apply", "--base", "0", "--routes", l.path("routes.ini"), "--pools", l.path("pools.ini")); err != nil {
-		return err
-	}
-	for name, admin := range l.admins() {
-		if err := p.awaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// admins returns the admin listener of each of our processes.
-func (l *layout) admins() map[string]string {
-	all := map[string]string{}
-	for _, e := range l.endpoints {
-		all[e.name] = e.admin
-	}
-	for _, g := range l.gateways {
-		all[g.name] = g.admin
-	}
-	return all
-}
-
 func (r *run) loadConfig() load.Config {
 	const maxPromptTokens = 200_000
 	c := load.Config{
-		Token: token, Model: model, Service: plainService,
+		Token: cluster.Token, Model: cluster.Model, Service: cluster.PlainService,
 		RunID:    "demo-" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		Deadline: 60 * time.Second, PlainDeadline: 5 * time.Second, Duration: loadTime, MaxOpen: 1024,
 		Mix: mix.Config{
@@ -148,8 +91,8 @@
 			MaxPromptTokens: maxPromptTokens, MaxOutputTokens: 32, SharedPrefixes: 16,
 		},
 	}
-	for _, g := range r.layout.gateways {
-		c.Gateways = append(c.Gateways, "http://"+g.callers)
+	for _, g := range r.cluster.Layout.Gateways {
+		c.Gateways = append(c.Gateways, "http://"+g.Callers)
 	}
 	return c
 }
@@ -180,11 +123,11 @@
 		load.Check(all),
 		checkUseful(all),
 		r.checkRuns(ctx, c.RunID, all),
-		r.checkCold(ctx),
-		r.checkMemory(ctx),
-		r.checkMetrics(ctx),
-		r.checkFleet(ctx),
-		r.processes.early(),
+		r.cluster.CheckCold(ctx),
+		r.cluster.CheckMemory(ctx),
+		r.cluster.CheckMetrics(ctx),
+		r.cluster.CheckFleet(ctx),
+		r.cluster.Processes.Early(),
 	)
 }
 
@@ -207,7 +150,7 @@
 			return ctx.Err()
 		case <-time.After(s.wait):
 		}
-		n, err := r.started(ctx, outZone)
+		n, err := r.cluster.Started(ctx, outZone)
 		if err != nil {
 			return err
 		}
@@ -234,7 +177,7 @@
 
 // setZone makes one edit of the pools table.
 func (r *run) setZone(ctx context.Context, state config.ZoneState) error {
-	return r.control(ctx, "edit", string(config.TablePools), "zone "+outZone, "state="+string(state))
+	return r.cluster.Control(ctx, "edit", string(config.TablePools), "zone "+outZone, "state="+string(state))
 }
 
 func (r *run) printExample() {
@@ -247,5 +190,5 @@
 %s/siskinctl --store %s edit pools "zone %s" state=out
 
 Stop with Ctrl-C.
-`, r.layout.gateways[0].callers, token, model, r.config.Binaries, r.layout.store, outZone)
+`, r.cluster.Layout.Gateways[0].Callers, cluster.Token, cluster.Model, r.config.Binaries, r.cluster.Layout.Store, outZone)
 }
--- a/loadgen/demo/demo_test.go
+++ b/loadgen/demo/demo_test.go
@@ -1,98 +1,14 @@
 package demo
 
 import (
-	"os"
-	"strings"
 	"testing"
-	"time"
 
-	tables "siskinstand.example/coord/config"
-	gatewayconfig "siskinstand.example/gateway/config"
 	"siskinstand.example/loadgen/load"
 	"siskinstand.example/loadgen/mix"
-	"siskinstand.example/platform/engine"
-	sidecarconfig "siskinstand.example/sidecar/config"
 )
 
-// Guards against settings and tables that the programs no longer accept.
-func TestProgramsAcceptSettingsAndTables(t *testing.T) {
-	l, err := newLayout(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := l.writeAll(); err != nil {
-		t.Fatal(err)
-	}
-	for _, g := range l.gateways {
-		if _, err := gatewayconfig.Load(l.path(g.name + ".ini")); err != nil {
-			t.Error(err)
-		}
-	}
-	for _, e := range l.endpoints {
-		if _, err := sidecarconfig.Load(l.path(e.name + ".ini")); err != nil {
-			t.Error(err)
-		}
-	}
-	parsed, err := tables.Parse(readFile(t, l.path("routes.ini")), readFile(t, l.path("pools.ini")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, ok := parsed.ModelRoute("demo", model); !ok || parsed.ZoneOut(outZone) {
-		t.Error("no route to the model, or a zone is out at the start")
-	}
-}
-
-func readFile(t *testing.T, path string) tables.File {
-	t.Helper()
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return tables.File{Name: path, Text: text}
-}
-
-// Guards against a process whose failure or refusal to stop goes unseen.
-func TestProcessesReportFailures(t *testing.T) {
-	p := newProcesses("/bin", t.TempDir())
-	if err := p.start("sleeper", "sleep", "60"); err != nil {
-		t.Fatal(err)
-	}
-	if err := p.early(); err != nil {
-		t.Fatal(err)
-	}
-	if err := p.start("failing", "false"); err != nil {
-		t.Fatal(err)
-	}
-	var early error
-	for range 500 {
-		if early = p.early(); early != nil {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	if early == nil || !strings.Contains(early.Error(), "failing ended early") {
-		t.Errorf("got %v", early)
-	}
-	if err := p.stop(); err == nil || !strings.Contains(err.Error(), "failing") {
-		t.Errorf("got %v", err)
-	}
-}
-
-// Guards against checks that overlook a broken invariant.
-func TestChecksFindViolations(t *testing.T) {
-	for line, want := range map[string]float64{
-		`gateway_invariant_violations{name="zone_out",process="p"} 2`: 2,
-		`gateway_invariant_violations{name="zone_out"} 0`:             0,
-		`# HELP gateway_invariant_violations 3`:                       0,
-		`gateway_requests{name="zone_out"} 5`:                         0,
-	} {
-		if got, _ := violations(line); got != want {
-			t.Errorf("%s: got %g", line, got)
-		}
-	}
-	if held := heldPiece(engine.State{Pieces: []engine.Piece{{Kind: engine.PiecePrefix}, {Kind: engine.PieceHold, ID: "h"}}}); held == "" {
-		t.Error("hold overlooked")
-	}
+// Guards against a check that accepts a run that shows nothing or lost work.
+func TestCheckUsefulFindsLostWork(t *testing.T) {
 	whole := load.Result{Item: mix.Item{Class: mix.Class1k}, Outcome: load.Whole}
 	plain := load.Result{Item: mix.Item{Class: mix.ClassPlain}, Outcome: load.Whole}
 	lost := load.Result{Item: mix.Item{Class: mix.Class1k}, Outcome: load.MayHaveRun}
