gateway: keep a suspect to its two candidates

Cause: an endpoint whose engine died leaves the view, and the next in rendezvous order replaces it as candidate. Change: a suspect's candidates are computed over all endpoints that operators leave in service, so a lost one is not replaced. The request waits up to 5 s for its other candidate, so that requests of the same batch still complete.

--- a/gateway/control/control_test.go
+++ b/gateway/control/control_test.go
@@ -8,6 +8,8 @@
 
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/membership"
+	"siskinstand.example/coord/routing"
+	"siskinstand.example/gateway/sidecar"
 	"siskinstand.example/platform/hostlist"
 )
 
@@ -36,3 +38,30 @@
 		l.publish(now)
 	}
 }
+
+// Guards against a crash-causing request that reaches a third endpoint: the
+// endpoint that it has crashed leaves the view, and a stand-in was chosen.
+func TestSuspectKeepsItsTwoCandidates(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for key := range uint64(50) {
+		keys := routing.Keys{Prefix: key, Fingerprint: key + 1}
+		first := poolViewWithout(names, "").Pick(keys, nil, true)
+		lost := names[first.Prefix]
+		c := poolViewWithout(names, lost).Pick(keys, nil, true)
+		if c.Prefix != routing.None || c.Fingerprint != first.Fingerprint {
+			t.Fatalf("key %d: candidates %+v became %+v without %s", key, first, c, lost)
+		}
+		c = poolViewWithout(names, lost).Pick(keys, []string{names[first.Fingerprint]}, true)
+		if c.Prefix != routing.None || c.Fingerprint != routing.None {
+			t.Fatalf("key %d: a third candidate %+v", key, c)
+		}
+	}
+}
+
+func poolViewWithout(names []string, lost string) *PoolView {
+	var members []poolMember
+	for _, name := range names {
+		members = append(members, poolMember{endpoint: &sidecar.Endpoint{Name: name}, placed: true, usable: name != lost})
+	}
+	return newPoolView(config.Pool{}, members)
+}
--- a/gateway/control/refresh.go
+++ b/gateway/control/refresh.go
@@ -59,14 +59,16 @@
 func (l *Loop) membersByService(now time.Time) map[string][]poolMember {
 	services := map[string][]poolMember{}
 	for e := range l.table.All {
-		services[e.Service] = append(services[e.Service], poolMember{endpoint: l.endpoints[e.Name], usable: l.usable(e, now)})
+		services[e.Service] = append(services[e.Service], poolMember{
+			endpoint: l.endpoints[e.Name], placed: l.placed(e), usable: l.placed(e) && l.table.Usable(e.Name, now),
+		})
 	}
 	return services
 }
 
-func (l *Loop) usable(e membership.Endpoint, now time.Time) bool {
+func (l *Loop) placed(e membership.Endpoint) bool {
 	tables := l.snapshot.Tables
-	return !tables.ZoneOut(e.Zone) && !tables.HostLeaving(e.Name) && l.table.Usable(e.Name, now)
+	return !tables.ZoneOut(e.Zone) && !tables.HostLeaving(e.Name)
 }
 
 // sliceOf computes what an endpoint needs of the configuration. It depends on
--- a/gateway/dispatch/execution.go
+++ b/gateway/dispatch/execution.go
@@ -40,6 +40,8 @@
 	// another attempt makes the request not_run again.
 	mayHaveRun bool
 	firstToken bool
+	// waiting is the start of the wait for a suspect's other candidate.
+	waiting    time.Time
 	objectives objectives
 	// last is the failure of the latest attempt.
 	last *verdict.Error
@@ -56,6 +58,9 @@
 	for {
 		t, failure := x.choose()
 		if failure != nil {
+			if x.awaitCandidate(ctx, failure) {
+				continue
+			}
 			return Result{}, x.prefer(failure)
 		}
 		result, failure := x.attempt(ctx, t)
@@ -74,12 +79,40 @@
 // prefer returns the failure of the latest attempt instead of the mere lack of
 // a further endpoint, because it says more.
 func (x *execution) prefer(failure *verdict.Error) *verdict.Error {
-	if failure.Reason == verdict.ReasonNoEndpoint && x.last != nil {
+	noCandidate := failure.Reason == verdict.ReasonNoEndpoint || failure.Reason == verdict.ReasonSuspect
+	if noCandidate && x.last != nil {
 		return x.last
 	}
 	return failure
 }
 
+// A suspect may not go to a third endpoint, so it waits for its other candidate.
+// The bound keeps a caller from waiting for an engine that stays down.
+const (
+	candidateWait = 5 * time.Second
+	candidatePoll = 100 * time.Millisecond
+)
+
+// awaitCandidate waits for the other candidate of a suspect and reports whether
+// to choose again.
+func (x *execution) awaitCandidate(ctx context.Context, failure *verdict.Error) bool {
+	if failure.Reason != verdict.ReasonSuspect {
+		return false
+	}
+	if x.waiting.IsZero() {
+		x.waiting = time.Now()
+	}
+	if time.Since(x.waiting) >= candidateWait {
+		return false
+	}
+	select {
+	case <-time.After(candidatePoll):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // choose picks the endpoint of the next attempt.
 func (x *execution) choose() (target, *verdict.Error) {
 	view := x.d.config.Control.View()
@@ -100,7 +133,15 @@
 	if g != nil {
 		return target{endpoint: g.members[0].endpoint, isolated: standing.Isolated(), group: g}, nil
 	}
-	e := x.pick(pool, skip)
+	if standing.Isolated() {
+		// A candidate that was down may be back, so only those where the
+		// request was running at the death are passed over.
+		skip = standing.Endpoints
+	}
+	e := x.pick(pool, skip, standing.Isolated())
+	if e == nil && standing.Isolated() {
+		return target{}, verdict.New(verdict.NotRun, verdict.ReasonSuspect, "the request was running when an endpoint died and its other candidate is not in service")
+	}
 	if e == nil {
 		return target{}, x.noEndpoint(pool)
 	}
@@ -108,9 +149,9 @@
 	return target{endpoint: e, isolated: standing.Isolated()}, nil
 }
 
-func (x *execution) pick(pool *control.PoolView, skip []string) *sidecar.Endpoint {
+func (x *execution) pick(pool *control.PoolView, skip []string, suspect bool) *sidecar.Endpoint {
 	now := time.Now()
-	c := pool.Routing.Pick(x.r.Keys, skip)
+	c := pool.Pick(x.r.Keys, skip, suspect)
 	load := func(i int) routing.Load {
 		if i == routing.None {
 			return routing.Load{}
