loadgen/faults: add the first four fault scenarios

Cause: the requirements of section 1 of docs/design.md were proven under failure only in package tests. Change: siskin-load faults starts the programs, sends a seeded load, injects faults by a seeded schedule and checks answers, counters of the stand-ins and the processes' violations. Scenarios: at_most_once, crash_request, zone_cycle, cold_endpoints. The plain service returns the runs of all keys at once.

--- a/fakes/plainservice/plainservice.go
+++ b/fakes/plainservice/plainservice.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -84,6 +85,13 @@
 	return s.runs[key]
 }
 
+// AllRuns returns how often the call of each key ran.
+func (s *Service) AllRuns() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
 // Handler returns the service's HTTP interface with its control endpoint.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -94,6 +102,7 @@
 	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, r *http.Request) {
 		server.WriteJSON(w, s.Runs(r.URL.Query().Get("key")))
 	})
+	mux.HandleFunc("GET /control/all_runs", func(w http.ResponseWriter, _ *http.Request) { server.WriteJSON(w, s.AllRuns()) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
 		s.thawed(r.Context())
 		fmt.Fprintln(w, "ok")
--- a/loadgen/cluster/check.go
+++ b/loadgen/cluster/check.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -82,6 +83,119 @@
 	return sum, nil
 }
 
+// AllRuns returns how often the plain call of each key ran.
+func (c *Cluster) AllRuns(ctx context.Context) (map[string]int, error) {
+	all := map[string]int{}
+	read := map[string]bool{}
+	for _, e := range c.Layout.Endpoints {
+		if !e.Plain || read[e.Backend] {
+			continue
+		}
+		read[e.Backend] = true
+		var runs map[string]int
+		if err := GetJSON(ctx, "http://"+e.Backend+"/control/all_runs", &runs); err != nil {
+			return nil, err
+		}
+		for key, n := range runs {
+			all[key] += n
+		}
+	}
+	return all, nil
+}
+
+// EngineCounters returns the counters of each engine by endpoint.
+func (c *Cluster) EngineCounters(ctx context.Context) (map[string]engine.Counters, error) {
+	all := map[string]engine.Counters{}
+	for _, e := range c.Layout.Endpoints {
+		if e.Plain {
+			continue
+		}
+		var counters engine.Counters
+		if err := GetJSON(ctx, "http://"+e.Backend+"/control/counters", &counters); err != nil {
+			return nil, err
+		}
+		all[e.Name] = counters
+	}
+	return all, nil
+}
+
+// Switch changes switches of a stand-in, given as a JSON object.
+func Switch(ctx context.Context, address, path, switches string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(switches))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answered with status %d", address, path, response.StatusCode)
+	}
+	return nil
+}
+
+// Gauge reads a value from a process's metrics; ok is false without an answer.
+func Gauge(ctx context.Context, admin, name string) (value float64, ok bool) {
+	response, err := get(ctx, "http://"+admin+"/metrics")
+	if err != nil {
+		return 0, false
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		fields := strings.Fields(line)
+		if !strings.HasPrefix(line, "#") && len(fields) == 2 && strings.Contains(fields[0], name) {
+			value, err = strconv.ParseFloat(fields[1], 64)
+			return value, err == nil
+		}
+	}
+	return 0, false
+}
+
+// LoggedViolations counts the violations that processes logged, including
+// processes that have ended since.
+func (c *Cluster) LoggedViolations() (int, string, error) {
+	sum, example := 0, ""
+	for name := range c.Layout.Admins() {
+		data, err := os.ReadFile(c.Layout.Path(name + ".log"))
+		if err != nil {
+			return 0, "", err
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, "invariant violated") {
+				sum++
+				example = name + ": " + strings.TrimSpace(line)
+			}
+		}
+	}
+	return sum, example, nil
+}
+
+// HeldTokens returns the engine memory in use other than cached prefixes.
+func (c *Cluster) HeldTokens(ctx context.Context) (int64, string, error) {
+	var sum int64
+	example := ""
+	for _, e := range c.Layout.Endpoints {
+		if e.Plain {
+			continue
+		}
+		var state engineapi.State
+		if err := GetJSON(ctx, "http://"+e.Backend+"/engine/state", &state); err != nil {
+			return 0, "", err
+		}
+		for _, p := range state.Pieces {
+			if p.Kind != engineapi.PiecePrefix {
+				sum += p.Tokens
+				example = fmt.Sprintf("%s %s at %s", p.Kind, p.ID, e.Name)
+			}
+		}
+	}
+	return sum, example, nil
+}
+
 // CheckCold fails if a cold engine got more work than it can handle.
 func (c *Cluster) CheckCold(ctx context.Context) error {
 	for _, e := range c.Layout.Endpoints {
--- a/loadgen/cluster/cluster.go
+++ b/loadgen/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"os"
+	"path/filepath"
 )
 
 // Config describes a cluster.
@@ -31,6 +32,12 @@
 
 // Start starts all processes and waits until they are ready.
 func Start(ctx context.Context, config Config) (*Cluster, error) {
+	// A directory of an earlier run would mix its logs with those of this one.
+	if old, err := filepath.Glob(filepath.Join(config.Directory, "*.log")); err == nil {
+		for _, path := range old {
+			_ = os.Remove(path)
+		}
+	}
 	if err := os.MkdirAll(config.Directory, 0o700); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/loadgen/faults/report.go
@@ -0,0 +1,71 @@
+package faults
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+)
+
+// target is a bound on a figure.
+type target struct {
+	text string
+	met  func(float64) bool
+}
+
+// none marks a figure without a target.
+var none = target{text: "none", met: func(float64) bool { return true }}
+
+func exactly(want float64) target {
+	return target{fmt.Sprintf("%g", want), func(v float64) bool { return v == want }}
+}
+
+func atMost(limit float64) target {
+	return target{fmt.Sprintf("<=%g", limit), func(v float64) bool { return v <= limit }}
+}
+
+func below(limit float64) target {
+	return target{fmt.Sprintf("<%g", limit), func(v float64) bool { return v < limit }}
+}
+
+func atLeast(limit float64) target {
+	return target{fmt.Sprintf(">=%g", limit), func(v float64) bool { return v >= limit }}
+}
+
+// report prints the figures of one scenario and remembers missed targets. It is
+// safe for concurrent use.
+type report struct {
+	scenario string
+	out      io.Writer
+
+	mu  sync.Mutex
+	bad []string
+}
+
+// figure prints one line as "name=value unit target ...".
+func (r *report) figure(name string, value float64, unit string, t target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	verdict := ""
+	if !t.met(value) {
+		verdict = " MISSED"
+		r.bad = append(r.bad, fmt.Sprintf("%s is %.4g %s, target %s", name, value, unit, t.text))
+	}
+	fmt.Fprintf(r.out, "%s.%s=%.4g %s target %s%s\n", r.scenario, name, value, unit, t.text, verdict)
+}
+
+// note prints a line that explains a figure.
+func (r *report) note(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, "# %s: %s\n", r.scenario, text)
+}
+
+func (r *report) missed() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.bad) == 0 {
+		return nil
+	}
+	return fmt.Errorf("targets missed: %s", strings.Join(r.bad, "; "))
+}
--- a/loadgen/load/client.go
+++ b/loadgen/load/client.go
@@ -22,13 +22,20 @@
 // maxAnswerBytes bounds what the tool reads of one answer.
 const maxAnswerBytes = 64 << 20
 
-type client struct {
+// Client sends single requests. It is safe for concurrent use.
+type Client struct {
 	config Config
 	http   *http.Client
 }
 
-// send makes one request, which was due at a time, and judges its answer.
-func (c *client) send(ctx context.Context, item mix.Item, due time.Time) Result {
+// Send makes one request, which was due at a time, and judges its answer.
+func (c *Client) Send(ctx context.Context, item mix.Item, due time.Time) Result {
+	return c.SendTo(ctx, item, item.Index, due)
+}
+
+// SendTo is Send through the gateway of another index, as for a repeated
+// request.
+func (c *Client) SendTo(ctx context.Context, item mix.Item, gateway int, due time.Time) Result {
 	deadline := c.config.Deadline
 	if item.Class == mix.ClassPlain {
 		deadline = c.config.PlainDeadline
@@ -36,11 +43,11 @@
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, started.Add(deadline+lateGrace))
 	defer cancel()
-	result := Result{Item: item}
+	result := Result{Item: item, Started: started, Gateway: c.config.gateway(gateway)}
 	if item.Class == mix.ClassPlain {
-		c.plain(ctx, item, deadline, &result)
+		c.plain(ctx, deadline, &result)
 	} else {
-		c.model(ctx, item, deadline, due, &result)
+		c.model(ctx, deadline, due, &result)
 	}
 	result.Total = time.Since(due)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Since(started) > deadline+lateGrace {
@@ -49,9 +56,9 @@
 	return result
 }
 
-func (c *client) request(ctx context.Context, item mix.Item, path string, body []byte, deadline time.Duration) (*http.Response, error) {
-	gateway := c.config.Gateways[item.Index%len(c.config.Gateways)]
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, gateway+path, bytes.NewReader(body))
+func (c *Client) request(ctx context.Context, result *Result, path string, body []byte, deadline time.Duration) (*http.Response, error) {
+	item := result.Item
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, result.Gateway+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -65,10 +72,11 @@
 	return c.http.Do(request)
 }
 
-func (c *client) model(ctx context.Context, item mix.Item, deadline time.Duration, due time.Time, result *Result) {
+func (c *Client) model(ctx context.Context, deadline time.Duration, due time.Time, result *Result) {
+	item := result.Item
 	prompt := item.Text()
 	body, _ := json.Marshal(map[string]any{"model": c.config.Model, "prompt": prompt, "max_tokens": item.Output, "stream": true})
-	response, err := c.request(ctx, item, "/v1/completions", body, deadline)
+	response, err := c.request(ctx, result, "/v1/completions", body, deadline)
 	if err != nil {
 		transportFailure(err, result)
 		return
@@ -95,9 +103,10 @@
 	result.Outcome = Whole
 }
 
-func (c *client) plain(ctx context.Context, item mix.Item, deadline time.Duration, result *Result) {
+func (c *Client) plain(ctx context.Context, deadline time.Duration, result *Result) {
+	item := result.Item
 	body := fmt.Appendf(nil, `{"booking":%d}`, item.Seed)
-	response, err := c.request(ctx, item, "/services/"+c.config.Service+"/book", body, deadline)
+	response, err := c.request(ctx, result, "/services/"+c.config.Service+"/book", body, deadline)
 	if err != nil {
 		transportFailure(err, result)
 		return
--- a/loadgen/load/load.go
+++ b/loadgen/load/load.go
@@ -49,8 +49,11 @@
 type Config struct {
 	// Gateways are base URLs, used in turn.
 	Gateways []string
-	Token    string
-	Model    string
+	// Ready, if set, tells whether the balancer sends requests to a gateway. If
+	// none is ready, requests go to any.
+	Ready func(gateway int) bool
+	Token string
+	Model string
 	// Service is the plain service for calls that must not be repeated.
 	Service string
 	// RunID makes idempotency keys unique to the run.
@@ -64,6 +67,17 @@
 	MaxOpen int
 }
 
+// gateway returns the base URL for a request.
+func (c Config) gateway(index int) string {
+	n := len(c.Gateways)
+	for i := range n {
+		if g := (index + i) % n; c.Ready == nil || c.Ready(g) {
+			return c.Gateways[g]
+		}
+	}
+	return c.Gateways[index%n]
+}
+
 // lateGrace is the time that an answer may take from the gateway to the tool,
 // and the tool to read it, on a busy machine.
 const lateGrace = 2 * time.Second
@@ -74,6 +88,9 @@
 	Outcome Outcome
 	// Reason is the refusal's code or what was wrong.
 	Reason string
+	// Gateway is the base URL that the request went to, and Started the time.
+	Gateway string
+	Started time.Time
 	// FirstToken and Total count from the time that the mix set.
 	FirstToken time.Duration
 	Total      time.Duration
@@ -82,7 +99,7 @@
 // Run sends the mix for the configured time and returns all results, in order
 // of their ends.
 func Run(ctx context.Context, c Config) []Result {
-	client := newClient(c)
+	client := NewClient(c)
 	results := make(chan Result, 64)
 	go func() {
 		defer close(results)
@@ -95,7 +112,7 @@
 	return all
 }
 
-func dispatch(ctx context.Context, c Config, client *client, results chan<- Result) {
+func dispatch(ctx context.Context, c Config, client *Client, results chan<- Result) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	var open atomic.Int64
@@ -113,7 +130,7 @@
 		}
 		group.Go(func() {
 			defer open.Add(-1)
-			results <- client.send(ctx, item, begin.Add(item.At))
+			results <- client.Send(ctx, item, begin.Add(item.At))
 		})
 	}
 }
@@ -129,9 +146,10 @@
 	}
 }
 
-func newClient(c Config) *client {
+// NewClient returns a client with its own connections.
+func NewClient(c Config) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	return &client{config: c, http: &http.Client{Transport: transport}}
+	return &Client{config: c, http: &http.Client{Transport: transport}}
 }
 
 // Check returns an error that names the broken invariants, or nil.
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -10,9 +10,10 @@
 )
 
 type options struct {
-	Bench benchCommand `command:"bench" description:"drive the decision code in virtual time and check the targets"`
-	Run   runCommand   `command:"run" description:"send an open-loop load to gateways and check every answer"`
-	Demo  demoCommand  `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
+	Bench  benchCommand  `command:"bench" description:"drive the decision code in virtual time and check the targets"`
+	Run    runCommand    `command:"run" description:"send an open-loop load to gateways and check every answer"`
+	Faults faultsCommand `command:"faults" description:"start everything on loopback, inject faults by a seeded schedule and check the targets"`
+	Demo   demoCommand   `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
 }
 
 func main() {
--- a/loadgen/mix/mix.go
+++ b/loadgen/mix/mix.go
@@ -75,6 +75,8 @@
 	Tokens int64
 	Seed   uint64
 	Prefix uint64
+	// Prompt, if set, replaces the derived text.
+	Prompt string
 	// Output is the output bound in tokens.
 	Output int64
 }
@@ -146,6 +148,9 @@
 // Text returns the item's prompt: a prefix that others may share, then text of
 // its own.
 func (i Item) Text() string {
+	if i.Prompt != "" {
+		return i.Prompt
+	}
 	size := i.Tokens * bytesPerToken
 	text := make([]byte, 0, size)
 	if i.Prefix > 0 {
