--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 PROGRAMS    := gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
 SEED        ?= 1
 FUZZTIME    ?= 30s
+DURATION    ?= 2m
 
-.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto clean
+.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity faults proto clean
 
 build:
 	@mkdir -p bin
@@ -54,5 +55,10 @@
 run: build
 	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
 
+# faults starts everything on loopback, injects faults by a seeded schedule and
+# fails if a target was missed.
+faults: build
+	bin/siskin-load faults --bin bin --dir out/faults --seed $(SEED) --duration $(DURATION)
+
 clean:
 	rm -rf bin out
--- a/loadgen/cluster/layout.go
+++ b/loadgen/cluster/layout.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"siskinstand.example/coord/config"
 	"siskinstand.example/platform/hostlist"
@@ -31,6 +32,8 @@
 	PlainByZone   int
 	// SharedBackend gives all plain endpoints one service.
 	SharedBackend bool
+	// Notice is the time that a gateway gives the balancer at a shutdown.
+	Notice time.Duration
 	// SidecarSettings are sections that every sidecar's settings end with.
 	SidecarSettings string
 }
@@ -196,8 +199,8 @@
 address = %s
 
 [shutdown]
-notice = 0s
-`, g.Name, g.Zone, region, g.Callers, g.Admin, g.Peers, l.Hosts, l.Store)
+notice = %s
+`, g.Name, g.Zone, region, g.Callers, g.Admin, g.Peers, l.Hosts, l.Store, l.shape.Notice)
 }
 
 func routes() string {
--- a/loadgen/cluster/process.go
+++ b/loadgen/cluster/process.go
@@ -121,12 +121,18 @@
 
 // Control runs siskinctl with the store and returns an error with its output.
 func (c *Cluster) Control(ctx context.Context, arguments ...string) error {
+	_, err := c.ControlOutput(ctx, arguments...)
+	return err
+}
+
+// ControlOutput is Control with the command's output.
+func (c *Cluster) ControlOutput(ctx context.Context, arguments ...string) (string, error) {
 	arguments = append([]string{"--store", c.Layout.Store}, arguments...)
 	out, err := exec.CommandContext(ctx, filepath.Join(c.config.Binaries, "siskinctl"), arguments...).CombinedOutput()
 	if err != nil {
-		return fmt.Errorf("siskinctl %s: %w\n%s", strings.Join(arguments, " "), err, out)
+		return string(out), fmt.Errorf("siskinctl %s: %w\n%s", strings.Join(arguments, " "), err, out)
 	}
-	return nil
+	return string(out), nil
 }
 
 // Ports come from below the range from which the kernel takes those of outgoing
--- a/loadgen/faults/faults.go
+++ b/loadgen/faults/faults.go
@@ -45,7 +45,8 @@
 
 func scenarios() []scenario {
 	return []scenario{
-		atMostOnce(), crashRequest(), zoneCycle(), coldEndpoints(),
+		atMostOnce(), crashRequest(), zoneCycle(), coldEndpoints(), propagation(),
+		memoryOwner(), gracefulShutdown(), longPrompts(), mixed(), overhead(),
 	}
 }
 
--- a/loadgen/load/load.go
+++ b/loadgen/load/load.go
@@ -98,12 +98,16 @@
 
 // Run sends the mix for the configured time and returns all results, in order
 // of their ends.
-func Run(ctx context.Context, c Config) []Result {
+func Run(ctx context.Context, c Config) []Result { return RunUntil(ctx, ctx, c) }
+
+// RunUntil is Run that sends no further request after sending has ended. The
+// requests in flight are still answered.
+func RunUntil(ctx, sending context.Context, c Config) []Result {
 	client := NewClient(c)
 	results := make(chan Result, 64)
 	go func() {
 		defer close(results)
-		dispatch(ctx, c, client, results)
+		dispatch(ctx, sending, c, client, results)
 	}()
 	var all []Result
 	for r := range results {
@@ -112,7 +116,7 @@
 	return all
 }
 
-func dispatch(ctx context.Context, c Config, client *Client, results chan<- Result) {
+func dispatch(ctx, sending context.Context, c Config, client *Client, results chan<- Result) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	var open atomic.Int64
@@ -120,7 +124,7 @@
 	items := mix.New(c.Mix)
 	for {
 		item := items.Next()
-		if item.At > c.Duration || !waitUntil(ctx, begin.Add(item.At)) {
+		if item.At > c.Duration || !waitUntil(sending, begin.Add(item.At)) {
 			return
 		}
 		if open.Add(1) > int64(c.MaxOpen) {
