loadgen: give each cluster its own block of ports, disturb chosen group members

Cause: with two clusters at once, a gateway that was down lost its port to a process of the other one and could not start again. The long-prompt trials disturbed endpoints that were not always members of the group. Change: a cluster reserves a block of ports with a listener. Trials wait until the group has formed, disturb its leader or another member, and are repeated if no group formed.

--- a/loadgen/cluster/cluster.go
+++ b/loadgen/cluster/cluster.go
@@ -53,7 +53,10 @@
 }
 
 // Stop ends all processes and returns the first failure.
-func (c *Cluster) Stop() error { return c.Processes.stop() }
+func (c *Cluster) Stop() error {
+	defer c.Layout.ports.reservation.Close()
+	return c.Processes.stop()
+}
 
 func (c *Cluster) start(ctx context.Context) error {
 	l, p := c.Layout, c.Processes
--- a/loadgen/cluster/cluster_test.go
+++ b/loadgen/cluster/cluster_test.go
@@ -18,6 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer l.ports.reservation.Close()
 	if err := l.writeAll(); err != nil {
 		t.Fatal(err)
 	}
@@ -92,3 +93,21 @@
 		t.Error("hold overlooked")
 	}
 }
+
+// Guards against two clusters that take each other's ports while a process is
+// down.
+func TestClustersHaveSeparatePorts(t *testing.T) {
+	first, err := reserveBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.reservation.Close()
+	second, err := reserveBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.reservation.Close()
+	if first.first == second.first {
+		t.Errorf("both got the block from port %d", first.first)
+	}
+}
--- a/loadgen/cluster/layout.go
+++ b/loadgen/cluster/layout.go
@@ -67,22 +67,28 @@
 
 	directory string
 	shape     Shape
+	ports     *block
 }
 
 // newLayout chooses free ports for the processes of a shape.
 func newLayout(directory string, shape Shape) (*Layout, error) {
 	const addressesOfProcess = 3
 	endpoints := len(Zones()) * (shape.EnginesByZone + shape.PlainByZone)
-	free, err := freeAddresses(addressesOfProcess * (1 + endpoints + shape.Gateways))
+	ports, err := reserveBlock()
 	if err != nil {
 		return nil, err
 	}
+	free, err := ports.addresses(addressesOfProcess * (1 + endpoints + shape.Gateways))
+	if err != nil {
+		ports.reservation.Close()
+		return nil, err
+	}
 	next := func() string {
 		address := free[0]
 		free = free[1:]
 		return address
 	}
-	l := &Layout{directory: directory, shape: shape, Store: next(), Hosts: next(), Weights: next()}
+	l := &Layout{directory: directory, shape: shape, ports: ports, Store: next(), Hosts: next(), Weights: next()}
 	for _, zone := range Zones() {
 		for i := range shape.EnginesByZone + shape.PlainByZone {
 			e := Endpoint{Zone: zone, Plain: i >= shape.EnginesByZone, Backend: next(), Sidecar: next(), Admin: next()}
--- a/loadgen/faults/calls.go
+++ b/loadgen/faults/calls.go
@@ -74,7 +74,7 @@
 }
 
 func runAtMostOnce(ctx context.Context, s *stage) error {
-	const workers = 600
+	const workers = 1000
 	c := s.clientConfig()
 	all := &callers{stage: s, client: load.NewClient(c), runID: c.RunID, limit: int64(s.config.Calls), records: map[string]*record{}}
 	injecting, stop := context.WithCancel(ctx)
--- a/loadgen/faults/group.go
+++ b/loadgen/faults/group.go
@@ -27,19 +27,26 @@
 	}
 }
 
+// The long prompts exceed the memory of one engine and fit into that of two.
+const (
+	longTokens = 180_000
+	longOutput = 300
+)
+
 // holdLimit is the longest life of a hold, an interval of the sweep and a
 // probe of the engine.
 const holdLimit = 10*time.Second + 5*time.Second + time.Second
 
 // step is a moment in the life of a group and what happens to a member there.
 type step struct {
-	name  string
-	after time.Duration
-	kill  func(ctx context.Context, s *stage, member cluster.Endpoint, random *rand.Rand) error
+	name   string
+	after  time.Duration
+	leader bool
+	kill   func(ctx context.Context, s *stage, member cluster.Endpoint, random *rand.Rand) error
 }
 
-// steps cover the time before the holds, during them, and during the run, which
-// takes about 2 s.
+// steps cover the dispatch and the run, which takes about 3.5 s and so includes
+// a renewal of the holds.
 func steps() []step {
 	crash := func(ctx context.Context, _ *stage, member cluster.Endpoint, _ *rand.Rand) error {
 		return ignoreDown(cluster.Switch(ctx, member.Backend, "/control/crash", `{}`))
@@ -51,14 +58,38 @@
 		return killGateway(ctx, s, random)
 	}
 	var list []step
-	for _, after := range []time.Duration{30 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond} {
-		list = append(list, step{"engine", after, crash}, step{"sidecar", after, sidecar}, step{"gateway", after, gateway})
+	for _, after := range []time.Duration{100 * time.Millisecond, 800 * time.Millisecond} {
+		for _, leader := range []bool{true, false} {
+			list = append(list, step{"engine", after, leader, crash}, step{"sidecar", after, leader, sidecar})
+		}
+		list = append(list, step{"gateway", after, true, gateway})
 	}
 	return list
 }
 
-// member returns an endpoint that holds memory for a group, or any.
-func (s *stage) member(ctx context.Context) cluster.Endpoint {
+// member waits until endpoints hold memory for a group and returns its leader,
+// which has the lowest name, or another member.
+func (s *stage) member(ctx context.Context, leader bool, answered <-chan struct{}) (e cluster.Endpoint, formed bool, err error) {
+	for {
+		holding := s.holding(ctx)
+		if len(holding) > 1 && leader {
+			return holding[0], true, nil
+		}
+		if len(holding) > 1 {
+			return holding[1+s.random.IntN(len(holding)-1)], true, nil
+		}
+		select {
+		case <-answered:
+			return cluster.Endpoint{}, false, nil
+		case <-ctx.Done():
+			return cluster.Endpoint{}, false, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// holding returns the endpoints with holds or runs, in order of their names.
+func (s *stage) holding(ctx context.Context) []cluster.Endpoint {
 	var holding []cluster.Endpoint
 	for _, e := range s.Layout.Endpoints {
 		var state engine.State
@@ -72,70 +103,108 @@
 			}
 		}
 	}
-	if len(holding) == 0 {
-		return s.anyEndpoint(s.random, false)
-	}
-	return holding[s.random.IntN(len(holding))]
+	return holding
 }
 
 func runLongPrompts(ctx context.Context, s *stage) error {
-	const tokens, output = 180_000, 16
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := s.clientConfig()
 	c.Ready = newBalancer(ctx, s).Ready
 	client := load.NewClient(c)
 	all := steps()
-	counts := map[load.Outcome]int{}
-	wrong, notRunRan := 0, 0
-	longest := time.Duration(0)
+	if s.config.Small {
+		all = all[:2]
+	}
+	t := trials{stage: s, client: client, counts: map[load.Outcome]int{}}
 	for i, st := range append([]step{{name: "none"}}, all...) {
-		if err := s.warm(ctx); err != nil {
-			return err
-		}
-		before, err := s.totalStarted(ctx)
-		if err != nil {
-			return err
-		}
-		results := make(chan load.Result, 1)
-		go func() {
-			item := mix.Item{Index: i, Class: mix.Class256k, Tokens: tokens, Seed: s.config.Seed<<8 + uint64(i), Output: output}
-			results <- client.Send(ctx, item, time.Now())
-		}()
-		if err := s.takeStep(ctx, st); err != nil {
+		if err := t.run(ctx, i, st); err != nil {
 			return err
 		}
-		r := <-results
-		counts[r.Outcome]++
-		ended := time.Now()
-		if !s.allowed(r) || (i == 0 && r.Outcome != load.Whole) {
-			wrong++
-		}
-		s.report.note(strings.TrimSpace(fmt.Sprintf("%s at %s: %s after %s %s", st.name, st.after, r.Outcome, r.Total.Round(time.Millisecond), r.Reason)))
-		if err := s.awaitFree(ctx); err != nil {
-			return err
-		}
-		longest = max(longest, time.Since(ended))
-		after, err := s.totalStarted(ctx)
-		if err != nil {
+	}
+	s.report.figure("prompts", float64(len(all)+1), "requests", atLeast(3))
+	s.report.figure("repeated_trials", float64(t.repeated), "trials", none)
+	s.report.figure("whole", float64(t.counts[load.Whole]), "requests", atLeast(1))
+	s.report.figure("illegal_outcomes", float64(t.illegal), "requests", exactly(0))
+	s.report.figure("not_run_had_run", float64(t.notRunRan), "requests", exactly(0))
+	s.report.figure("longest_hold_after_the_end", t.longest.Seconds(), "s", atMost(holdLimit.Seconds()))
+	return nil
+}
+
+// trials sends one long prompt after another and disturbs each at a step.
+type trials struct {
+	stage  *stage
+	client *load.Client
+
+	counts    map[load.Outcome]int
+	illegal   int
+	notRunRan int
+	repeated  int
+	longest   time.Duration
+}
+
+// run makes one trial. It is repeated if the prompt was refused before its
+// group had formed, because the endpoints' limits are low after a restart.
+func (t *trials) run(ctx context.Context, i int, st step) error {
+	const tries = 4
+	for range tries {
+		formed, err := t.once(ctx, i, st)
+		if err != nil || formed {
 			return err
 		}
-		if r.Outcome == load.NotRun && after > before {
-			notRunRan++
-		}
+		t.repeated++
 	}
-	s.report.figure("prompts", float64(len(all)+1), "requests", atLeast(5))
-	s.report.figure("whole", float64(counts[load.Whole]), "requests", atLeast(1))
-	s.report.figure("illegal_outcomes", float64(wrong), "requests", exactly(0))
-	s.report.figure("not_run_had_run", float64(notRunRan), "requests", exactly(0))
-	s.report.figure("longest_hold_after_the_end", longest.Seconds(), "s", atMost(holdLimit.Seconds()))
-	return nil
+	return fmt.Errorf("no group formed in %d tries", tries)
+}
+
+func (t *trials) once(ctx context.Context, i int, st step) (formed bool, err error) {
+	s := t.stage
+	if err := s.warm(ctx); err != nil {
+		return false, err
+	}
+	before, err := s.totalStarted(ctx)
+	if err != nil {
+		return false, err
+	}
+	var r load.Result
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		item := mix.Item{Index: i, Class: mix.Class256k, Tokens: longTokens, Seed: s.config.Seed<<8 + uint64(i), Output: longOutput}
+		r = t.client.Send(ctx, item, time.Now())
+	}()
+	formed, err = s.takeStep(ctx, st, answered)
+	<-answered
+	if err != nil {
+		return false, err
+	}
+	ended := time.Now()
+	if err := s.awaitFree(ctx); err != nil {
+		return false, err
+	}
+	t.longest = max(t.longest, time.Since(ended))
+	after, err := s.totalStarted(ctx)
+	if err != nil {
+		return false, err
+	}
+	if r.Outcome == load.NotRun && after > before {
+		t.notRunRan++
+	}
+	if !s.allowed(r) {
+		t.illegal++
+	}
+	if formed {
+		t.counts[r.Outcome]++
+	}
+	s.report.note(strings.TrimSpace(fmt.Sprintf("%s, leader %t, %s after the holds, formed %t: %s after %s with %d runs %s",
+		st.name, st.leader, st.after, formed, r.Outcome, r.Total.Round(time.Millisecond), after-before, r.Reason)))
+	return formed, nil
 }
 
 // warm sends prompts until the concurrency limits of all endpoints, also of
 // those that have just restarted, admit a hold of the size of the long prompt.
 func (s *stage) warm(ctx context.Context) error {
-	const rate, length = 120, 5 * time.Second
+	const rate, length = 140, 4 * time.Second
 	short := mix.Config{MaxPromptTokens: 8_192, MaxOutputTokens: 4}
 	t := s.sendLoad(ctx, rate, length, short)
 	select {
@@ -146,14 +215,17 @@
 	return s.awaitFree(ctx)
 }
 
-func (s *stage) takeStep(ctx context.Context, st step) error {
-	if st.kill == nil {
-		return nil
+// takeStep disturbs the group once it has formed, unless the prompt is answered
+// before.
+func (s *stage) takeStep(ctx context.Context, st step, answered <-chan struct{}) (formed bool, err error) {
+	victim, formed, err := s.member(ctx, st.leader, answered)
+	if err != nil || !formed || st.kill == nil {
+		return formed, err
 	}
 	if err := rest(ctx, st.after); err != nil {
-		return err
+		return false, err
 	}
-	return st.kill(ctx, s, s.member(ctx), rand.New(rand.NewPCG(s.random.Uint64(), 5)))
+	return true, st.kill(ctx, s, victim, rand.New(rand.NewPCG(s.random.Uint64(), 5)))
 }
 
 // totalStarted counts the runs that engines have started. An engine that is
--- a/loadgen/faults/propagation.go
+++ b/loadgen/faults/propagation.go
@@ -28,7 +28,7 @@
 
 func runPropagation(ctx context.Context, s *stage) error {
 	const limit = 15 * time.Second
-	rounds := 8
+	rounds := 6
 	if s.config.Small {
 		rounds = 2
 	}
