loadgen/faults: warm all members before each long prompt

Cause: after a crash an engine's concurrency limit is below a hold until enough prompts came on time, so most groups were refused before they formed. Change: the scenario sends short prompts until every limit admits a hold.

--- a/loadgen/faults/group.go
+++ b/loadgen/faults/group.go
@@ -21,7 +21,7 @@
 		cluster: cluster.Config{
 			Shape:           cluster.Shape{Gateways: 2, EnginesByZone: 2},
 			EngineSwitches:  warmEngines,
-			EngineArguments: []string{"--memory-tokens", "120000"},
+			EngineArguments: []string{"--memory-tokens", fmt.Sprint(memoryTokens)},
 		},
 		run: runLongPrompts,
 	}
@@ -29,8 +29,11 @@
 
 // The long prompts exceed the memory of one engine and fit into that of two.
 const (
-	longTokens = 180_000
-	longOutput = 300
+	memoryTokens = 120_000
+	// largestHold is the part of an engine's memory that a group may use.
+	largestHold = memoryTokens * 9 / 10
+	longTokens  = 180_000
+	longOutput  = 300
 )
 
 // holdLimit is the longest life of a hold, an interval of the sweep and a
@@ -57,14 +60,13 @@
 	gateway := func(ctx context.Context, s *stage, _ cluster.Endpoint, random *rand.Rand) error {
 		return killGateway(ctx, s, random)
 	}
-	var list []step
-	for _, after := range []time.Duration{100 * time.Millisecond, 800 * time.Millisecond} {
-		for _, leader := range []bool{true, false} {
-			list = append(list, step{"engine", after, leader, crash}, step{"sidecar", after, leader, sidecar})
-		}
-		list = append(list, step{"gateway", after, true, gateway})
+	const early, late = 100 * time.Millisecond, 800 * time.Millisecond
+	return []step{
+		{"engine", early, true, crash}, {"sidecar", early, true, sidecar},
+		{"engine", late, true, crash}, {"engine", late, false, crash},
+		{"sidecar", late, true, sidecar}, {"sidecar", late, false, sidecar},
+		{"gateway", late, true, gateway},
 	}
-	return list
 }
 
 // member waits until endpoints hold memory for a group and returns its leader,
@@ -202,19 +204,34 @@
 }
 
 // warm sends prompts until the concurrency limits of all endpoints, also of
-// those that have just restarted, admit a hold of the size of the long prompt.
+// those that have just restarted, admit a hold of the largest size.
 func (s *stage) warm(ctx context.Context) error {
-	const rate, length = 140, 4 * time.Second
-	short := mix.Config{MaxPromptTokens: 8_192, MaxOutputTokens: 4}
-	t := s.sendLoad(ctx, rate, length, short)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.results:
+	const rate, burst, limit = 200, 2 * time.Second, 24 * time.Second
+	short := mix.Config{MaxPromptTokens: 4_096, MaxOutputTokens: 4}
+	for begin := time.Now(); time.Since(begin) < limit; {
+		t := s.sendLoad(ctx, rate, burst, short)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.results:
+		}
+		if s.lowestLimit(ctx) >= largestHold {
+			break
+		}
 	}
 	return s.awaitFree(ctx)
 }
 
+// lowestLimit returns the lowest concurrency limit of the endpoints in tokens.
+func (s *stage) lowestLimit(ctx context.Context) float64 {
+	lowest := float64(memoryTokens)
+	for _, e := range s.Layout.Endpoints {
+		value, _ := cluster.Gauge(ctx, e.Admin, "limit_tokens")
+		lowest = min(lowest, value)
+	}
+	return lowest
+}
+
 // takeStep disturbs the group once it has formed, unless the prompt is answered
 // before.
 func (s *stage) takeStep(ctx context.Context, st step, answered <-chan struct{}) (formed bool, err error) {
