--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,13 @@
 PACKAGES    := $(MODULES:%=./%/...)
 PROGRAMS    := gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
 SEED        ?= 1
+CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
 DURATION    ?= 2m
+# RAPID_SEED replays the rapid tests of an earlier make fuzz; empty draws a seed.
+RAPID_SEED  ?=
 
-.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity faults proto clean
+.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity faults proto man clean
 
 build:
 	@mkdir -p bin
@@ -38,6 +41,10 @@
 proto:
 	cd peerpb && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
 
+# fuzz runs every fuzz target for FUZZTIME each, and the rapid tests.
+fuzz:
+	.ci/fuzz $(FUZZTIME) "$(RAPID_SEED)" $(MODULES)
+
 # model checks the Promela specifications and that each rule is needed.
 model:
 	./models/run.sh
@@ -51,9 +58,30 @@
 demo: build
 	bin/siskin-load demo --bin bin --dir out/demo --seed $(SEED) --plot out/demo/first-token.svg
 
-# run does the same and keeps everything running.
+# run does the same and keeps everything running. CALLERS is the address of the
+# first gateway.
 run: build
-	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --stay
+	bin/siskin-load demo --bin bin --dir out/run --seed $(SEED) --callers $(CALLERS) --stay
+
+# man writes the manual pages and the sample settings from the programs' option
+# parsers and settings.
+man:
+	@mkdir -p docs/man docs/samples
+	go test -count=1 -run '^TestReference$$' ./gateway ./sidecar ./siskinctl ./fakes ./loadgen -update
+
+# capacity measures what each role costs, projects it to the design size and
+# writes the tables of docs/CAPACITY.md.
+capacity: build
+	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
+
+# fuzz runs each fuzz target for FUZZTIME.
+fuzz:
+	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' $(MODULES)); do \
+		for n in $$(grep -oE '^func Fuzz[A-Za-z0-9]+' $$f | cut -c6-); do \
+			echo "$$n in $$(dirname $$f)"; \
+			go test -run '^$$' -fuzz "^$$n\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$f) || exit 1; \
+		done; \
+	done
 
 # faults starts everything on loopback, injects faults by a seeded schedule and
 # fails if a target was missed.
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/claim"
@@ -27,6 +28,9 @@
 	Source control.ConfigSource
 	Hosts  hostlist.List
 	Claims claim.Book
+	// PeerAddress is where sidecars reach the gateway's Peer service; empty
+	// without one.
+	PeerAddress string
 	// Extra are further parts that run until the gateway stops.
 	Extra []Part
 }
@@ -46,13 +50,14 @@
 	server      *caller.Server
 	callers     net.Listener
 	admin       net.Listener
+	burn        *burnGauges
 }
 
 // New opens the listeners and builds all parts; nothing runs yet.
 func New(b *Base, p Parts) (*Daemon, error) {
 	s := b.Settings
-	d := &Daemon{Base: b, parts: p}
-	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials())
+	d := &Daemon{Base: b, parts: p, burn: newBurnGauges(b.Metrics.Scope)}
+	d.connections = sidecar.NewConnections(s.Sidecars.Connections, s.Sidecars.DialTimeout, b.Keys.PeerCredentials(), grpc.WithStatsHandler(b.RPC))
 	d.build()
 	var err error
 	if d.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
@@ -69,7 +74,7 @@
 	s := d.Settings
 	client := sidecar.NewClient(d.connections, d.sender)
 	d.loop = control.New(control.Config{
-		GatewayID: s.Process.ID, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
+		GatewayID: s.Process.ID, PeerAddress: d.parts.PeerAddress, Subset: s.Sidecars.ControlStreams, HostInterval: s.Platform.HostInterval,
 		Policy: membership.Policy{Silence: s.Sidecars.ForgetAfter, ProbeAfter: s.Sidecars.ProbeAfter, ProbeLimit: s.Sidecars.ProbeLimit},
 		Source: d.parts.Source, Hosts: d.parts.Hosts, Client: client,
 		Invariants: d.Invariants, Suspects: d.Suspects,
--- /dev/null
+++ b/loadgen/capacity/stats.go
@@ -0,0 +1,16 @@
+package capacity
+
+import (
+	"math"
+	"slices"
+)
+
+// quantile returns the nearest-rank quantile, or NaN without values.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	rank := int(math.Ceil(q * float64(len(sorted))))
+	return sorted[min(max(rank, 1), len(sorted))-1]
+}
--- a/loadgen/cluster/cluster.go
+++ b/loadgen/cluster/cluster.go
@@ -6,7 +6,8 @@
 	"context"
 	"errors"
 	"os"
-	"path/filepath"
+
+	"siskinstand.example/loadgen/process"
 )
 
 // Config describes a cluster.
@@ -20,24 +21,21 @@
 	// further flags.
 	EngineSwitches  string
 	EngineArguments []string
+	// Callers is the address of the first gateway for callers; empty takes a
+	// free port.
+	Callers string
 }
 
 // Cluster is a set of running processes.
 type Cluster struct {
 	Layout    *Layout
-	Processes *Processes
+	Processes *process.Group
 
 	config Config
 }
 
 // Start starts all processes and waits until they are ready.
 func Start(ctx context.Context, config Config) (*Cluster, error) {
-	// A directory of an earlier run would mix its logs with those of this one.
-	if old, err := filepath.Glob(filepath.Join(config.Directory, "*.log")); err == nil {
-		for _, path := range old {
-			_ = os.Remove(path)
-		}
-	}
 	if err := os.MkdirAll(config.Directory, 0o700); err != nil {
 		return nil, err
 	}
@@ -45,7 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{config: config, Layout: l, Processes: newProcesses(config.Binaries, config.Directory)}
+	if config.Callers != "" {
+		l.Gateways[0].Callers = config.Callers
+	}
+	c := &Cluster{config: config, Layout: l, Processes: process.NewGroup(config.Binaries, config.Directory)}
 	if err := c.start(ctx); err != nil {
 		return nil, errors.Join(err, c.Stop())
 	}
@@ -55,7 +56,7 @@
 // Stop ends all processes and returns the first failure.
 func (c *Cluster) Stop() error {
 	defer c.Layout.ports.reservation.Close()
-	return c.Processes.stop()
+	return c.Processes.Stop()
 }
 
 func (c *Cluster) start(ctx context.Context) error {
@@ -88,18 +89,18 @@
 		starts = append(starts, []string{g.Name, "siskin-gateway", "--config", l.Path(g.Name + ".ini")})
 	}
 	for _, s := range starts {
-		if err := p.start(s[0], s[1], s[2:]...); err != nil {
+		if err := p.Start(s[0], s[1], s[2:]...); err != nil {
 			return err
 		}
 	}
-	if err := p.awaitReady(ctx, "kvstore", "http://"+l.Store+"/control"); err != nil {
+	if err := p.AwaitReady(ctx, "kvstore", "http://"+l.Store+"/control"); err != nil {
 		return err
 	}
 	if err := c.Control(ctx, "apply", "--base", "0", "--routes", l.Path("routes.ini"), "--pools", l.Path("pools.ini")); err != nil {
 		return err
 	}
 	for name, admin := range l.Admins() {
-		if err := p.awaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
+		if err := p.AwaitReady(ctx, name, "http://"+admin+"/readyz"); err != nil {
 			return err
 		}
 	}
--- a/loadgen/cluster/layout.go
+++ b/loadgen/cluster/layout.go
@@ -20,6 +20,8 @@
 	PlainService = "booking"
 	engineLabel  = "engine"
 	region       = "region-1"
+	// OperatorSettings is the file of siskinctl's settings.
+	OperatorSettings = "siskinctl.ini"
 )
 
 // Zones returns the availability zones of every cluster.
@@ -134,6 +136,9 @@
 	if err := l.write("hosts.json", string(hosts)); err != nil {
 		return err
 	}
+	if err := l.write(OperatorSettings, l.operatorSettings()); err != nil {
+		return err
+	}
 	if err := l.write("routes.ini", routes()); err != nil {
 		return err
 	}
@@ -209,6 +214,15 @@
 `, g.Name, g.Zone, region, g.Callers, g.Admin, g.Peers, l.Hosts, l.Store, l.shape.Notice)
 }
 
+// operatorSettings are those of siskinctl.
+func (l *Layout) operatorSettings() string {
+	var gateways []string
+	for _, g := range l.Gateways {
+		gateways = append(gateways, g.Peers)
+	}
+	return fmt.Sprintf("[store]\naddress = %s\n\n[fleet]\ngateways = %s\n", l.Store, strings.Join(gateways, ", "))
+}
+
 func routes() string {
 	hash := config.HashToken(Token)
 	return fmt.Sprintf(`[account demo]
--- a/loadgen/demo/demo.go
+++ b/loadgen/demo/demo.go
@@ -31,6 +31,9 @@
 	// Plot is the file for an SVG, if set.
 	Plot string
 	Out  io.Writer
+	// Callers is the address of the first gateway for callers; empty takes a free
+	// port.
+	Callers string
 }
 
 // Times of the demo. A zone that was taken out may get new work for zoneGrace.
@@ -57,7 +60,7 @@
 // Run runs the demo. It returns an error if an invariant was broken.
 func Run(ctx context.Context, c Config) (err error) {
 	all, err := cluster.Start(ctx, cluster.Config{
-		Binaries: c.Binaries, Directory: c.Directory, EngineSwitches: engineSwitches,
+		Binaries: c.Binaries, Directory: c.Directory, EngineSwitches: engineSwitches, Callers: c.Callers,
 		Shape: cluster.Shape{Gateways: 2, EnginesByZone: 2, PlainByZone: 1},
 	})
 	if err != nil {
@@ -187,8 +190,10 @@
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
   -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Which birds visit the feeder?"}]}'
 
-%s/siskinctl --store %s edit pools "zone %s" state=out
+export SISKINCTL_SETTINGS=%s
+%s/siskinctl edit pools "zone %s" state=out
+%s/siskinctl burn --html burn.html
 
 Stop with Ctrl-C.
-`, r.cluster.Layout.Gateways[0].Callers, cluster.Token, cluster.Model, r.config.Binaries, r.cluster.Layout.Store, outZone)
+`, r.cluster.Layout.Gateways[0].Callers, cluster.Token, cluster.Model, r.cluster.Layout.Path(cluster.OperatorSettings), r.config.Binaries, outZone, r.config.Binaries)
 }
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -10,15 +10,25 @@
 )
 
 type options struct {
-	Bench  benchCommand  `command:"bench" description:"drive the decision code in virtual time and check the targets"`
-	Run    runCommand    `command:"run" description:"send an open-loop load to gateways and check every answer"`
-	Faults faultsCommand `command:"faults" description:"start everything on loopback, inject faults by a seeded schedule and check the targets"`
-	Demo   demoCommand   `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
+	Bench    benchCommand    `command:"bench" description:"drive the decision code in virtual time and check the targets"`
+	Run      runCommand      `command:"run" description:"send an open-loop load to gateways and check every answer"`
+	Demo     demoCommand     `command:"demo" description:"start everything on loopback, send a load and take a zone out and back"`
+	Faults   faultsCommand   `command:"faults" description:"start everything on loopback, inject faults by a seeded schedule and check the targets"`
+	Capacity capacityCommand `command:"capacity" description:"measure the cost of each role and project it to the design size"`
+}
+
+func newParser() *flags.Parser {
+	p := flags.NewNamedParser("siskin-load", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "load and experiment tool"
+	p.LongDescription = "Sends loads, runs the demo and measures the decision code."
+	if _, err := p.AddGroup("Options", "", &options{}); err != nil {
+		panic(err)
+	}
+	return p
 }
 
 func main() {
-	parser := flags.NewParser(&options{}, flags.HelpFlag|flags.PassDoubleDash)
-	_, err := parser.Parse()
+	_, err := newParser().Parse()
 	if err == nil {
 		return
 	}
--- a/loadgen/cluster/fault.go
+++ b/loadgen/process/fault.go
@@ -1,18 +1,19 @@
-package cluster
+package process
 
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"syscall"
 	"time"
 )
 
 // find returns the running process with a name.
-func (p *Processes) find(name string) (*process, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, one := range p.running {
+func (g *Group) find(name string) (*process, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, one := range g.running {
 		if one.name == name {
 			return one, nil
 		}
@@ -21,8 +22,8 @@
 }
 
 // Kill ends a process with SIGKILL.
-func (p *Processes) Kill(name string) error {
-	one, err := p.find(name)
+func (g *Group) Kill(name string) error {
+	one, err := g.find(name)
 	if err != nil {
 		return err
 	}
@@ -33,8 +34,8 @@
 }
 
 // Shutdown ends a process with SIGTERM and returns its failure.
-func (p *Processes) Shutdown(name string) error {
-	one, err := p.find(name)
+func (g *Group) Shutdown(name string) error {
+	one, err := g.find(name)
 	if err != nil {
 		return err
 	}
@@ -42,22 +43,22 @@
 	return one.stop()
 }
 
-// Restart starts a process again that has ended.
-func (p *Processes) Restart(name string) error {
-	one, err := p.find(name)
+// Restart starts a process again that has ended. Its log is continued.
+func (g *Group) Restart(name string) error {
+	one, err := g.find(name)
 	if err != nil {
 		return err
 	}
 	<-one.done
-	p.mu.Lock()
-	p.running = slices.DeleteFunc(p.running, func(o *process) bool { return o == one })
-	p.mu.Unlock()
-	return p.start(name, one.program, one.arguments...)
+	g.mu.Lock()
+	g.running = slices.DeleteFunc(g.running, func(o *process) bool { return o == one })
+	g.mu.Unlock()
+	return g.start(os.O_APPEND, name, one.program, one.arguments)
 }
 
 // Pause stops a process for a time with SIGSTOP and SIGCONT.
-func (p *Processes) Pause(ctx context.Context, name string, d time.Duration) error {
-	one, err := p.find(name)
+func (g *Group) Pause(ctx context.Context, name string, d time.Duration) error {
+	one, err := g.find(name)
 	if err != nil {
 		return err
 	}
