gateway/dispatch: answer a claimed call by its deadline when the store is slow

Cause: the outcome of a call was written to its claim before the request ended, with a time limit of its own of 3 s. Change: the request waits for the write until its deadline; the write goes on. Conclusion: the store no longer delays answers beyond the deadline.

--- a/gateway/dispatch/claimed.go
+++ b/gateway/dispatch/claimed.go
@@ -41,18 +41,35 @@
 	}
 	recorder := &recordingSink{Sink: sink}
 	result, err := d.execute(ctx, r, recorder)
-	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
 	if err == nil {
-		d.noteError(r, d.config.Claims.Complete(after, key, claimID, recorder.result()))
+		d.update(ctx, r, func(after context.Context) error {
+			return d.config.Claims.Complete(after, key, claimID, recorder.result())
+		})
 		return result, nil
 	}
 	if verdict.Of(err) == verdict.NotRun {
-		d.noteError(r, d.config.Claims.Release(after, key, claimID))
+		d.update(ctx, r, func(after context.Context) error { return d.config.Claims.Release(after, key, claimID) })
 	}
 	return result, err
 }
 
+// update writes the outcome of a call to its claim. The request waits for the
+// write until its deadline only, since a slow store would make its answer late;
+// the write goes on after it.
+func (d *Dispatcher) update(ctx context.Context, r *Request, write func(context.Context) error) {
+	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		d.noteError(r, write(after))
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // answerClaimed answers a request whose key was claimed before.
 func (d *Dispatcher) answerClaimed(record claim.Record, bodyHash uint64, sink Sink) (Result, error) {
 	switch {
