loadgen: send each call once, keep the reasons of outcomes

Cause: net/http sends a request with an Idempotency-Key again when a reused connection breaks, so the tool judged two requests as one. Change: the tool's requests cannot be sent again; at_most_once prints the outcomes of a key that broke a requirement. Conclusion: the outcome of a key belongs to one request.

--- a/loadgen/faults/calls.go
+++ b/loadgen/faults/calls.go
@@ -45,6 +45,8 @@
 	notRun  int
 	whole   bool
 	illegal string
+	// reasons are the outcomes in order.
+	reasons string
 }
 
 // callers are concurrent callers that resend a call with its key through the
@@ -138,6 +140,7 @@
 
 func (r *record) note(s *stage, result load.Result) {
 	r.sends++
+	r.reasons += fmt.Sprintf("%s %s at %s after %s by %s; ", result.Outcome, result.Reason, result.Started.Format("04:05.000"), result.Total.Round(time.Millisecond), result.Gateway)
 	switch result.Outcome {
 	case load.NotRun:
 		r.notRun++
@@ -175,7 +178,7 @@
 		}
 		if r.notRun == r.sends && n > 0 {
 			notRunRan++
-			example = fmt.Sprintf("key %s ran after not_run", key)
+			example = fmt.Sprintf("key %s ran after not_run: %s", key, r.reasons)
 		}
 		if r.whole {
 			whole++
--- a/loadgen/load/client.go
+++ b/loadgen/load/client.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	// net/http sends a request with an Idempotency-Key again when its connection
+	// breaks, and the tool would judge two requests as one.
+	request.GetBody = nil
 	request.Header.Set("Authorization", "Bearer "+c.config.Token)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Siskin-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
