--- a/loadgen/faults/crash.go
+++ b/loadgen/faults/crash.go
@@ -82,7 +82,11 @@
 
 func runCrashRequest(ctx context.Context, s *stage) error {
 	const rate, pause = 40, 50 * time.Millisecond
-	background := s.sendLoad(ctx, rate, 16*time.Second, shortMix())
+	length := 16 * time.Second
+	if s.config.Small {
+		length = 12 * time.Second
+	}
+	background := s.sendLoad(ctx, rate, length, shortMix())
 	client := load.NewClient(s.clientConfig())
 	if err := rest(ctx, 2*time.Second); err != nil {
 		return err
