--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,11 @@
 SEED        ?= 1
 CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
+DURATION    ?= 2m
 # RAPID_SEED replays the rapid tests of an earlier make fuzz; empty draws a seed.
 RAPID_SEED  ?=
 
-.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity proto man clean
+.PHONY: build test unit vet lint lint-tool fmt fmt-check demo run bench model fuzz capacity faults proto man clean
 
 build:
 	@mkdir -p bin
@@ -73,5 +74,10 @@
 capacity: build
 	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
 
+# faults starts everything on loopback, injects faults by a seeded schedule and
+# fails if a target was missed.
+faults: build
+	bin/siskin-load faults --bin bin --dir out/faults --seed $(SEED) --duration $(DURATION)
+
 clean:
 	rm -rf bin out
--- a/loadgen/process/process_test.go
+++ b/loadgen/process/process_test.go
@@ -1,6 +1,9 @@
 package process
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -32,3 +35,36 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against a fault that is taken for the failure of a process, and a
+// restart that loses the log.
+func TestKilledProcessStartsAgain(t *testing.T) {
+	directory := t.TempDir()
+	g := NewGroup("/bin", directory)
+	if err := g.Start("speaker", "sh", "-c", "echo started; exec sleep 60"); err != nil {
+		t.Fatal(err)
+	}
+	log := filepath.Join(directory, "speaker.log")
+	for starts := 1; starts <= 2; starts++ {
+		for begin := time.Now(); time.Since(begin) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+			if text, _ := os.ReadFile(log); strings.Count(string(text), "started") == starts {
+				break
+			}
+		}
+		if err := g.Pause(t.Context(), "speaker", time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Kill("speaker"); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Restart("speaker"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if text, err := os.ReadFile(log); err != nil || strings.Count(string(text), "started") < 2 {
+		t.Errorf("log %q, %v", text, err)
+	}
+	if err := errors.Join(g.Early(), g.Kill("speaker")); err != nil {
+		t.Error(err)
+	}
+}
