sidecar: reach a gateway that listens on all interfaces

Cause: the address that a control stream tells is the gateway's listener, which can be unspecified; the sidecar would have asked its own host for permits.

Change: an unspecified host is replaced by the one from which the stream comes.

Conclusion: the test with three forms of the address passes with the race detector.

--- a/sidecar/gateway/gateways.go
+++ b/sidecar/gateway/gateways.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 
+	"google.golang.org/grpc/peer"
+
 	"siskinstand.example/peerpb"
 )
 
@@ -24,7 +28,23 @@
 	if g.streams == nil {
 		g.streams = map[peerpb.Sidecar_ControlServer]string{}
 	}
-	g.streams[stream] = address
+	g.streams[stream] = reachable(stream.Context(), address)
+}
+
+// reachable replaces the host of a gateway that listens on all interfaces by
+// the one from which its control stream comes.
+func reachable(ctx context.Context, address string) string {
+	host, port, err := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	remote, ok := peer.FromContext(ctx)
+	if err != nil || !ok || host != "" && (ip == nil || !ip.IsUnspecified()) {
+		return address
+	}
+	from, _, err := net.SplitHostPort(remote.Addr.String())
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(from, port)
 }
 
 // Gateways lists the Peer services of the connected gateways.
--- a/sidecar/gateway/model_test.go
+++ b/sidecar/gateway/model_test.go
@@ -39,14 +39,21 @@
 	f.waitState(t, control.StateServing)
 }
 
-// Guards against a sidecar that asks gateways which have left for permits.
+// Guards against a sidecar that asks gateways which have left for permits, and
+// against one that looks for a gateway on all interfaces on its own host.
 func TestGatewaysOfControlStreams(t *testing.T) {
-	f := newFixture(t)
+	for _, listed := range []string{"127.0.0.1:1", "0.0.0.0:1", ":1"} {
+		t.Run(listed, func(t *testing.T) { followGateway(t, newFixture(t), listed) })
+	}
+}
+
+func followGateway(t *testing.T, f *fixture, listed string) {
+	t.Helper()
 	stream, err := f.client.Control(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := stream.Send(&peerpb.ControlRequest{PeerAddress: "127.0.0.1:1"}); err != nil {
+	if err := stream.Send(&peerpb.ControlRequest{PeerAddress: listed}); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "the gateway's address", func() bool { list := f.service.Gateways(); return len(list) == 1 && list[0] == "127.0.0.1:1" })
