build: keep one rule for make fuzz

Cause: a merge left two rules for the target, and the later one, which leaves the rapid tests out, was in force.

--- a/Makefile
+++ b/Makefile
@@ -73,14 +73,5 @@
 capacity: build
 	bin/siskin-load capacity --bin bin --dir out/capacity --seed $(SEED) --page docs/CAPACITY.md
 
-# fuzz runs each fuzz target for FUZZTIME.
-fuzz:
-	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' $(MODULES)); do \
-		for n in $$(grep -oE '^func Fuzz[A-Za-z0-9]+' $$f | cut -c6-); do \
-			echo "$$n in $$(dirname $$f)"; \
-			go test -run '^$$' -fuzz "^$$n\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$f) || exit 1; \
-		done; \
-	done
-
 clean:
 	rm -rf bin out
