kvstore: test that a shard of a recent head stays

Change: a test of a shard that was an orphan, was named and retired.

Conclusion: the test fails without the note (trial) and passes with it.

--- a/gateway/kvstore/orphans_test.go
+++ b/gateway/kvstore/orphans_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"siskinstand.example/coord/config"
+	"siskinstand.example/platform/kvstore"
 )
 
 // Guards against shards of crashed editors that fill the store, and against the
@@ -62,3 +63,22 @@
 		t.Error("an older store was swept")
 	}
 }
+
+// Guards against the deletion of a shard that was an orphan, was then named by
+// a head and retired by the next one, all within the last hour.
+func TestShardOfRecentHeadStays(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	shard := []kvstore.Pair{{Key: config.ShardPrefix + "s", Version: 1}}
+	empty, naming := config.EmptyHead(), config.EmptyHead()
+	naming.Shards[config.TablePools][0] = "s"
+	var o orphans
+	o.overdue(start, empty, shard)
+	o.named(naming)
+	retired := start.Add(orphanGrace)
+	if list := o.overdue(retired, empty, shard); len(list) != 0 {
+		t.Errorf("%v is deleted although a head just named it", list)
+	}
+	if list := o.overdue(retired.Add(orphanGrace), empty, shard); len(list) != 1 {
+		t.Errorf("%v is deleted an hour later, want the shard", list)
+	}
+}
