--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -32,7 +32,7 @@
 	process := b.Settings.Process
 	inForce := tables.NewInForce(b.Invariants)
 	alarms := &kvstore.Alarms{}
-	book := kvstore.NewBook(kvstore.BookConfig{Store: s, ProcessID: process.ID, Invariants: b.Invariants})
+	book := kvstore.NewBook(kvstore.BookConfig{Store: s, ProcessID: process.ID, Expiry: b.Settings.Store.ClaimExpiry, Invariants: b.Invariants})
 	reader := kvstore.NewReader(kvstore.ReaderConfig{
 		Store: s, Zone: process.Zone, ProcessID: process.ID, InForce: inForce, Alarms: alarms,
 	})
