gateway/kvstore: answer callers of a claim log that has stopped

Cause: an entry given to a book whose Run had ended was never answered; a caller without a deadline waited for ever.

Change: append returns an error once the book has stopped, unless the answer is there.

--- a/gateway/kvstore/book.go
+++ b/gateway/kvstore/book.go
@@ -38,6 +38,8 @@
 type Book struct {
 	config     BookConfig
 	partitions [claim.Partitions]*partition
+	// stopped is closed when Run has ended and nothing more is answered.
+	stopped chan struct{}
 }
 
 var _ claim.Book = (*Book)(nil)
@@ -47,7 +49,7 @@
 	if c.Expiry == 0 {
 		c.Expiry = claim.DefaultExpiry
 	}
-	b := &Book{config: c}
+	b := &Book{config: c, stopped: make(chan struct{})}
 	for i := range b.partitions {
 		b.partitions[i] = &partition{
 			number: i, store: c.Store, waiting: make(chan *operation, maxWaiting),
@@ -57,8 +59,9 @@
 	return b
 }
 
-// Run appends until the context ends.
+// Run appends until the context ends. It is called once.
 func (b *Book) Run(ctx context.Context) error {
+	defer close(b.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	for _, p := range b.partitions {
 		group.Go(func() error {
@@ -110,5 +113,12 @@
 		return a.record, a.err
 	case <-ctx.Done():
 		return claim.Record{}, eris.Wrap(ctx.Err(), "claim not answered, it may take effect")
+	case <-b.stopped:
+	}
+	select {
+	case a := <-o.done:
+		return a.record, a.err
+	default:
+		return claim.Record{}, eris.New("the claim log has stopped, the claim may take effect")
 	}
 }
--- a/gateway/kvstore/book_test.go
+++ b/gateway/kvstore/book_test.go
@@ -250,3 +250,16 @@
 		}
 	})
 }
+
+// Guards against a caller without a deadline that waits for ever on a book that
+// has stopped; TestBookAtMostOnce met this at random.
+func TestBookStoppedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBook(newMemStore(), "p1", invariant.NewRegistry(nil))
+		synctest.Wait()
+		b.stop()
+		if err := b.Release(context.Background(), claim.NewKey("a", "r", "k"), "c1"); err == nil {
+			t.Error("a stopped book released a claim")
+		}
+	})
+}
