--- a/coord/config/document.go
+++ b/coord/config/document.go
@@ -78,10 +78,14 @@
 
 func newDocument(previous *Document, revision, deleted uint64, rows []RowEdit) (*Document, error) {
 	d := &Document{revision: revision, deleted: deleted, rows: make(map[RowID]row, len(rows))}
+	parsed := previous.parsedRows(rows)
 	for _, r := range rows {
-		section, err := previous.parsed(r)
-		if err != nil {
-			return nil, err
+		section, ok := parsed[r.RowID]
+		if !ok {
+			var err error
+			if section, err = previous.parsed(r); err != nil {
+				return nil, err
+			}
 		}
 		if _, dup := d.rows[r.RowID]; dup || r.Text == "" {
 			return nil, eris.Errorf("%s: [%s] is empty or given twice in revision %d", r.Table, r.Section, revision)
