--- a/loadgen/process/process.go
+++ b/loadgen/process/process.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,8 +21,12 @@
 
 // process is one started process.
 type process struct {
-	name string
-	cmd  *exec.Cmd
+	name      string
+	program   string
+	arguments []string
+	cmd       *exec.Cmd
+	// killed is set before a fault ends the process.
+	killed atomic.Bool
 	// done is closed when the process has ended, with its result in err.
 	done chan struct{}
 	err  error
@@ -42,13 +47,17 @@
 // NewGroup returns a group without processes. Programs are taken from the
 // directory binaries; logs go to the other directory.
 func NewGroup(binaries, directory string) *Group {
-	const maxProcesses = 256
+	const maxProcesses = 1024
 	return &Group{binaries: binaries, directory: directory, ended: make(chan *process, maxProcesses)}
 }
 
 // Start runs a program with its output in a log file named after the process.
 func (g *Group) Start(name, program string, arguments ...string) error {
-	log, err := os.Create(filepath.Join(g.directory, name+".log"))
+	return g.start(os.O_TRUNC, name, program, arguments)
+}
+
+func (g *Group) start(mode int, name, program string, arguments []string) error {
+	log, err := os.OpenFile(filepath.Join(g.directory, name+".log"), os.O_CREATE|os.O_WRONLY|mode, 0o600)
 	if err != nil {
 		return err
 	}
@@ -61,14 +70,16 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
 	}
-	one := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	one := &process{name: name, program: program, arguments: arguments, cmd: cmd, done: make(chan struct{})}
 	g.mu.Lock()
 	g.running = append(g.running, one)
 	g.mu.Unlock()
 	go func() {
 		one.err = cmd.Wait()
 		close(one.done)
-		g.ended <- one
+		if !one.killed.Load() {
+			g.ended <- one
+		}
 	}()
 	return nil
 }
