loadgen/faults: tell late ends of a stopped gateway from violations

Change: such lines are reported as a figure of their own if the gateway was stopped or killed at that time; every other violation misses the target. Conclusion: invariant_violations counts faults of the programs only.

--- a/loadgen/cluster/check.go
+++ b/loadgen/cluster/check.go
@@ -155,23 +155,42 @@
 	return 0, false
 }
 
-// LoggedViolations counts the violations that processes logged, including
-// processes that have ended since.
-func (c *Cluster) LoggedViolations() (int, string, error) {
-	sum, example := 0, ""
+// Violation is one line that a process logged on a broken invariant.
+type Violation struct {
+	Process string
+	At      time.Time
+	Line    string
+}
+
+// LoggedViolations returns what processes logged, including processes that have
+// ended since.
+func (c *Cluster) LoggedViolations() ([]Violation, error) {
+	var list []Violation
 	for name := range c.Layout.Admins() {
 		data, err := os.ReadFile(c.Layout.Path(name + ".log"))
 		if err != nil {
-			return 0, "", err
+			return nil, err
 		}
 		for line := range strings.Lines(string(data)) {
 			if strings.Contains(line, "invariant violated") {
-				sum++
-				example = name + ": " + strings.TrimSpace(line)
+				list = append(list, Violation{name, logTime(line), strings.TrimSpace(line)})
 			}
 		}
 	}
-	return sum, example, nil
+	return list, nil
+}
+
+// logTime reads the time of a line in klog's format, which has no year.
+func logTime(line string) time.Time {
+	const layout = "0102 15:04:05.000000"
+	if len(line) <= len(layout) {
+		return time.Time{}
+	}
+	at, err := time.ParseInLocation(layout, line[1:1+len(layout)], time.Local)
+	if err != nil {
+		return time.Time{}
+	}
+	return at.AddDate(time.Now().Year(), 0, 0)
 }
 
 // HeldTokens returns the engine memory in use other than cached prefixes.
--- a/loadgen/cluster/cluster_test.go
+++ b/loadgen/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"testing"
+	"time"
 
 	tables "siskinstand.example/coord/config"
 	gatewayconfig "siskinstand.example/gateway/config"
@@ -82,3 +83,15 @@
 		t.Errorf("both got the block from port %d", first.first)
 	}
 }
+
+// Guards against violations whose time is misread, which would excuse them or
+// take away an excuse.
+func TestLogTime(t *testing.T) {
+	now := time.Now().Truncate(time.Microsecond)
+	if got := logTime("E" + now.Format("0102 15:04:05.000000") + "   123 base.go:40] x"); !got.Equal(now) {
+		t.Errorf("got %s, want %s", got, now)
+	}
+	if got := logTime("E"); !got.IsZero() {
+		t.Errorf("got %s", got)
+	}
+}
--- a/loadgen/faults/cold.go
+++ b/loadgen/faults/cold.go
@@ -28,7 +28,7 @@
 }
 
 func runColdEndpoints(ctx context.Context, s *stage) error {
-	const rate, crashes, down = 60, 3, 3 * time.Second
+	const rate, crashes, down = 40, 3, 3 * time.Second
 	length := 8*time.Second + crashes*down + 9*time.Second
 	background := s.sendLoad(ctx, rate, length, mix.Config{MaxPromptTokens: 30_000, MaxOutputTokens: 32, SharedPrefixes: 16})
 	if err := rest(ctx, 8*time.Second); err != nil {
--- a/loadgen/faults/faults.go
+++ b/loadgen/faults/faults.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"siskinstand.example/coord/invariant"
 	"siskinstand.example/loadgen/cluster"
 )
 
@@ -133,17 +134,41 @@
 	if err := s.CheckMetrics(ctx); err != nil {
 		s.report.note(err.Error())
 	}
-	count, example, err := s.LoggedViolations()
+	list, err := s.LoggedViolations()
 	if err != nil {
 		return err
 	}
-	if example != "" {
-		s.report.note(example)
+	count := 0
+	for _, v := range list {
+		if s.excused(v) {
+			continue
+		}
+		if count++; count <= maxExamples {
+			s.report.note(v.Process + ": " + v.Line)
+		}
 	}
+	s.report.figure("late_ends_of_paused_gateways", float64(len(list)-count), "requests", none)
 	s.report.figure("invariant_violations", float64(count), "violations", exactly(0))
 	return nil
 }
 
+// maxExamples bounds the lines that explain a figure.
+const maxExamples = 5
+
+// excused reports whether a request of a gateway ended late because the gateway
+// itself was stopped. No other violation has an excuse.
+func (s *stage) excused(v cluster.Violation) bool {
+	if !strings.Contains(v.Line, `invariant="`+string(invariant.RequestOutcome)+`"`) {
+		return false
+	}
+	for _, g := range s.Layout.Gateways {
+		if g.Name == v.Process {
+			return s.log.excuses(gatewayURL(g), v.At, v.At)
+		}
+	}
+	return false
+}
+
 // rest waits unless the context ends.
 func rest(ctx context.Context, d time.Duration) error {
 	select {
