loadgen/faults: restart the store with older data in propagation

Cause: the scenarios had no store that comes back without its latest edit. Conclusion: the scenario covers an older store.

--- a/loadgen/faults/propagation.go
+++ b/loadgen/faults/propagation.go
@@ -48,6 +48,10 @@
 		changes = append(changes, accepted...)
 		f.await(ctx, accepted, 2*limit)
 	}
+	alarmed, err := s.olderStore(ctx)
+	if err != nil {
+		return err
+	}
 	stop()
 	<-done
 	delays := f.delays(changes)
@@ -57,6 +61,7 @@
 	s.report.figure("in_force_p99", quantile(delays, 0.99).Seconds(), "s", atMost(limit.Seconds()))
 	s.report.figure("in_force_max", quantile(delays, 1).Seconds(), "s", none)
 	s.report.figure("never_in_force", float64(f.missing(changes)), "process changes", exactly(0))
+	s.report.figure("older_store_alarm", alarmed, "alarms", atLeast(1))
 	s.report.figure("reverts", float64(f.reverts), "reverts", exactly(0))
 	s.report.figure("races_with_two_or_no_winner", float64(raceErrors), "races", exactly(0))
 	return nil
@@ -132,3 +137,29 @@
 	group.Wait()
 	return accepted
 }
+
+// olderStore restarts the store without its latest edit and returns 1 once a
+// gateway raises the alarm for it. The processes must stay where they are.
+func (s *stage) olderStore(ctx context.Context) (float64, error) {
+	// An edit is three changes of the store: the new shard, the head and the
+	// deletion of the old shard.
+	const body, limit = `{"lost_changes":6,"down":"500ms"}`, 15 * time.Second
+	if err := cluster.Switch(ctx, s.Layout.Store, "/control/restart", body); err != nil {
+		return 0, err
+	}
+	arguments := []string{}
+	for _, g := range s.Layout.Gateways {
+		arguments = append(arguments, "--gateway", g.Peers)
+	}
+	for begin := time.Now(); time.Since(begin) < limit; {
+		if err := rest(ctx, time.Second); err != nil {
+			return 0, err
+		}
+		out, _ := s.ControlOutput(ctx, append(arguments, "status")...)
+		if strings.Contains(out, "config_store_older") {
+			s.report.note(fmt.Sprintf("alarm for the older store after %s", time.Since(begin).Round(time.Second)))
+			return 1, nil
+		}
+	}
+	return 0, nil
+}
