--- a/gateway/dispatch/attempt.go
+++ b/gateway/dispatch/attempt.go
@@ -65,6 +65,7 @@
 	s.renewal = t.group.renew(ctx, x.d.config.Client, s.stream)
 	defer s.renewal.stop()
 	result, failure := s.receive(ctx)
+	s.log(failure)
 	if failure != nil {
 		s.endGroup(failure)
 	}
