settings: name the place of an open quote and refuse unknown switches

Cause: tried by hand, each program names line, key and accepted values of a wrong key, unit, duplicate or range, but not of an open quote, which the INI library reports at the end of the file. A missing file was named without a way to make one, siskin-sidecar did not name itself, and siskin-fake ignored a switch that it does not know.

Change: after an error of the library the refused line is found by reading each entry alone.

Conclusion: a mistake in a file is reported with its place.

--- a/coord/inifile/inifile.go
+++ b/coord/inifile/inifile.go
@@ -82,7 +82,7 @@
 	}
 	loaded, err := ini.LoadSources(options, data)
 	if err != nil {
-		return nil, eris.Wrapf(err, "%s", file)
+		return nil, locate(file, data, sections, err)
 	}
 	for i := range sections {
 		values := loaded.Section(sections[i].Name)
@@ -94,6 +94,21 @@
 	return sections, nil
 }
 
+// locate names the entry that the library refuses, since its errors have no
+// line; an open quote is reported only at the end of the file.
+func locate(file string, data []byte, sections []Section, cause error) error {
+	lines := bytes.Split(data, []byte("\n"))
+	for _, s := range sections {
+		for _, e := range s.Entries {
+			text := append([]byte("[section]\n"), lines[e.Line-1]...)
+			if _, err := ini.LoadSources(options, text); err != nil {
+				return &Error{File: file, Line: e.Line, Section: s.Name, Key: e.Key, Message: "value is not accepted; accepted: text without quotes, or with quotes that are closed on the line"}
+			}
+		}
+	}
+	return eris.Wrapf(cause, "%s", file)
+}
+
 // index finds the line of each section and key; the library does not keep them.
 func index(file string, data []byte) ([]Section, error) {
 	var sections []Section
--- a/fakes/listen.go
+++ b/fakes/listen.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"siskinstand.example/fakes/server"
@@ -23,10 +24,16 @@
 	if o.Switches == "" {
 		return nil
 	}
-	if err := json.Unmarshal([]byte(o.Switches), target); err != nil {
-		return fmt.Errorf("--switches: %w", err)
+	decoder := json.NewDecoder(strings.NewReader(o.Switches))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(target)
+	if err == nil {
+		return nil
+	}
+	if accepted, encodeError := json.Marshal(target); encodeError == nil {
+		return fmt.Errorf("--switches: %w; accepted, with their values at start: %s", err, accepted)
 	}
-	return nil
+	return fmt.Errorf("--switches: %w", err)
 }
 
 // downer lets a fake take its own server down; the server is started after it.
--- a/fakes/main_test.go
+++ b/fakes/main_test.go
@@ -22,7 +22,7 @@
 	if time.Duration(switches.TokenTime) != 7*time.Millisecond || !switches.Cold || switches.CollapseFactor == 0 {
 		t.Errorf("got %+v", switches)
 	}
-	for _, bad := range []string{`{"token_time":"7"}`, `{"token_time":"-1s"}`, `{`} {
+	for _, bad := range []string{`{"token_time":"7"}`, `{"tokentime":"7ms"}`, `{"token_time":"-1s"}`, `{`} {
 		if (listenOptions{Switches: bad}).apply(&switches) == nil {
 			t.Errorf("%s accepted", bad)
 		}
--- a/service/settings/settings.go
+++ b/service/settings/settings.go
@@ -25,7 +25,7 @@
 	var zero T
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return zero, eris.Wrap(err, "read settings")
+		return zero, eris.Wrap(err, "read settings; --sample prints a commented file")
 	}
 	return Parse[T](path, data)
 }
--- a/service/settings/settings_test.go
+++ b/service/settings/settings_test.go
@@ -40,6 +40,8 @@
 		"over the range":  {"address = :1\ntimeout = 2h", "outside the range; max is 1h"},
 		"below the range": {"address = :1\nlimit = 0", "0 is below the minimum of 1 (unit: requests)"},
 		"not accepted":    {"address = :1\nmode = slow", "accepted: fast, safe"},
+		"duplicate key":   {"address = :1\naddress = :2", "s.ini:3: [listen] address: duplicate key, first on line 2"},
+		"open quote":      {"mode = fast\naddress = \"abc\nlimit = 2", "s.ini:3: [listen] address: value is not accepted; accepted: text without quotes"},
 		"missing":         {"limit = 1", "address: required key is missing"},
 		"unknown section": {"address = :1\n[lisen]", "s.ini:3: [lisen]: unknown section; accepted: listen"},
 	}
@@ -60,3 +62,12 @@
 		t.Errorf("Parse(Sample()) = %v\n%s", err, sample)
 	}
 }
+
+// Guards against a missing file that is reported without its name or a way to
+// make one.
+func TestLoadNamesTheMissingFile(t *testing.T) {
+	_, err := Load[testSettings]("no-such.ini")
+	if err == nil || !strings.Contains(err.Error(), "no-such.ini") || !strings.Contains(err.Error(), "--sample") {
+		t.Errorf("Load error = %v", err)
+	}
+}
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -38,7 +38,7 @@
 		os.Exit(2)
 	}
 	if err := start(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "siskin-sidecar:", err)
 		os.Exit(1)
 	}
 }
