settings: report keys that do not fit together with their line

Change: settings with such rules have a method Check, and settings.Load adds file and line of the key it names, or of its section if the key is left out. Each message says what is accepted.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -2,8 +2,6 @@
 package config
 
 import (
-	"errors"
-
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/settings"
 )
@@ -27,21 +25,18 @@
 
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
-	s, err := settings.Load[Settings](path)
-	if err != nil {
-		return s, err
-	}
-	return s, s.check()
+	return settings.Load[Settings](path)
 }
 
-func (s Settings) check() error {
+// Check checks what depends on several keys.
+func (s Settings) Check() error {
 	if err := s.TLS.check(s.Callers.Address); err != nil {
 		return err
 	}
 	files := s.Tables.Routes != "" && s.Tables.Pools != ""
 	none := s.Tables.Routes == "" && s.Tables.Pools == ""
 	if stored := s.Store.Address != ""; (stored && !none) || (!stored && !files) {
-		return errors.New("[tables]: set both routes and pools, or [store] address alone")
+		return &settings.Mistake{Section: "tables", Key: "routes", Message: "accepted: routes and pools together, or neither of them and [store] address"}
 	}
 	return nil
 }
--- a/gateway/config/tls.go
+++ b/gateway/config/tls.go
@@ -1,10 +1,10 @@
 package config
 
 import (
-	"errors"
-	"fmt"
 	"net"
 	"time"
+
+	"siskinstand.example/service/settings"
 )
 
 // TLS names the keys of both sides. The files are read again when they change.
@@ -26,18 +26,22 @@
 
 func (t TLS) check(callerAddress string) error {
 	if (t.CallerCertificate == "") != (t.CallerKey == "") {
-		return errors.New("[tls]: caller_certificate and caller_key are set together or not at all")
+		return mistake("caller_certificate", "accepted: caller_certificate and caller_key together, or neither")
 	}
 	if t.Peers() != (t.PeerKey != "") || t.Peers() != (t.PeerAuthority != "") {
-		return errors.New("[tls]: peer_certificate, peer_key and peer_authority are set together or not at all")
+		return mistake("peer_certificate", "accepted: peer_certificate, peer_key and peer_authority together, or none")
 	}
 	host, _, err := net.SplitHostPort(callerAddress)
 	if err != nil {
-		return fmt.Errorf("[callers] address: %w", err)
+		return &settings.Mistake{Section: "callers", Key: "address", Message: err.Error() + "; accepted: HOST:PORT"}
 	}
 	ip := net.ParseIP(host)
 	if loopback := host == "localhost" || (ip != nil && ip.IsLoopback()); !loopback && !t.Callers() && !t.AllowPlaintext {
-		return errors.New("[tls] caller_certificate: bearer tokens need TLS on an address other than loopback; set allow_plaintext = yes if another program ends TLS")
+		return mistake("caller_certificate", "bearer tokens need TLS on an address other than loopback; set allow_plaintext = yes if another program ends TLS")
 	}
 	return nil
 }
+
+func mistake(key, message string) error {
+	return &settings.Mistake{Section: "tls", Key: key, Message: message}
+}
--- a/service/settings/settings.go
+++ b/service/settings/settings.go
@@ -27,7 +27,14 @@
 	if err != nil {
 		return zero, eris.Wrap(err, "read settings; --sample prints a commented file")
 	}
-	return Parse[T](path, data)
+	target, err := Parse[T](path, data)
+	if err != nil {
+		return target, err
+	}
+	if c, ok := any(target).(Checker); ok {
+		return target, place(path, data, c.Check())
+	}
+	return target, nil
 }
 
 // Parse checks data, which came from the named file.
--- a/sidecar/config/config.go
+++ b/sidecar/config/config.go
@@ -2,8 +2,6 @@
 package config
 
 import (
-	"github.com/rotisserie/eris"
-
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/settings"
 )
@@ -24,12 +22,11 @@
 
 // Load reads and checks the settings file at path.
 func Load(path string) (Settings, error) {
-	s, err := settings.Load[Settings](path)
-	if err != nil {
-		return s, err
-	}
-	return s, eris.Wrap(s.TLS.check(), path)
+	return settings.Load[Settings](path)
 }
 
+// Check checks what depends on several keys.
+func (s Settings) Check() error { return s.TLS.check() }
+
 // Sample returns a commented settings file.
 func Sample() string { return settings.Sample[Settings]() }
--- a/sidecar/config/tls.go
+++ b/sidecar/config/tls.go
@@ -1,8 +1,9 @@
 package config
 
 import (
-	"errors"
 	"time"
+
+	"siskinstand.example/service/settings"
 )
 
 // TLS names the keys towards gateways and other sidecars. The files are read
@@ -19,7 +20,7 @@
 
 func (t TLS) check() error {
 	if t.Enabled() != (t.Key != "") || t.Enabled() != (t.Authority != "") {
-		return errors.New("[tls]: certificate, key and authority are set together or not at all")
+		return &settings.Mistake{Section: "tls", Key: "certificate", Message: "accepted: certificate, key and authority together, or none"}
 	}
 	return nil
 }
