--- a/e2e/pages_test.go
+++ b/e2e/pages_test.go
@@ -53,7 +53,7 @@
 // Guards against a README without its two commands, with an example call that
 // the demo refuses, or with folders that have moved.
 func TestReadme(t *testing.T) {
-	readme, layout := readFile(t, "../README.md"), readFile(t, "../loadgen/demo/layout.go")
+	readme, layout := readFile(t, "../README.md"), readFile(t, "../loadgen/cluster/layout.go")
 	for _, command := range []string{"$ make demo\n", "$ make test\n"} {
 		if !strings.Contains(readme, command) {
 			t.Errorf("README.md lacks the command %q", command)
