loadgen/capacity: keep the bytes of a burst out of the next phase

Change: the slow phase comes first, each phase waits for the counts, and the burst's window includes the time until its counts are published.

--- a/loadgen/capacity/control.go
+++ b/loadgen/capacity/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -18,7 +19,11 @@
 	settleTime = 6 * time.Second
 	idleTime   = 10 * time.Second
 	burstTime  = 5 * time.Second
-	slowTime   = 12 * time.Second
+	// slowTime is that of 8 changes at the rate of a day.
+	slowTime = 8 * secondsPerDay * time.Second / designChangesPerDay
+	// flushTime is longer than the interval at which processes publish counts;
+	// without it the bytes of one phase count for the next.
+	flushTime = 2 * time.Second
 	// siteAccounts keeps the tables of a site small: section Tables measures
 	// the cost of large ones.
 	siteAccounts = 100
@@ -37,6 +42,8 @@
 	// burstGateway is the use in a burst, burstReached its changes a second.
 	burstGateway usage
 	burstReached float64
+	// burstMean includes the time after the burst until counts are published.
+	burstMean float64
 	// slow usage holds bytes at the rate of a day; its processor time includes
 	// the answers to this run's polls and is not used.
 	slowGateway, slowSidecar usage
@@ -49,6 +56,9 @@
 
 // measureUsage returns the use over an interval in which action runs.
 func measureUsage(ctx context.Context, roles [][]*daemon, action func() error) ([]usage, error) {
+	if err := pause(ctx, flushTime); err != nil {
+		return nil, err
+	}
 	before, err := totals(ctx, roles)
 	if err != nil {
 		return nil, err
@@ -149,40 +159,48 @@
 	return err
 }
 
-// measureChanges measures the use at the burst rate without polling, then the
-// time until sampled changes are in force at both rates.
+// measureChanges measures the time until changes are in force at both rates, the
+// bytes at the slow one, and the use at the burst rate without polling.
 func (f *siteFigures) measureChanges(ctx context.Context, s *site, w *writer) error {
-	began, edits := time.Now(), w.edits
-	used, err := measureUsage(ctx, [][]*daemon{s.gateways, s.sidecars}, func() error {
-		return w.keepChanging(ctx, burstRate, burstTime, nil)
-	})
-	if err != nil {
-		return err
-	}
-	f.burstGateway, f.burstReached = used[0], float64(w.edits-edits)/time.Since(began).Seconds()
 	p, err := newPoller(s)
 	if err != nil {
 		return err
 	}
 	defer p.close()
-	if f.burst, err = p.during(ctx, w, burstRate, burstTime, int(burstRate)/2); err != nil {
-		return err
-	}
-	used, err = measureUsage(ctx, [][]*daemon{s.gateways, s.sidecars}, func() error {
+	roles := [][]*daemon{s.gateways, s.sidecars}
+	used, err := measureUsage(ctx, roles, func() error {
 		var err error
 		f.slow, err = p.during(ctx, w, changeRate, slowTime, 1)
 		return err
 	})
-	if err == nil {
-		f.slowGateway, f.slowSidecar = used[0], used[1]
+	if err != nil {
+		return err
+	}
+	f.slowGateway, f.slowSidecar = used[0], used[1]
+	edits := w.edits
+	var took time.Duration
+	used, err = measureUsage(ctx, roles, func() error {
+		began := time.Now()
+		if err := w.keepChanging(ctx, burstRate, burstTime, nil); err != nil {
+			return err
+		}
+		took = time.Since(began)
+		return pause(ctx, flushTime)
+	})
+	if err != nil {
+		return err
 	}
+	count := float64(w.edits - edits)
+	f.burstGateway, f.burstReached = used[0], count/took.Seconds()
+	f.burstMean = count / (took + flushTime).Seconds()
+	f.burst, err = p.during(ctx, w, burstRate, burstTime, int(burstRate)/2)
 	return err
 }
 
 // keepChanging makes changes at a rate and passes each revision to made.
 func (w *writer) keepChanging(ctx context.Context, rate float64, duration time.Duration, made func(uint64)) error {
 	began := time.Now()
-	count := int(rate * duration.Seconds())
+	count := int(math.Round(rate * duration.Seconds()))
 	for i := range count {
 		due := began.Add(time.Duration(float64(i) / rate * float64(time.Second)))
 		if err := pause(ctx, time.Until(due)); err != nil {
