routing: place long prompts by fingerprint and own prefill

Cause: the order of two candidates ignored the prompt's own prefill, so with engines of two speeds an idle slow one could win over a fast one. The prefix key also put the long prompts of an account on one endpoint of its pair, although a cached start saves them little.

Change: Order adds the prompt's own prefill at the reported rate (OwnWork). NewKeys gives bodies over 256 KiB the first two endpoints of the fingerprint.

--- a/coord/routing/routing.go
+++ b/coord/routing/routing.go
@@ -61,6 +61,21 @@
 	Fingerprint uint64
 }
 
+// longBodyBytes is the body from which a prompt counts as long, about 65,000
+// tokens. It is a length in bytes because gateways learn different token
+// ratios and must still compute the same candidates.
+const longBodyBytes = 256 << 10
+
+// NewKeys returns the keys of a request. A long prompt gains little from a
+// cached start, so both of its candidates follow the fingerprint; the prefix
+// key would hold the long prompts of an account on a few endpoints.
+func NewKeys(prefix, fingerprint uint64, bodyBytes int64) Keys {
+	if bodyBytes > longBodyBytes {
+		prefix = fingerprint
+	}
+	return Keys{Prefix: prefix, Fingerprint: fingerprint}
+}
+
 // Candidates are the indices of the two endpoints of a request, or None.
 type Candidates struct {
 	Prefix      int
@@ -142,6 +157,9 @@
 	PrefixShare float64
 	// DefaultRate stands in for an unknown rate, in tokens a second.
 	DefaultRate int64
+	// OwnWork counts the prompt's own prefill, which decides between endpoints
+	// of different speed.
+	OwnWork bool
 }
 
 // PredictWait estimates the time until an endpoint has worked off its queue.
@@ -170,8 +188,15 @@
 		return c.Prefix, c.Fingerprint
 	}
 	benefit := p.duration(min(int64(float64(promptTokens)*p.PrefixShare), maxPrefixTokens), prefix)
+	if k.Prefix == k.Fingerprint {
+		benefit = 0
+	}
 	waitPrefix := p.PredictWait(prefix) - benefit
 	waitFingerprint := p.PredictWait(fingerprint)
+	if p.OwnWork {
+		waitPrefix += p.duration(promptTokens, prefix)
+		waitFingerprint += p.duration(promptTokens, fingerprint)
+	}
 	if waitPrefix < waitFingerprint || (waitPrefix == waitFingerprint && Mix(k.Fingerprint)&1 == 0) {
 		return c.Prefix, c.Fingerprint
 	}
--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -123,6 +123,42 @@
 	}
 }
 
+// Guards against a long prompt that starts on the slower of two endpoints
+// because its own prefill or a prefix that it doesn't have decides.
+func TestOrderLongPrompt(t *testing.T) {
+	const prompt, body = 200_000, 800_000
+	p := Policy{PrefixShare: 0.5, DefaultRate: 1000, OwnWork: true}
+	slow := Load{QueuedTokens: 10_000, TokensPerSecond: 70_000}
+	fast := Load{QueuedTokens: 50_000, TokensPerSecond: 140_000}
+	if first, _ := p.Order(Candidates{Prefix: 3, Fingerprint: 5}, NewKeys(7, 1, body), prompt, slow, fast); first != 5 {
+		t.Errorf("first = %d, want the faster endpoint", first)
+	}
+	behind, idle := Load{QueuedTokens: 1_000, TokensPerSecond: 70_000}, Load{TokensPerSecond: 70_000}
+	if first, _ := p.Order(Candidates{Prefix: 3, Fingerprint: 5}, NewKeys(7, 1, body), prompt, behind, idle); first != 5 {
+		t.Errorf("first = %d, want the endpoint with the shorter queue", first)
+	}
+}
+
+// Guards against more than two endpoints for the copies of a long prompt, or
+// the long prompts of one prefix on one endpoint.
+func TestLongPromptsLeaveThePrefixKey(t *testing.T) {
+	v, firsts := thousand(), map[int]bool{}
+	for fingerprint := range uint64(50) {
+		k := NewKeys(7, Mix(fingerprint), longBodyBytes+1)
+		c := v.Pick(k, nil)
+		if again := v.Pick(NewKeys(8, Mix(fingerprint), longBodyBytes+1), nil); again != c || c.Prefix == c.Fingerprint {
+			t.Fatalf("candidates %v, then %v; want the same two endpoints", c, again)
+		}
+		firsts[c.Prefix] = true
+	}
+	if len(firsts) < 40 {
+		t.Errorf("50 long prompts of one prefix have %d first candidates", len(firsts))
+	}
+	if k := NewKeys(7, 1, longBodyBytes); k.Prefix != 7 {
+		t.Error("a shorter prompt lost its prefix key")
+	}
+}
+
 // Guards against a key distribution that overloads one endpoint of a pool.
 func TestSpread(t *testing.T) {
 	const endpoints, requests = 14, 14_000
--- a/gateway/caller/completion.go
+++ b/gateway/caller/completion.go
@@ -130,10 +130,11 @@
 	}
 	return &dispatch.Request{
 		ID: c.id, Account: c.account, Route: route, Pool: pool, Body: data,
-		Keys: routing.Keys{
-			Prefix:      hashParts([]byte(c.account.Name), []byte(body.Model), prompt[:min(len(prompt), prefixBytes)]),
-			Fingerprint: hashParts([]byte(c.account.Name), []byte(body.Model), data),
-		},
+		Keys: routing.NewKeys(
+			hashParts([]byte(c.account.Name), []byte(body.Model), prompt[:min(len(prompt), prefixBytes)]),
+			hashParts([]byte(c.account.Name), []byte(body.Model), data),
+			int64(len(data)),
+		),
 		Streaming: body.Stream, PromptTokens: min(tokens, pool.MaxPromptTokens), MaxOutputTokens: output,
 		Deadline: c.until(route), CallerKey: c.key,
 	}, body, nil
--- a/loadgen/bench/bench_test.go
+++ b/loadgen/bench/bench_test.go
@@ -18,7 +18,7 @@
 
 // Guards against a run whose figures change from one execution to the next.
 func TestRunsRepeat(t *testing.T) {
-	for _, build := range []func(*world) policy{newOurs, newLeastOutstanding} {
+	for _, build := range []func(*world) policy{newOurs, newPrevious, newLeastOutstanding} {
 		a, b := summarize(run(shortScenario(), build)), summarize(run(shortScenario(), build))
 		if a.useful != b.useful || a.shortP95() != b.shortP95() {
 			t.Errorf("%s: %d tokens, %s, then %d tokens, %s", a.world.policy.name(), a.useful, a.shortP95(), b.useful, b.shortP95())
--- a/loadgen/bench/figures.go
+++ b/loadgen/bench/figures.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"time"
 
 	"siskinstand.example/coord/admission"
@@ -66,10 +67,14 @@
 	scenario  Scenario
 	ours      *summary
 	baselines []*summary
+	// previous is the earlier version of the policy. It is printed beside the
+	// others; the ratios compare with the simple baselines, as the bounds on
+	// half of a baseline's time can't hold between versions.
+	previous *summary
 }
 
 func compare(s Scenario) comparison {
-	c := comparison{scenario: s, ours: summarize(run(s, newOurs))}
+	c := comparison{scenario: s, ours: summarize(run(s, newOurs)), previous: summarize(run(s, newPrevious))}
 	for _, build := range []func(*world) policy{newRoundRobin, newLeastOutstanding} {
 		c.baselines = append(c.baselines, summarize(run(s, build)))
 	}
@@ -99,7 +104,7 @@
 		p95 := func(s *summary) float64 { return milliseconds(s.p95(class)) }
 		name := prefix + "ttft_p95_" + string(class)
 		list = append(list, figure{name: name, value: p95(c.ours), unit: "ms"})
-		for _, b := range c.baselines {
+		for _, b := range append(slices.Clone(c.baselines), c.previous) {
 			list = append(list, figure{name: name + "_" + b.world.policy.name(), value: p95(b), unit: "ms"})
 		}
 		list = append(list, figure{name + "_to_best_baseline", p95(c.ours) / c.best(p95), "ratio", boundClassRatio, targetAtMost})
@@ -179,7 +184,7 @@
 		{"overload_3x_goodput_to_capacity", c.ours.goodput(), "ratio", boundOverloadGoodput, targetAtLeast},
 		{"overload_3x_admitted_late", float64(c.ours.lostAdmitted), "requests", 0, targetNone},
 	}
-	for _, b := range c.baselines {
+	for _, b := range append(slices.Clone(c.baselines), c.previous) {
 		list = append(list, figure{name: "overload_3x_goodput_to_capacity_" + b.world.policy.name(), value: b.goodput(), unit: "ratio"})
 	}
 	return list
--- a/loadgen/bench/gateway.go
+++ b/loadgen/bench/gateway.go
@@ -10,8 +10,34 @@
 	pb "siskinstand.example/peerpb"
 )
 
-// routingPolicy holds the defaults of the gateway's settings.
-var routingPolicy = routing.Policy{PrefixShare: 0.5, DefaultRate: 10_000}
+// rules are the parts of the policy that differ between its versions.
+type rules struct {
+	label   string
+	routing routing.Policy
+	keys    func(*request) routing.Keys
+}
+
+// currentRules use the defaults of the gateway's settings. previousRules are
+// those before long prompts left the prefix key and their own prefill counted.
+var (
+	currentRules = rules{
+		label:   "ours",
+		routing: routing.Policy{PrefixShare: 0.5, DefaultRate: 10_000, OwnWork: true},
+		keys: func(r *request) routing.Keys {
+			return routing.NewKeys(r.family, r.fingerprint, bytesPerToken*r.prompt)
+		},
+	}
+	previousRules = rules{
+		label:   "previous",
+		routing: routing.Policy{PrefixShare: 0.5, DefaultRate: 10_000},
+		keys: func(r *request) routing.Keys {
+			return routing.Keys{Prefix: r.family, Fingerprint: r.fingerprint}
+		},
+	}
+)
+
+// bytesPerToken is the gateway's first estimate of a token's length.
+const bytesPerToken = 4
 
 // maxRefusals and maxOffers follow gateway/dispatch.
 const (
@@ -26,6 +52,7 @@
 // admission, with the decision code that the programs run.
 type ours struct {
 	world    *world
+	rules    rules
 	sidecars []*sidecar
 	gateways []*gateway
 	open     map[*request]*execution
@@ -48,8 +75,12 @@
 	attempt       *attempt
 }
 
-func newOurs(w *world) policy {
-	o := &ours{world: w, open: map[*request]*execution{}}
+func newOurs(w *world) policy { return newVersion(w, currentRules) }
+
+func newPrevious(w *world) policy { return newVersion(w, previousRules) }
+
+func newVersion(w *world, version rules) policy {
+	o := &ours{world: w, rules: version, open: map[*request]*execution{}}
 	for _, e := range w.engines {
 		o.sidecars = append(o.sidecars, newSidecar(w, e))
 	}
@@ -73,7 +104,7 @@
 	g.view = routing.NewView(members)
 }
 
-func (o *ours) name() string { return "ours" }
+func (o *ours) name() string { return o.rules.label }
 
 // report sends the control reports that are due to all gateways.
 func (o *ours) report() {
@@ -99,7 +130,7 @@
 // try makes the next attempt or ends the request.
 func (o *ours) try(x *execution) {
 	g := o.gateways[x.request.gateway]
-	at := g.pick(x, o.world.clock.now)
+	at := g.pick(x, o.rules, o.world.clock.now)
 	if at == routing.None || x.offers >= maxOffers {
 		o.end(x, outcomeRefused)
 		return
@@ -120,15 +151,16 @@
 	})
 }
 
-func (g *gateway) pick(x *execution, now time.Time) int {
-	c := g.view.Pick(x.request.keys, x.skip)
+func (g *gateway) pick(x *execution, version rules, now time.Time) int {
+	keys := version.keys(x.request)
+	c := g.view.Pick(keys, x.skip)
 	load := func(i int) routing.Load {
 		if i == routing.None {
 			return routing.Load{}
 		}
 		return g.endpoints[i].Load(now)
 	}
-	first, second := routingPolicy.Order(c, x.request.keys, x.request.estimate, load(c.Prefix), load(c.Fingerprint))
+	first, second := version.routing.Order(c, keys, x.request.estimate, load(c.Prefix), load(c.Fingerprint))
 	for _, i := range []int{first, second} {
 		if i != routing.None && !slices.Contains(x.refused, g.endpoints[i].Name) {
 			return i
--- a/loadgen/bench/sidecar.go
+++ b/loadgen/bench/sidecar.go
@@ -93,7 +93,7 @@
 	r := a.request
 	item := admission.Item{
 		ID: r.id, Account: r.account.name, Weight: 1, PromptTokens: r.estimate, OutputTokens: r.bound,
-		Deadline: r.deadline, Fingerprint: r.keys.Fingerprint,
+		Deadline: r.deadline, Fingerprint: r.fingerprint,
 	}
 	if refusal := s.queue.Offer(now, item); refusal != nil {
 		s.reply(a, refusal)
--- a/loadgen/bench/workload.go
+++ b/loadgen/bench/workload.go
@@ -21,7 +21,7 @@
 	output, bound    int64
 	family           uint64
 	familyTokens     int64
-	keys             routing.Keys
+	fingerprint      uint64
 	deadline         time.Time
 
 	firstToken time.Time
@@ -124,7 +124,7 @@
 	family := w.random.IntN(families)
 	r.family = routing.HashName(fmt.Sprintf("%s/%d", r.account.name, family))
 	r.familyTokens = int64(300 + family*(maxFamilyTokens-300)/families)
-	r.keys = routing.Keys{Prefix: r.family, Fingerprint: w.random.Uint64()}
+	r.fingerprint = w.random.Uint64()
 	if w.shortOnly && r.prompt > admission.LongTokens {
 		r.outcome = outcomeRefused
 	}
