--- a/coord/spread/sim_test.go
+++ b/coord/spread/sim_test.go
@@ -176,7 +176,7 @@
 		return
 	}
 	digest := from.inForce.Current().Revision
-	follow := to.state.Heard(s.now, from.peer, digest, from.state.Beat(s.now))
+	follow := to.state.Heard(s.now, from.peer, digest, from.state.Heartbeat(s.now))
 	changes, reaches := to.inForce.Since(digest)
 	if !s.lost() {
 		if reaches {
@@ -187,7 +187,7 @@
 			from.inForce.Advance(to.inForce.Document())
 		}
 		from.state.Moved(s.now, from.inForce.Current().Revision)
-		s.run(from, from.state.Heard(s.now, to.peer, to.inForce.Current().Revision, to.state.Beat(s.now)))
+		s.run(from, from.state.Heard(s.now, to.peer, to.inForce.Current().Revision, to.state.Heartbeat(s.now)))
 	}
 	s.run(to, follow)
 }
--- a/coord/spread/spread.go
+++ b/coord/spread/spread.go
@@ -40,8 +40,8 @@
 	Address string
 }
 
-// Beat is the latest known heartbeat of a zone's configuration reader.
-type Beat struct {
+// Heartbeat is the latest known heartbeat of a zone's configuration reader.
+type Heartbeat struct {
 	Reader string
 	Age    time.Duration
 }
@@ -87,15 +87,15 @@
 	pulling   uint64
 	pullUntil time.Time
 
-	reader     string
-	beatAt     time.Time
-	takeoverAt time.Time
-	reading    bool
+	reader      string
+	heartbeatAt time.Time
+	takeoverAt  time.Time
+	reading     bool
 }
 
 // New returns the state of a process that starts now without a configuration.
 func New(c Config, now time.Time) *State {
-	s := &State{config: c, random: rand.New(rand.NewPCG(c.Seed, 0)), beatAt: now.Add(-ReaderTimeout)}
+	s := &State{config: c, random: rand.New(rand.NewPCG(c.Seed, 0)), heartbeatAt: now.Add(-ReaderTimeout)}
 	s.exchangeAt = now
 	s.takeoverAt = now.Add(s.delay())
 	return s
@@ -121,9 +121,9 @@
 
 // Heard takes what a message of a peer says and returns a Pull if that peer is
 // ahead.
-func (s *State) Heard(now time.Time, from Peer, revision uint64, beat Beat) []Action {
-	if from.Zone == s.config.Zone && beat.Reader != "" {
-		s.beat(beat.Reader, now.Add(-beat.Age))
+func (s *State) Heard(now time.Time, from Peer, revision uint64, heartbeat Heartbeat) []Action {
+	if from.Zone == s.config.Zone && heartbeat.Reader != "" {
+		s.heartbeat(heartbeat.Reader, now.Add(-heartbeat.Age))
 	}
 	if revision > s.revision && (revision > s.pulling || !now.Before(s.pullUntil)) {
 		s.pulling, s.pullUntil = revision, now.Add(pullTimeout)
@@ -132,18 +132,18 @@
 	return nil
 }
 
-func (s *State) beat(reader string, at time.Time) {
-	if !at.After(s.beatAt) {
+func (s *State) heartbeat(reader string, at time.Time) {
+	if !at.After(s.heartbeatAt) {
 		return
 	}
-	s.beatAt, s.reader = at, reader
+	s.heartbeatAt, s.reader = at, reader
 	s.takeoverAt = at.Add(ReaderTimeout + s.delay())
 }
 
 // Reading tells that this process holds the reader lease.
 func (s *State) Reading(now time.Time) {
 	s.reading = true
-	s.beat(s.config.ID, now)
+	s.heartbeat(s.config.ID, now)
 }
 
 // NotReading tells that the lease is lost or was held by another process.
@@ -152,12 +152,12 @@
 	s.takeoverAt = latest(s.takeoverAt, now.Add(takeoverRetry+s.delay()))
 }
 
-// Beat returns the heartbeat to send to peers.
-func (s *State) Beat(now time.Time) Beat {
+// Heartbeat returns the heartbeat to send to peers.
+func (s *State) Heartbeat(now time.Time) Heartbeat {
 	if s.reading {
-		return Beat{Reader: s.config.ID}
+		return Heartbeat{Reader: s.config.ID}
 	}
-	return Beat{Reader: s.reader, Age: max(0, now.Sub(s.beatAt))}
+	return Heartbeat{Reader: s.reader, Age: max(0, now.Sub(s.heartbeatAt))}
 }
 
 // Next returns the time at which Tick has to be called.
--- a/gateway/peer/exchange.go
+++ b/gateway/peer/exchange.go
@@ -20,9 +20,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reader, age := n.currentBeat()
+	reader, age := n.currentHeartbeat()
 	delta, err := client.Exchange(callCtx, &peerpb.Digest{
-		Sender: n.sender(), ReaderBeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects(),
+		Sender: n.sender(), ReaderHeartbeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects(),
 	})
 	if err != nil {
 		n.clients.failed(to.Address, err)
@@ -35,7 +35,7 @@
 	}
 	n.post(heard{
 		from: to, revision: delta.GetSender().GetConfigRevision(),
-		beat: decodeBeat(delta.GetReaderProcessId(), delta.GetReaderBeatAgeMs()),
+		heartbeat: decodeHeartbeat(delta.GetReaderProcessId(), delta.GetReaderHeartbeatAgeMs()),
 	})
 	return nil
 }
@@ -100,10 +100,10 @@
 	revision := d.GetSender().GetConfigRevision()
 	// A sidecar is not in the list of gateways; there is nothing to pull from it.
 	if from, ok := (*n.peers.Load())[d.GetSender().GetProcessId()]; ok {
-		n.post(heard{from: from, revision: revision, beat: decodeBeat(d.GetReaderProcessId(), d.GetReaderBeatAgeMs())})
+		n.post(heard{from: from, revision: revision, heartbeat: decodeHeartbeat(d.GetReaderProcessId(), d.GetReaderHeartbeatAgeMs())})
 	}
-	reader, age := n.currentBeat()
-	delta := &peerpb.Delta{Sender: n.sender(), ReaderBeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects()}
+	reader, age := n.currentHeartbeat()
+	delta := &peerpb.Delta{Sender: n.sender(), ReaderHeartbeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects()}
 	changes, reaches := n.InForce.Since(revision)
 	encoded, fits := encodeChanges(changes)
 	if !reaches || !fits {
--- a/gateway/peer/node.go
+++ b/gateway/peer/node.go
@@ -64,14 +64,14 @@
 type Node struct {
 	peerpb.UnimplementedPeerServer
 	Config
-	clients *clients
-	events  chan heard
-	calls   chan struct{}
-	running sync.WaitGroup
-	peers   atomic.Pointer[map[string]spread.Peer]
-	beat    atomic.Pointer[beat]
-	seen    sightings
-	started time.Time
+	clients   *clients
+	events    chan heard
+	calls     chan struct{}
+	running   sync.WaitGroup
+	peers     atomic.Pointer[map[string]spread.Peer]
+	heartbeat atomic.Pointer[heartbeat]
+	seen      sightings
+	started   time.Time
 	// reading is the reader role; readingSet wakes the control goroutine.
 	reading    atomic.Bool
 	readingSet chan struct{}
@@ -79,17 +79,17 @@
 	own        ownAddresses
 }
 
-// beat is the reader's last heartbeat as of a time.
-type beat struct {
-	spread.Beat
+// heartbeat is the reader's last heartbeat as of a time.
+type heartbeat struct {
+	spread.Heartbeat
 	at time.Time
 }
 
 // heard is a message to the control goroutine: what a peer has said.
 type heard struct {
-	from     spread.Peer
-	revision uint64
-	beat     spread.Beat
+	from      spread.Peer
+	revision  uint64
+	heartbeat spread.Heartbeat
 }
 
 // New returns a node; Register and Run start it.
@@ -103,7 +103,7 @@
 		readingSet: make(chan struct{}, 1), abandoned: make(chan abandoned, maxAbandoned),
 	}
 	n.peers.Store(&map[string]spread.Peer{})
-	n.beat.Store(&beat{})
+	n.heartbeat.Store(&heartbeat{})
 	return n
 }
 
@@ -146,7 +146,7 @@
 		changed := n.Changed()
 		state.Moved(time.Now(), n.Current().Revision)
 		n.run(ctx, state.Tick(time.Now()))
-		n.beat.Store(&beat{Beat: state.Beat(time.Now()), at: time.Now()})
+		n.heartbeat.Store(&heartbeat{Heartbeat: state.Heartbeat(time.Now()), at: time.Now()})
 		timer := time.NewTimer(time.Until(state.Next()))
 		select {
 		case <-ctx.Done():
@@ -155,7 +155,7 @@
 		case h := <-n.events:
 			n.seen.note(h.from.ID, h.revision)
 			state.Moved(time.Now(), n.Current().Revision)
-			n.run(ctx, state.Heard(time.Now(), h.from, h.revision, h.beat))
+			n.run(ctx, state.Heard(time.Now(), h.from, h.revision, h.heartbeat))
 		case <-n.readingSet:
 			n.setReading(state)
 		case <-refresh.C:
@@ -212,9 +212,9 @@
 	return &peerpb.Sender{ProcessId: n.ID, Incarnation: n.Incarnation, Zone: n.Zone, ConfigRevision: n.Current().Revision}
 }
 
-// currentBeat returns the reader's heartbeat with its age as of now.
-func (n *Node) currentBeat() (string, int64) {
-	b := n.beat.Load()
+// currentHeartbeat returns the reader's heartbeat with its age as of now.
+func (n *Node) currentHeartbeat() (string, int64) {
+	b := n.heartbeat.Load()
 	return b.Reader, (b.Age + time.Since(b.at)).Milliseconds()
 }
 
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -185,7 +185,7 @@
 		if moved != (inForce.Current().Revision > 5) || moved && err != nil {
 			t.Fatalf("moved %t to revision %d with error %v", moved, inForce.Current().Revision, err)
 		}
-		decodeBeat(delta.GetReaderProcessId(), delta.GetReaderBeatAgeMs())
+		decodeHeartbeat(delta.GetReaderProcessId(), delta.GetReaderHeartbeatAgeMs())
 	})
 }
 
--- a/gateway/peer/wire.go
+++ b/gateway/peer/wire.go
@@ -112,8 +112,8 @@
 	return config.NewDocument(s.revision, s.deleted, s.rows)
 }
 
-// decodeBeat refuses a negative age, which would make a beat look newer than now.
-func decodeBeat(reader string, ageMS int64) spread.Beat {
+// decodeHeartbeat refuses a negative age, which would make a heartbeat look newer than now.
+func decodeHeartbeat(reader string, ageMS int64) spread.Heartbeat {
 	const longest = int64(time.Hour / time.Millisecond)
-	return spread.Beat{Reader: reader, Age: time.Duration(min(max(ageMS, 0), longest)) * time.Millisecond}
+	return spread.Heartbeat{Reader: reader, Age: time.Duration(min(max(ageMS, 0), longest)) * time.Millisecond}
 }
--- a/loadgen/capacity/spread.go
+++ b/loadgen/capacity/spread.go
@@ -122,7 +122,7 @@
 }
 
 func (f *fleet) hear(n, from *fleetNode, revision uint64) {
-	f.act(n, n.state.Heard(f.now, from.peer, revision, spread.Beat{}))
+	f.act(n, n.state.Heard(f.now, from.peer, revision, spread.Heartbeat{}))
 	f.schedule(n)
 }
 
