--- a/loadgen/faults/propagation.go
+++ b/loadgen/faults/propagation.go
@@ -71,9 +71,10 @@
 // processes restart. It returns the accepted edits.
 func (s *stage) round(ctx context.Context, f *fleet) (accepted []change, raceErrors int, err error) {
 	if s.random.IntN(2) == 0 {
-		// The answers of this many writes are lost; the edits must find out
-		// what became of them.
-		if err := loseWrites("config/")(ctx, s, s.random); err != nil {
+		// The edits must find out what became of these writes. After more lost
+		// answers in a row siskinctl refuses an edit as not accepted.
+		lost := fmt.Sprintf(`{"lose_answers":%d,"lose_prefix":"config/"}`, 1+s.random.IntN(3))
+		if err := cluster.Switch(ctx, s.Layout.Store, "/control", lost); err != nil {
 			return nil, 0, err
 		}
 	}
@@ -121,11 +122,12 @@
 		group.Go(func() {
 			out, err := s.ControlOutput(ctx, "edit", "--base", fmt.Sprint(base), "routes", "account demo", fmt.Sprintf("weight=%d", weight))
 			var c change
-			_, scanned := fmt.Sscanf(out, "accepted: revision %d", &c.revision)
-			if err != nil || scanned != nil {
-				if !strings.Contains(out, "conflict") {
-					s.report.note("edit: " + strings.TrimSpace(out))
-				}
+			at := strings.Index(out, "accepted: revision")
+			if err == nil && at >= 0 {
+				_, err = fmt.Sscanf(out[at:], "accepted: revision %d", &c.revision)
+			}
+			if err != nil || c.revision == 0 {
+				s.report.note(fmt.Sprintf("edit based on %d: %s", base, strings.ReplaceAll(strings.TrimSpace(out), "\n", " ")))
 				return
 			}
 			c.at = time.Now()
