sidecar: wait for a permit while the budget answers, hold memory on cold endpoints

Change: an answer of the budget begins the 60 s again; a hold may exceed the limit on an endpoint that runs and holds nothing else.

--- a/sidecar/control/hold.go
+++ b/sidecar/control/hold.go
@@ -59,9 +59,7 @@
 		return why
 	}
 	l.refreshCapacity()
-	load, limit := l.queue.Load(), l.limiter.Limit()
-	free := min(l.watch.total-l.ledger.Foreign(), limit) - l.holds.Tokens() - load.ReservedTokens
-	outcome := l.holds.Acquire(now, h, timeToLive, free)
+	outcome := l.holds.Acquire(now, h, timeToLive, l.freeForHold())
 	if !outcome.OK() {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "no hold of %d tokens: %s", h.Tokens, outcome).WithRetryAfter(holdRetry)
 	}
@@ -70,6 +68,18 @@
 	return nil
 }
 
+// freeForHold is the room for a hold. Like a prompt above the concurrency limit,
+// a hold may exceed the limit on an endpoint that runs and holds nothing else;
+// otherwise a pool that has just started refuses every group.
+func (l *Loop) freeForHold() int64 {
+	load, held := l.queue.Load(), l.holds.Tokens()
+	free := l.watch.total - l.ledger.Foreign() - held - load.ReservedTokens
+	if load.RunningItems == 0 && held == 0 {
+		return free
+	}
+	return min(free, l.limiter.Limit()-held-load.ReservedTokens)
+}
+
 // ReleaseHold ends a hold.
 func (l *Loop) ReleaseHold(id string) { _ = l.send(releaseMessage{id}) }
 
--- a/sidecar/orders/orders.go
+++ b/sidecar/orders/orders.go
@@ -121,14 +121,15 @@
 }
 
 // acquire returns true once the engine may load the model: with a permit, or
-// without one at a random time after the patience has ended. Until then it goes
-// on asking, since a busy budget grants many loads later than that.
+// without one at a random time after the budget has not answered for the
+// patience. A refusal is an answer: while the budget refuses, it hands out the
+// whole rate, and a load without a permit would only delay the others.
 func (r *Runner) acquire(ctx context.Context, model string) bool {
 	var alone time.Time
 	patience := time.Now().Add(r.config.Patience)
 	for {
 		requested := time.Now()
-		permit := r.ask(ctx, model)
+		permit, err := r.ask(ctx, model)
 		now := time.Now()
 		switch {
 		case permit.Granted:
@@ -139,9 +140,11 @@
 			klog.ErrorS(nil, "a later sidecar of the endpoint orders loads", "model", model)
 			r.pause(ctx, model, repeatAfter)
 			return false
+		case err == nil:
+			alone, patience = time.Time{}, now.Add(r.config.Patience)
 		case alone.IsZero() && !now.Before(patience):
 			alone = now.Add(r.config.Random(r.config.Spread))
-			klog.InfoS("no permit yet, the load begins without one", "model", model, "delay", alone.Sub(now))
+			klog.InfoS("no answer of the budget, the load begins without a permit", "model", model, "delay", alone.Sub(now))
 		case !alone.IsZero() && !now.Before(alone):
 			return r.loadAlone(now)
 		}
@@ -165,14 +168,14 @@
 	return true
 }
 
-func (r *Runner) ask(ctx context.Context, model string) budget.Permit {
+func (r *Runner) ask(ctx context.Context, model string) (budget.Permit, error) {
 	permit, err := r.config.Permits.Ask(ctx, model)
 	if err != nil {
 		klog.V(1).InfoS("no answer to the request for a permit", "model", model, "err", err)
-		return budget.Permit{RetryAfter: retryPause}
+		return budget.Permit{RetryAfter: retryPause}, err
 	}
 	permit.RetryAfter = max(permit.RetryAfter, retryPause)
-	return permit
+	return permit, nil
 }
 
 // grant begins a lease of the engine. Its number is higher than that of each
--- a/sidecar/orders/orders_test.go
+++ b/sidecar/orders/orders_test.go
@@ -109,3 +109,22 @@
 		}
 	})
 }
+
+// busyBudget refuses every request.
+type busyBudget struct{}
+
+func (busyBudget) Ask(context.Context, string) (budget.Permit, error) {
+	return budget.Permit{RetryAfter: 10 * time.Second}, nil
+}
+
+func (busyBudget) Connected() bool { return true }
+
+// Guards against loads without permits while the budget answers: 568 of 1,200
+// endpoints of a returning zone loaded so and exceeded the store's rate.
+func TestRefusalsKeepWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if after := orderedAfter(t, fence.ModeChecks, busyBudget{}, 1); after != 0 {
+			t.Errorf("ordered after %s", after)
+		}
+	})
+}
