gateway: keep a waiting prompt in memory once

Cause: the decoded request kept the raw messages, a copy of the prompt, as long as the request waited. Ruled out: the body reader, which allocates once, and the offer, which leaves out bodies over 64 KiB. Change: the raw messages are dropped after the prefix hash.

--- a/gateway/caller/completion.go
+++ b/gateway/caller/completion.go
@@ -60,6 +60,9 @@
 	case f == textFormat && prompt[0] != '"' && prompt[0] != '[':
 		return b, nil, badRequest("prompt is neither a text nor a list")
 	}
+	// The raw messages are a copy of the prompt, which would stay in memory as
+	// long as the request waits.
+	b.Messages, b.Prompt = nil, nil
 	return b, prompt, nil
 }
 
--- /dev/null
+++ b/gateway/daemon/memory_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+
+	pb "siskinstand.example/peerpb"
+)
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Guards against copies of a long prompt that waits for admission. The bound is
+// twice the body for each prompt; client and sidecar share the heap.
+func TestMemoryOfWaitingPrompts(t *testing.T) {
+	const prompts, promptBytes = 8, 4 << 20
+	wait := func(_ *pb.Offer, s *scriptedStream) error {
+		<-s.stream.Context().Done()
+		return nil
+	}
+	s := startSidecar(t, "e1", wait, nil)
+	s.load.MemoryTotalTokens = 10_000_000
+	f := startGateway(t, "", s)
+	body := `{"model":"m1","messages":[{"role":"user","content":"` + strings.Repeat("word ", promptBytes/5) + `"}]}`
+	ctx, cancel := context.WithCancel(t.Context())
+	before := heapBytes()
+	done := make(chan struct{}, prompts)
+	for range prompts {
+		go func() {
+			response, err := http.DefaultClient.Do(f.request("POST", chatPath, body, nil).WithContext(ctx))
+			if err == nil {
+				response.Body.Close()
+			}
+			done <- struct{}{}
+		}()
+	}
+	eventually(t, "offers of all prompts", func() bool { return s.offerCount() == prompts })
+	each := (heapBytes() - before) / prompts
+	t.Logf("%d bytes of heap for a body of %d", each, len(body))
+	if each > 2*int64(len(body)) {
+		t.Errorf("a waiting prompt takes %d bytes, want at most %d", each, 2*len(body))
+	}
+	cancel()
+	for range prompts {
+		<-done
+	}
+}
