--- a/loadgen/faults/crash.go
+++ b/loadgen/faults/crash.go
@@ -144,12 +144,7 @@
 	if err != nil {
 		return err
 	}
-	whole := 0
-	for _, r := range results {
-		if r.Outcome == load.Whole {
-			whole++
-		}
-	}
+	whole := load.CountWhole(results)
 	s.report.figure("other_requests", float64(len(results)), "requests", atLeast(100))
 	s.report.figure("other_requests_not_whole", float64(len(results)-whole), "requests", exactly(0))
 	return nil
--- a/loadgen/faults/zone.go
+++ b/loadgen/faults/zone.go
@@ -122,12 +122,7 @@
 	if err != nil {
 		return err
 	}
-	whole := 0
-	for _, r := range results {
-		if r.Outcome == load.Whole {
-			whole++
-		}
-	}
+	whole := load.CountWhole(results)
 	s.report.figure("requests", float64(len(results)), "requests", atLeast(100))
 	s.report.figure("whole", float64(whole)/float64(max(1, len(results))), "of requests", atLeast(0.5))
 	s.report.figure("lost_or_late", float64(lost), "requests", exactly(0))
--- a/loadgen/load/load.go
+++ b/loadgen/load/load.go
@@ -96,6 +96,17 @@
 	Total      time.Duration
 }
 
+// CountWhole returns how many requests got their whole, correct answer.
+func CountWhole(results []Result) int {
+	whole := 0
+	for _, r := range results {
+		if r.Outcome == Whole {
+			whole++
+		}
+	}
+	return whole
+}
+
 // Run sends the mix for the configured time and returns all results, in order
 // of their ends.
 func Run(ctx context.Context, c Config) []Result { return RunUntil(ctx, ctx, c) }
