burn: take the limits of objectives from settings

Change: section [objectives] of the gateway: first_token, token_gap, and rules by account, service and class; a mistake names the line. Conclusion: long classes can have limits that fit their prompts.

--- a/gateway/config/config.go
+++ b/gateway/config/config.go
@@ -8,19 +8,20 @@
 
 // Settings are all settings of the gateway.
 type Settings struct {
-	Process  Process        `ini:"process"`
-	Callers  Callers        `ini:"callers"`
-	Admin    Admin          `ini:"admin"`
-	Tables   Tables         `ini:"tables"`
-	Platform Platform       `ini:"platform"`
-	Store    Store          `ini:"store"`
-	Peers    Peers          `ini:"peers"`
-	Sidecars Sidecars       `ini:"sidecars"`
-	Routing  Routing        `ini:"routing"`
-	Retry    Retry          `ini:"retry"`
-	Shutdown Shutdown       `ini:"shutdown"`
-	TLS      TLS            `ini:"tls"`
-	Log      logging.Config `ini:"log"`
+	Process    Process        `ini:"process"`
+	Callers    Callers        `ini:"callers"`
+	Admin      Admin          `ini:"admin"`
+	Tables     Tables         `ini:"tables"`
+	Platform   Platform       `ini:"platform"`
+	Store      Store          `ini:"store"`
+	Peers      Peers          `ini:"peers"`
+	Sidecars   Sidecars       `ini:"sidecars"`
+	Routing    Routing        `ini:"routing"`
+	Retry      Retry          `ini:"retry"`
+	Objectives Objectives     `ini:"objectives"`
+	Shutdown   Shutdown       `ini:"shutdown"`
+	TLS        TLS            `ini:"tls"`
+	Log        logging.Config `ini:"log"`
 }
 
 // Load reads and checks a settings file.
@@ -33,6 +34,9 @@
 	if err := s.TLS.check(s.Callers.Address); err != nil {
 		return err
 	}
+	if err := s.Objectives.check(); err != nil {
+		return err
+	}
 	files := s.Tables.Routes != "" && s.Tables.Pools != ""
 	none := s.Tables.Routes == "" && s.Tables.Pools == ""
 	if stored := s.Store.Address != ""; (stored && !none) || (!stored && !files) {
--- a/gateway/config/load_test.go
+++ b/gateway/config/load_test.go
@@ -13,6 +13,7 @@
 	tests := map[string]struct{ text, want string }{
 		"no tables":  {Sample(), "[tables] routes: accepted: routes and pools together"},
 		"TLS key":    {strings.Replace(Sample(), "# caller_key =", "caller_key = k", 1), "[tls] caller_certificate: accepted: caller_certificate and caller_key together"},
+		"objectives": {strings.Replace(Sample(), "# rules =", "rules = */1k first_token=1s #", 1), "[objectives] rules: \"*/1k\" is not accepted"},
 		"wrong unit": {strings.Replace(Sample(), "# write_timeout = ", "write_timeout = 5\n# ", 1), "[callers] write_timeout: \"5\" is not a duration"},
 	}
 	for name, tc := range tests {
--- a/gateway/daemon/base.go
+++ b/gateway/daemon/base.go
@@ -37,7 +37,11 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now), Burn: burn.New(burn.Config{})}
+	limits, err := s.Objectives.Limits()
+	if err != nil {
+		return nil, err
+	}
+	b := &Base{Settings: s, Incarnation: uint64(time.Now().UnixNano()), Keys: k, Metrics: m, Suspects: suspects.New(time.Now), Burn: burn.New(burn.Config{Limits: limits})}
 	b.RPC = rpcstats.New(m.Scope, &pb.Sidecar_ServiceDesc, &pb.Peer_ServiceDesc)
 	b.Invariants = invariant.NewRegistry(func(name invariant.Name, message string) {
 		m.Scope.Tagged(map[string]string{"name": string(name)}).Counter("invariant_violations").Inc(1)
--- /dev/null
+++ b/service/burn/limits_test.go
@@ -0,0 +1,56 @@
+package burn
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against events that are judged by another account's or class's limit.
+func TestLimitsByRule(t *testing.T) {
+	rules, err := ParseRules([]string{"*/*/256k first_token=5s", "vet/*/256k first_token=2s token_gap=100ms"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := LimitTable{Default: DefaultLimits(), Rules: rules}
+	tests := map[string]struct {
+		key  Key
+		want Limits
+	}{
+		"default":       {Key{Account: "vet", Service: "m", Class: "1k"}, DefaultLimits()},
+		"class":         {Key{Account: "shelter", Service: "m", Class: "256k"}, Limits{5 * time.Second, TokenGapLimit}},
+		"account, last": {Key{Account: "vet", Service: "m", Class: "256k"}, Limits{2 * time.Second, 100 * time.Millisecond}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, table.Of(tc.key)); diff != "" {
+				t.Errorf("limits differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+	r := New(Config{Limits: table})
+	r.FirstToken(Key{Account: "shelter", Service: "m", Class: "256k"}, 3*time.Second)
+	r.FirstToken(Key{Account: "vet", Service: "m", Class: "256k"}, 3*time.Second)
+	for k, s := range r.series {
+		if good := s.objectives[0].window(r.config.Now(), Hour).Good; good != map[string]int64{"shelter": 1, "vet": 0, AllAccounts: 1}[k.Account] {
+			t.Errorf("account %s has %d good events", k.Account, good)
+		}
+	}
+}
+
+// Guards against a mistyped rule that is ignored.
+func TestParseRulesRejects(t *testing.T) {
+	for text, want := range map[string]string{
+		"*/*/1k":                 "ACCOUNT/SERVICE/CLASS first_token=TIME",
+		"*/1k first_token=1s":    "each a name or *",
+		"*/*/* first_token=1":    "a limit such as first_token=2s",
+		"*/*/* answered=1s":      "accepted: first_token, token_gap",
+		"*/*/* token_gap=-100ms": "a limit such as",
+	} {
+		if _, err := ParseRules([]string{text}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("ParseRules(%q) = %v, want %q", text, err, want)
+		}
+	}
+}
--- a/service/burn/objective.go
+++ b/service/burn/objective.go
@@ -12,9 +12,9 @@
 
 // The objectives.
 const (
-	// FirstToken is met if the first token arrives within 0.5 s.
+	// FirstToken is met if the first token arrives within its limit.
 	FirstToken Objective = "first_token"
-	// TokenGap is met if the next token arrives within 50 ms.
+	// TokenGap is met if the next token arrives within its limit.
 	TokenGap Objective = "token_gap"
 	// Answered is met if the answer is complete before the deadline.
 	Answered Objective = "answered"
@@ -23,7 +23,7 @@
 // Objectives lists the objectives.
 func Objectives() []Objective { return []Objective{FirstToken, TokenGap, Answered} }
 
-// Limits of the objectives.
+// Limits of the objectives unless settings give others.
 const (
 	FirstTokenLimit = 500 * time.Millisecond
 	TokenGapLimit   = 50 * time.Millisecond
--- a/service/burn/recorder.go
+++ b/service/burn/recorder.go
@@ -43,6 +43,8 @@
 // Config bounds a recorder. Zero values take the defaults.
 type Config struct {
 	MaxSeries int
+	// Limits judges the events; a zero Default takes DefaultLimits.
+	Limits LimitTable
 	// Now is time.Now if nil.
 	Now func() time.Time
 }
@@ -77,18 +79,21 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Limits.Default == (Limits{}) {
+		c.Limits.Default = DefaultLimits()
+	}
 	return &Recorder{config: c, series: map[Key]*series{}, totals: map[Key]*series{}}
 }
 
 // FirstToken records the time to the first token.
 func (r *Recorder) FirstToken(k Key, d time.Duration) {
-	r.record(k, 0, d, d <= FirstTokenLimit, 1)
+	r.record(k, 0, d, d <= r.config.Limits.Of(k).FirstToken, 1)
 }
 
 // TokenGap records n tokens that each arrived the given time after the one
 // before.
 func (r *Recorder) TokenGap(k Key, d time.Duration, n int) {
-	r.record(k, 1, d, d <= TokenGapLimit, n)
+	r.record(k, 1, d, d <= r.config.Limits.Of(k).TokenGap, n)
 }
 
 // Answered records an admitted request: its duration, and whether its answer
