loadgen/faults: lose changes until the store's head is older

Cause: in a full run of make faults the alarm for an older store was missed: the six lost changes were lease writes, so the head stayed at its revision. Ruled out: the reader, which raised the alarm once the head was older.

--- a/loadgen/faults/propagation.go
+++ b/loadgen/faults/propagation.go
@@ -143,10 +143,8 @@
 // olderStore restarts the store without its latest edit and returns 1 once a
 // gateway raises the alarm for it. The processes must stay where they are.
 func (s *stage) olderStore(ctx context.Context) (float64, error) {
-	// An edit is three changes of the store: the new shard, the head and the
-	// deletion of the old shard.
-	const body, limit = `{"lost_changes":6,"down":"500ms"}`, 15 * time.Second
-	if err := cluster.Switch(ctx, s.Layout.Store, "/control/restart", body); err != nil {
+	const limit = 15 * time.Second
+	if err := s.loseEdit(ctx); err != nil {
 		return 0, err
 	}
 	arguments := []string{}
@@ -165,3 +163,43 @@
 	}
 	return 0, nil
 }
+
+// loseEdit restarts the store without its latest changes until the head is an
+// older one. Leases are changes of the store too, so a fixed number of lost
+// changes may leave the head as it was.
+func (s *stage) loseEdit(ctx context.Context) error {
+	const firstLost, maxLost = 6, 1_000
+	before, err := s.storeRevision(ctx)
+	if err != nil {
+		return err
+	}
+	for lost := firstLost; lost <= maxLost; lost *= 2 {
+		body := fmt.Sprintf(`{"lost_changes":%d,"down":"500ms"}`, lost)
+		if err := cluster.Switch(ctx, s.Layout.Store, "/control/restart", body); err != nil {
+			return err
+		}
+		if err := rest(ctx, time.Second); err != nil {
+			return err
+		}
+		now, err := s.storeRevision(ctx)
+		if err != nil {
+			return err
+		}
+		if now < before {
+			s.report.note(fmt.Sprintf("the store went back from revision %d to %d", before, now))
+			return nil
+		}
+	}
+	return fmt.Errorf("the store kept revision %d", before)
+}
+
+// storeRevision reads the revision of the tables in the store.
+func (s *stage) storeRevision(ctx context.Context) (uint64, error) {
+	out, err := s.ControlOutput(ctx, "get", "pools")
+	if err != nil {
+		return 0, err
+	}
+	var revision uint64
+	_, err = fmt.Sscanf(out, "# revision %d", &revision)
+	return revision, err
+}
