caller: log which side closed the connection of a request

At the end of a shutdown's notice time, some requests that a host had read ended without an answer, and the host logged "the caller left", which no caller had done. The log could not tell a caller that disconnects from a host that closes the connection.

The detail is now "this host closed the caller's connection" in the second case.

--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -127,7 +127,7 @@
 	q.writer.WriteHeader(resp.status)
 	q.timeToFirstByte = bootclock.Now() - q.received
 	if _, err := q.writer.Write(resp.body); err != nil {
-		q.detail = "the caller left: " + err.Error()
+		q.detail = q.disconnectCause() + ": " + err.Error()
 	}
 }
 
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -17,6 +17,7 @@
 	"siskinstand.example/edge/replica"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
+	"siskinstand.example/service/http1"
 )
 
 // outcome is the result of sending a request to one replica.
@@ -159,11 +160,19 @@
 		v = verdict.MayHaveRun
 	}
 	if q.httpRequest.Context().Err() != nil {
-		return verdict.New(v, verdict.ReasonCancelled, "the caller left")
+		return verdict.New(v, verdict.ReasonCancelled, "%s", q.disconnectCause())
 	}
 	return verdict.New(v, verdict.ReasonDeadlineExceeded, "the time limit has passed").WithCause(ctx.Err())
 }
 
+// disconnectCause returns, for the log, which side closed the caller's connection.
+func (q *request) disconnectCause() string {
+	if http1.ClosedByServer(q.httpRequest.Context()) {
+		return "this host closed the caller's connection"
+	}
+	return "the caller left"
+}
+
 // refusalError converts a refusal of the control loop into the error for the caller.
 func (q *request) refusalError(r control.Refusal) *verdict.Error {
 	reason := verdict.ReasonOverloaded
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -59,7 +59,7 @@
 				return q.brokenStreamOutcome(ctx, errNoEventIDs)
 			}
 			if writeErr := q.writeEvents(pending[:end]); writeErr != nil {
-				return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "the caller left").WithCause(writeErr), health: health.Served}
+				return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "%s", q.disconnectCause()).WithCause(writeErr), health: health.Served}
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
--- a/service/http1/reject.go
+++ b/service/http1/reject.go
@@ -114,6 +114,7 @@
 // Close closes the connection. A connection that is being drained is closed later, at
 // the end of the drain.
 func (c *conn) Close() error {
+	c.isClosed.Store(true)
 	c.server.track(c, false)
 	if c.isDraining.Load() {
 		return nil
--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -94,6 +94,14 @@
 	s.config.Handler.ServeHTTP(w, r)
 }
 
+// ClosedByServer reports whether the server closed the connection of a request before its
+// handler returned. ctx is the context of the request. Such a request ends in the same
+// way as one whose caller has disconnected.
+func ClosedByServer(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.isClosed.Load()
+}
+
 // Serve accepts connections until Shutdown or Close is called, and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
@@ -227,6 +235,8 @@
 	isRejected atomic.Bool
 	// isDraining is true once the write side was closed; see CloseWrite.
 	isDraining atomic.Bool
+	// isClosed is true once the server has called Close.
+	isClosed atomic.Bool
 	// isBusy is true from the first byte of a request to the end of its response.
 	isBusy     atomic.Bool
 	acceptedAt time.Time
