http1: let the reader of an unused connection decide to close it

What callers saw: at the end of a shutdown's notice time, a request that the host had read ended with a closed connection. It had been passed on to a replica.

Cause: Shutdown looked at a flag that the reader of the connection sets after read(2) has returned, and then closed the connection. Between the two, the reader could return with a request. SetKeepAlivesEnabled(false) of net/http, called just before, closes idle connections in the same way. On a busy host many connections become readable at the instant at which the notice timer fires, so the window is hit often.

Shutdown now only retires a connection: under a lock it marks it and ends the reader's wait. The reader reads once more and closes the connection only if no byte has arrived; no other goroutine closes an unused connection. The same last read is made at the idle timeout, whose deadline can pass without a look at the socket. A connection stays open for 250 ms after a response that did not announce its end, as it did after it was accepted.

--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -10,11 +10,11 @@
 	"crypto/tls"
 	"errors"
 	"log"
+	"maps"
 	"net"
 	"net/http"
-	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -91,6 +91,12 @@
 	if cn, ok := r.Context().Value(connKey{}).(*conn); ok {
 		cn.isHandled.Store(true)
 	}
+	s.mu.Lock()
+	isClosing := s.isClosing
+	s.mu.Unlock()
+	if isClosing {
+		w.Header().Set("Connection", "close")
+	}
 	s.config.Handler.ServeHTTP(w, r)
 }
 
@@ -138,10 +144,14 @@
 }
 
 const (
-	// newConnectionGrace is the minimum age of a connection without a request before
-	// a shutdown closes it. Callers send a request right after they connect.
-	newConnectionGrace   = 250 * time.Millisecond
-	shutdownPollInterval = 5 * time.Millisecond
+	// unusedConnectionGrace is the minimum time without a request before a shutdown
+	// closes a connection. Callers send a request right after they connect, and often
+	// right after a response.
+	unusedConnectionGrace = 250 * time.Millisecond
+	shutdownPollInterval  = 5 * time.Millisecond
+	// retireTimeout is how long Shutdown waits, after its context has ended, for the
+	// connections without a request to close.
+	retireTimeout = 4 * shutdownPollInterval
 )
 
 // Shutdown stops accepting connections and waits for running requests until ctx is
@@ -155,39 +165,42 @@
 	}
 	s.mu.Unlock()
 	s.acceptLoops.Wait()
-	s.httpServer.SetKeepAlivesEnabled(false)
+	if err := s.retireConns(ctx); err != nil {
+		return err
+	}
+	if err := s.httpServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// retireConns retires connections until none is left. If ctx ends first, it retires all
+// connections without a request regardless of their age and returns the error of ctx.
+func (s *Server) retireConns(ctx context.Context) error {
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for !s.closeUnusedConns(time.Now()) {
+	for s.retireUnused(time.Now().Add(-unusedConnectionGrace)) > 0 {
 		select {
 		case <-ctx.Done():
+			s.retireUnused(time.Now())
+			time.Sleep(retireTimeout)
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
-	if err := s.httpServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
-		return err
-	}
 	return nil
 }
 
-// closeUnusedConns closes the connections without a request that are older than
-// newConnectionGrace, and reports whether no tracked connection is left.
-func (s *Server) closeUnusedConns(now time.Time) bool {
+// retireUnused retires the connections that have had no request since the given time, and
+// returns the number of connections that are still open.
+func (s *Server) retireUnused(since time.Time) int {
 	s.mu.Lock()
-	var unused []*conn
-	for c := range s.conns {
-		if !c.isBusy.Load() && now.Sub(c.acceptedAt) > newConnectionGrace {
-			unused = append(unused, c)
-		}
-	}
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
-	for _, c := range unused {
-		_ = c.Close()
+	for _, c := range conns {
+		c.retireIfUnused(since)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns) == 0
+	return len(conns)
 }
 
 func (s *Server) track(c *conn, isOpen bool) {
@@ -215,105 +228,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: n, server: l.server, acceptedAt: time.Now()}
+	c := &conn{Conn: n, server: l.server, unusedSince: time.Now()}
 	c.awaitsHeader.Store(true)
 	l.server.track(c, true)
 	return c, nil
 }
-
-// conn inspects the bytes of a request before net/http passes the request to the
-// handler. net/http uses the fields that are not atomic from one goroutine at a time.
-// Other goroutines access only the atomic fields and acceptedAt, which does not change.
-type conn struct {
-	net.Conn
-	server *Server
-	// awaitsHeader is true until the header of the next request is complete.
-	awaitsHeader atomic.Bool
-	// isHandled is true from the call of the handler until the connection is idle.
-	isHandled atomic.Bool
-	// isRejected is true once a rejection was reported or sent.
-	isRejected atomic.Bool
-	// isDraining is true once the write side was closed; see CloseWrite.
-	isDraining atomic.Bool
-	// isClosed is true once the server has called Close.
-	isClosed atomic.Bool
-	// isBusy is true from the first byte of a request to the end of its response.
-	isBusy     atomic.Bool
-	acceptedAt time.Time
-	// receivedBytes counts the bytes of the awaited request, and methodBytes those of
-	// its method.
-	receivedBytes    int
-	methodBytes      int
-	isMethodComplete bool
-	// endsHeader is true if the bytes read last end with an empty line, the end of a
-	// header.
-	endsHeader bool
-	// mayStartInside is true if the first bytes of the awaited request may have been read
-	// together with the previous request.
-	mayStartInside bool
-	// headerDeadline is the time by which the header must be complete.
-	headerDeadline time.Time
-}
-
-// updateState is called when net/http changes the state of the connection. The state
-// becomes active when a header, even an invalid one, has been read.
-func (c *conn) updateState(state http.ConnState) {
-	switch state {
-	case http.StateActive:
-		c.awaitsHeader.Store(false)
-		c.isBusy.Store(true) // its bytes may have been read together with the previous request
-	case http.StateIdle:
-		c.isHandled.Store(false)
-		c.receivedBytes, c.methodBytes, c.isMethodComplete = 0, 0, false
-		c.mayStartInside = !c.endsHeader
-		c.headerDeadline = time.Time{}
-		c.awaitsHeader.Store(true)
-		c.isBusy.Store(false)
-	}
-}
-
-// Read rejects bytes that cannot be part of a request, and headers that are not
-// complete in time.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.endsHeader = endsWithEmptyLine(p[:n])
-	}
-	if !c.awaitsHeader.Load() {
-		return n, err
-	}
-	if n > 0 {
-		if c.receivedBytes == 0 {
-			c.isBusy.Store(true)
-			c.headerDeadline = time.Now().Add(c.server.config.Timeouts().Header)
-			_ = c.Conn.SetReadDeadline(c.headerDeadline) // fails only for a closed connection, whose next read fails too
-		}
-		c.receivedBytes += n
-		if !c.mayBeRequest(p[:n]) {
-			return 0, c.reject(http.StatusBadRequest)
-		}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.receivedBytes > 0 {
-		return 0, c.reject(http.StatusRequestTimeout)
-	}
-	return n, err
-}
-
-// SetReadDeadline applies the current timeouts instead of the given deadline while a
-// request is awaited. A zero deadline still removes the deadline.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	if c.awaitsHeader.Load() && !t.IsZero() {
-		if t = c.headerDeadline; t.IsZero() {
-			t = time.Now().Add(c.server.config.Timeouts().Idle)
-		}
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// Write reports responses that net/http sends without calling the handler.
-func (c *conn) Write(p []byte) (int, error) {
-	if !c.isHandled.Load() && c.isRejected.CompareAndSwap(false, true) {
-		c.server.config.OnReject(Rejection{CallerAddress: c.RemoteAddr().String(), Status: parseStatus(p)})
-	}
-	return c.Conn.Write(p)
-}
--- a/service/http1/server_test.go
+++ b/service/http1/server_test.go
@@ -26,6 +26,15 @@
 }
 
 func startServer(t *testing.T) *testServer {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startServerOn(t, l)
+}
+
+func startServerOn(t *testing.T, l net.Listener) *testServer {
 	t.Helper()
 	s := &testServer{t: t}
 	s.timeouts.Store(&Timeouts{Header: 300 * time.Millisecond, Idle: 900 * time.Millisecond})
@@ -43,10 +52,6 @@
 			s.rejected = append(s.rejected, r.Status)
 		},
 	})
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	s.address, s.server = l.Addr().String(), server
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(l) }()
@@ -200,7 +205,7 @@
 	// together with the previous request, so that no read marked it as busy.
 	s := startServer(t)
 	c := s.dial()
-	time.Sleep(2 * newConnectionGrace)
+	time.Sleep(2 * unusedConnectionGrace)
 	c.send(getRequest("/1") + getRequest("/slow"))
 	c.expectResponse(200, "/1")
 	time.Sleep(200 * time.Millisecond) // a connection between two requests may be closed
