caller: take late streams at a draining host by their longest output

Cause: between DrainAcceptTime and the end, requests were accepted if twice their length hint would finish in time. The hint is accurate only at the median. With connections that stay open for 250 ms after a response, more requests arrive after the notice time.

After the notice time, when the load balancer sends new connections to other hosts, only requests are accepted that finish in time with their maximum output; others are refused at once as not run and may go to another host after 50 ms.

--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -98,7 +98,7 @@
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "the route's service is not configured").WithRetryAfter(time.Second)
 	}
-	if since, draining := q.server.timeSinceDrain(); draining && since > q.server.config.DrainAcceptTime && since+q.estimateDuration() > q.server.config.DrainDeadline {
+	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since) {
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body)
@@ -139,15 +139,35 @@
 	tokenTimeFactor = 1.6
 )
 
+// fitsIntoDrain reports whether a request that arrives the given time after the start of
+// draining is to be accepted. After the notice time the load balancer sends new connections
+// to other hosts, so that only requests are accepted that finish in time whatever the
+// length of their output.
+func (q *request) fitsIntoDrain(since time.Duration) bool {
+	c := q.server.config
+	switch {
+	case since <= c.DrainAcceptTime:
+		return true
+	case since <= c.DrainNotice:
+		return since+q.estimateDuration() <= c.DrainDeadline
+	}
+	return since+q.durationFor(q.headers.MaxOutputTokens) <= c.DrainDeadline
+}
+
 // estimateDuration estimates how long the request takes until its response is complete.
 func (q *request) estimateDuration() time.Duration {
+	if q.headers.OutputTokensHint > 0 {
+		return q.durationFor(outputHintFactor * q.headers.OutputTokensHint)
+	}
+	return q.durationFor(q.headers.MaxOutputTokens)
+}
+
+// durationFor returns how long the request takes if its output has the given length. The
+// length matters only for streams.
+func (q *request) durationFor(tokens int) time.Duration {
 	if q.route.Repeat != catalog.RepeatStream || q.service.Engine == nil {
 		return q.route.Objective
 	}
-	tokens := q.headers.MaxOutputTokens
-	if q.headers.OutputTokensHint > 0 {
-		tokens = outputHintFactor * q.headers.OutputTokensHint
-	}
 	return q.route.Objective + time.Duration(tokenTimeFactor*float64(tokens)*float64(q.service.Engine.StepTime))
 }
 
--- a/edge/caller/request_test.go
+++ b/edge/caller/request_test.go
@@ -34,6 +34,34 @@
 	}
 }
 
+// Guards against a draining host that takes a stream late on the strength of its hint, which
+// is accurate only at the median, and cuts it off at the end of the shutdown time.
+func TestRequestsAcceptedWhileDraining(t *testing.T) {
+	s := &Server{config: Config{DrainAcceptTime: 2 * time.Second, DrainNotice: 2500 * time.Millisecond, DrainDeadline: 7200 * time.Millisecond}}
+	service := &catalog.Service{Engine: &catalog.Engine{StepTime: time.Millisecond}}
+	stream := &catalog.Route{Repeat: catalog.RepeatStream, Objective: 300 * time.Millisecond}
+	call := &catalog.Route{Repeat: catalog.RepeatNever, Objective: 150 * time.Millisecond}
+	hinted := platform.CallerHeaders{MaxOutputTokens: 4000, OutputTokensHint: 500}
+	for name, test := range map[string]struct {
+		route   *catalog.Route
+		headers platform.CallerHeaders
+		since   time.Duration
+		want    bool
+	}{
+		"any length at first":               {stream, platform.CallerHeaders{MaxOutputTokens: 8000}, 2 * time.Second, true},
+		"by its hint before the notice":     {stream, hinted, 2400 * time.Millisecond, true},
+		"by its hint after the notice":      {stream, hinted, 3100 * time.Millisecond, false},
+		"short at most after the notice":    {stream, platform.CallerHeaders{MaxOutputTokens: 1000, OutputTokensHint: 500}, 3100 * time.Millisecond, true},
+		"plain call after the notice":       {call, platform.CallerHeaders{}, 7 * time.Second, true},
+		"plain call shortly before the end": {call, platform.CallerHeaders{}, 7100 * time.Millisecond, false},
+	} {
+		q := &request{server: s, route: test.route, service: service, headers: test.headers}
+		if got := q.fitsIntoDrain(test.since); got != test.want {
+			t.Errorf("%s: accepted %t, want %t", name, got, test.want)
+		}
+	}
+}
+
 func TestStatusCode(t *testing.T) {
 	// Guards against a wrong status: 503 guarantees that a request has not run and never will.
 	for name, test := range map[string]struct {
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -35,8 +35,10 @@
 	Timeouts       http1.Timeouts
 	// DrainAcceptTime is how long all requests are still accepted after draining has
 	// started. Later ones are accepted only if they are expected to finish before
-	// DrainDeadline, which is also counted from the start of draining.
+	// DrainDeadline, and after DrainNotice only if they are certain to. All three are
+	// counted from the start of draining.
 	DrainAcceptTime time.Duration
+	DrainNotice     time.Duration
 	DrainDeadline   time.Duration
 	Scope           tally.Scope
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -122,7 +122,7 @@
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
 		MaxAnswerBytes: s.Callers.MaxAnswerBytes, BodyTimeout: s.Callers.BodyTimeout,
 		Timeouts:        http1.Timeouts{Header: s.Callers.HeaderTimeout, Idle: s.Callers.IdleTimeout},
-		DrainAcceptTime: drainAcceptTime, DrainDeadline: s.Bounds.Shutdown - 2*shutdownMargin, Scope: d.metrics.Scope,
+		DrainAcceptTime: drainAcceptTime, DrainNotice: s.Bounds.Notice, DrainDeadline: s.Bounds.Shutdown - 2*shutdownMargin, Scope: d.metrics.Scope,
 	})
 	d.server.SetMaxProofAge(s.Bounds.KeyAge)
 	return d, nil
