edge: keep connections in use through restarts in the soak

The soak's callers changed connections after a few calls, so that they hardly ever sent a request on an idle connection at the end of a shutdown's notice time. Four callers for each host now stay on their connection until the host closes it, with pauses of up to 400 ms.

--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -37,10 +37,12 @@
 }
 
 const (
-	soakHosts         = 3
-	soakWorkers       = 8
-	soakEvents        = 12
-	soakEventInterval = 2 * time.Millisecond
+	soakHosts   = 3
+	soakWorkers = 8
+	// soakKeptConnections is the number of connections to each host that stay in use.
+	soakKeptConnections = 4
+	soakEvents          = 12
+	soakEventInterval   = 2 * time.Millisecond
 	// soakRouteTimeout is the timeout of all routes.
 	soakRouteTimeout = 3 * time.Second
 	// faultPhaseLength and plannedPhaseLength are the lengths of the phases. recoveryTime
@@ -107,6 +109,10 @@
 		random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		workers.Go(func() { s.sendCalls(ctx, random) })
 	}
+	for i := range soakHosts * soakKeptConnections {
+		random := rand.New(rand.NewPCG(seed, uint64(200+i)))
+		workers.Go(func() { s.sendOnKeptConnection(ctx, i%soakHosts, random) })
+	}
 	workers.Go(func() { s.balance(ctx) })
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		s.runPhase(faultPhaseLength, s.injectFault)
@@ -259,6 +265,19 @@
 	}
 }
 
+// sendOnKeptConnection sends calls to one host on a connection that is kept until the host
+// closes it, whether the host is leaving or not.
+func (s *soak) sendOnKeptConnection(ctx context.Context, hostIndex int, random *rand.Rand) {
+	client := platform.NewClient()
+	defer client.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		c := soakCall(random)
+		c.Body = fmt.Sprintf("%d-kept-%d", random.Uint64(), n)
+		s.send(client, hostIndex, c, random)
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+}
+
 // revokedKey is revoked and allowed again; platform.SampleAPIKey is always valid.
 const revokedKey = "key-2"
 
