replica: don't close connections when the context of a dial ends

When a connection to a replica could not be opened in time, all requests of this host at that replica were cut off, although only the time limit of the request that opened it had passed. Callers saw 502 or a stream that moved to another replica, and the replica was taken out of use.

The pool closes all connections to an address if a dial fails before its context has ended. Probe did not look at its context.

--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -67,8 +67,7 @@
 // and it is then unknown whether a request sent on it has run.
 const maxIdleAtMostOnce = 300 * time.Millisecond
 
-// acquire returns a reusable idle connection or opens a new one. If opening fails before
-// the context ends, it closes all other connections to the address.
+// acquire returns a reusable idle connection or opens a new one.
 func (p *Pool) acquire(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
 	for {
 		c := p.takeIdle(address, atMostOnce)
@@ -82,11 +81,8 @@
 		}
 		c.Close()
 	}
-	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	n, err := p.dial(ctx, address)
 	if err != nil {
-		if ctx.Err() == nil {
-			p.closeAll(address)
-		}
 		return nil, err
 	}
 	budget := &budgetReader{source: n}
@@ -113,31 +109,6 @@
 	}
 }
 
-// closeAll closes all connections to an address that accepts no new ones, so that the
-// requests on them fail at once instead of each running into a timeout.
-func (p *Pool) closeAll(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.active[address] {
-		c.Close()
-	}
-	for _, c := range p.idle[address] {
-		c.Close()
-	}
-	delete(p.idle, address)
-}
-
-// Probe opens a connection to an address. If that fails, it closes all other connections
-// to the address.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	n, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		p.closeAll(address)
-		return err
-	}
-	return n.Close()
-}
-
 // takeIdle removes the most recently used idle connection from the pool and returns it, or
 // nil. It closes connections that have been idle for too long.
 func (p *Pool) takeIdle(address string, atMostOnce bool) *conn {
