replica: don't close connections when a dial fails on this host

A host without free file descriptors or local ports cut off all its requests at a replica as soon as it tried to open another connection to it. The pool took any failed dial for a sign that the replica is gone.

EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL say nothing about the replica, so these errors no longer close connections.

--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"slices"
+	"syscall"
 )
 
 // Probe opens a connection to an address and closes it. If that fails, it closes other
@@ -27,12 +30,19 @@
 	stop := context.AfterFunc(ctx, cancel)
 	n, err := p.dialer.DialContext(dialCtx, "tcp", address)
 	ctxEnded := !stop()
-	if err != nil && !ctxEnded {
+	if err != nil && !ctxEnded && !isLocalError(err) {
 		p.closeAll(address)
 	}
 	return n, err
 }
 
+// localErrors are errors of a dial that are caused by a shortage on this host.
+var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+func isLocalError(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
 // closeAll closes all connections to an address.
 func (p *Pool) closeAll(address string) {
 	p.mu.Lock()
--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,6 +97,9 @@
 		"silent replica, probe":      {0, probeOnce, true},
 		"time limit of the request":  {0, acquireBeforeLateDeadline, false},
 		"end of the probe's context": {0, probeCancelled, false},
+		"no descriptors":             {0, withControlError(syscall.EMFILE, acquireOnce), false},
+		"no local port":              {0, withForeignSource(acquireOnce), false},
+		"no descriptors, probe":      {0, withControlError(syscall.EMFILE, probeOnce), false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -150,3 +154,19 @@
 	_, err := p.acquire(lateContext{ctx, time.Now().Add(20 * time.Millisecond)}, address, false)
 	return err
 }
+
+// withControlError makes the next dial fail as if a system call had returned the error.
+func withControlError(err error, next func(*Pool, string) error) func(*Pool, string) error {
+	return func(p *Pool, address string) error {
+		p.dialer.Control = func(string, string, syscall.RawConn) error { return os.NewSyscallError("socket", err) }
+		return next(p, address)
+	}
+}
+
+// withForeignSource makes the next dial fail with EADDRNOTAVAIL.
+func withForeignSource(next func(*Pool, string) error) func(*Pool, string) error {
+	return func(p *Pool, address string) error {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: net.IPv4(192, 0, 2, 1)}
+		return next(p, address)
+	}
+}
