replica: keep connections that receive data when a dial fails

A replica whose queue of new connections is full, or whose link loses one SYN, accepts no connection within connect_timeout (0.3 s; the kernel sends a SYN again after 1 s). The pool then closed all connections to its address and so cut off up to all streams that the replica was sending to this host, and also those on connections that were opened during the dial.

A connection on which data has arrived since the dial started works, so it stays open, and so does one opened or reused since then. If the replica fails right after that, the next probe (every 0.3 s) closes it. Silent connections are closed as before; two subtests check that.

--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -20,8 +20,10 @@
 
 // dial opens a connection. If the address does not accept it, dial closes the other
 // connections to the address, so that the requests on them fail at once instead of each
-// running into a timeout.
+// running into a timeout. It keeps those that have been opened, reused or received data
+// since the dial started.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	before := p.receivedBytes(address)
 	// The dialer applies a deadline of the context directly to the connection and may fail
 	// before the context ends. So it gets a context without one, and whether the context
 	// has ended is known for certain.
@@ -31,7 +33,7 @@
 	n, err := p.dialer.DialContext(dialCtx, "tcp", address)
 	ctxEnded := !stop()
 	if err != nil && !ctxEnded && !isLocalError(err) {
-		p.closeAll(address)
+		p.closeSilent(address, before)
 	}
 	return n, err
 }
@@ -43,12 +45,27 @@
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
 
-// closeAll closes all connections to an address.
-func (p *Pool) closeAll(address string) {
+// receivedBytes returns the number of bytes received on each connection to an address with
+// a request in progress.
+func (p *Pool) receivedBytes(address string) map[*conn]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	received := make(map[*conn]int64, len(p.active[address]))
 	for c := range p.active[address] {
-		c.Close()
+		received[c] = c.budget.total.Load()
+	}
+	return received
+}
+
+// closeSilent closes the idle connections to an address, and those with a request in
+// progress that have received nothing since receivedBytes returned before.
+func (p *Pool) closeSilent(address string, before map[*conn]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.active[address] {
+		if received, ok := before[c]; ok && received == c.budget.total.Load() {
+			c.Close()
+		}
 	}
 	for _, c := range p.idle[address] {
 		c.Close()
--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -95,6 +95,8 @@
 	}{
 		"silent replica":             {0, acquireOnce, true},
 		"silent replica, probe":      {0, probeOnce, true},
+		"replica that sends":         {(events + 2) * interval, acquireOnce, false},
+		"replica that sends, probe":  {(events + 2) * interval, probeOnce, false},
 		"time limit of the request":  {0, acquireBeforeLateDeadline, false},
 		"end of the probe's context": {0, probeCancelled, false},
 		"no descriptors":             {0, withControlError(syscall.EMFILE, acquireOnce), false},
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -82,7 +82,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Headers: resp.Header, Info: platform.ParseResponseHeaders(resp.StatusCode, resp.Header),
-		Length: resp.ContentLength, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total,
+		Length: resp.ContentLength, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total.Load(),
 	}, nil
 }
 
@@ -149,7 +149,7 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.resp.Body.Read(b)
 	r.bodyBytes += int64(n)
-	if r.conn.budget.total-r.headEnd > maxWireFactor*r.bodyBytes+maxWireOverhead {
+	if r.conn.budget.total.Load()-r.headEnd > maxWireFactor*r.bodyBytes+maxWireOverhead {
 		return n, errChunkOverhead
 	}
 	if errors.Is(err, io.EOF) {
--- a/edge/replica/head.go
+++ b/edge/replica/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,13 +26,13 @@
 	isLimited bool
 	remaining int
 	// total counts all bytes read.
-	total int64
+	total atomic.Int64
 }
 
 func (r *budgetReader) Read(p []byte) (int, error) {
 	if !r.isLimited {
 		n, err := r.source.Read(p)
-		r.total += int64(n)
+		r.total.Add(int64(n))
 		return n, err
 	}
 	if r.remaining <= 0 {
@@ -39,7 +40,7 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
-	r.total += int64(n)
+	r.total.Add(int64(n))
 	return n, err
 }
 
