rungroup: catch signals before the tasks start

A SIGTERM right after the start of a program killed it instead of draining it, although it might already serve a request: the signals were caught by the last task of the group, whereas the listeners are started before it. In the sidecar, the listeners are open even earlier.

AddSignalHandler now catches the signals itself. The new test sends SIGTERM between AddSignalHandler and Run.

--- a/service/rungroup/rungroup.go
+++ b/service/rungroup/rungroup.go
@@ -29,11 +29,13 @@
 }
 
 // AddSignalHandler adds a task that calls drain on SIGINT or SIGTERM and stops the
-// group after drain has returned. A second signal cancels the context of drain.
+// group after drain has returned. A second signal cancels the context of drain. The
+// signals are caught from this call on, before any task of the group runs, and Run must
+// follow.
 func (g *Group) AddSignalHandler(drain func(ctx context.Context)) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	g.Add("signals", func(ctx context.Context) error {
-		signals := make(chan os.Signal, 2)
-		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 		defer signal.Stop(signals)
 		select {
 		case <-ctx.Done():
--- a/service/rungroup/rungroup_test.go
+++ b/service/rungroup/rungroup_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -23,3 +25,17 @@
 	}
 	<-stopped
 }
+
+// Guards against a process that is killed by a signal because its listeners already accept
+// connections while the task that handles signals has not started yet.
+func TestSignalBeforeTasksStart(t *testing.T) {
+	var g Group
+	drained := false
+	g.AddSignalHandler(func(context.Context) { drained = true })
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Run(); err != nil || !drained {
+		t.Errorf("Run() = %v, drained: %t; want a drain", err, drained)
+	}
+}
