sidecar: let gateways read the end of responses before stopping

After SIGTERM, a sidecar stopped 1 s after the engine had ended its last response, even if the gateway had not read all of it, as when its caller reads slowly. Up to 64 KiB that wait in the sidecar and the Final event were lost, and the caller's response broke off.

A gateway's control stream has no end, so the graceful stop of the server never ended and always took the full second. drain now ends the control streams and waits for the rest as long as for running streams.

--- a/sidecar/grpcserver/control.go
+++ b/sidecar/grpcserver/control.go
@@ -18,10 +18,13 @@
 )
 
 // Control receives this endpoint's configuration slice and crash suspects from a
-// gateway, and sends the gateway reports of the endpoint's state.
+// gateway, and sends the gateway reports of the endpoint's state. It ends with the
+// gateway's side of the stream or at EndControlStreams.
 func (s *Server) Control(stream peerpb.Sidecar_ControlServer) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	stop := context.AfterFunc(s.controlCtx, cancel)
+	defer stop()
 	go func() {
 		defer cancel()
 		s.receiveControl(stream)
--- a/sidecar/grpcserver/server.go
+++ b/sidecar/grpcserver/server.go
@@ -3,6 +3,8 @@
 package grpcserver
 
 import (
+	"context"
+
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
 	"siskinstand.example/service/burnrate"
@@ -31,10 +33,20 @@
 	config       Config
 	burnRecorder *burnrate.Recorder
 	gateways     gatewayRegistry
+	// controlCtx is the context of all control streams.
+	controlCtx        context.Context
+	endControlStreams context.CancelFunc
 }
 
 // New returns a server.
-func New(c Config) *Server { return &Server{config: c, burnRecorder: burnrate.New(burnrate.Config{})} }
+func New(c Config) *Server {
+	s := &Server{config: c, burnRecorder: burnrate.New(burnrate.Config{})}
+	s.controlCtx, s.endControlStreams = context.WithCancel(context.Background())
+	return s
+}
+
+// EndControlStreams ends the control streams of all gateways, including future ones.
+func (s *Server) EndControlStreams() { s.endControlStreams() }
 
 func (s *Server) sender() *peerpb.Sender {
 	return &peerpb.Sender{
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -37,9 +37,6 @@
 	// minClientPingInterval is the shortest interval at which gateways may ping
 	// the connection.
 	minClientPingInterval = time.Second
-	// gracefulStopTimeout bounds the wait for control streams to end after the
-	// drain.
-	gracefulStopTimeout = time.Second
 )
 
 // identity identifies this process in every message that it sends.
@@ -80,7 +77,7 @@
 			return peers.RequestLoadPermit(ctx, address, s.Endpoint.Name, model)
 		}},
 	})
-	return serve(s, components{loop: loop, server: newServer(s, m, keys, rpcService), modelLoader: loader, keys: keys, metrics: m})
+	return serve(s, components{loop: loop, server: newServer(s, m, keys, rpcService), endControlStreams: rpcService.EndControlStreams, modelLoader: loader, keys: keys, metrics: m})
 }
 
 func newInvariants(endpoint string, m *metrics.Metrics) *invariant.Registry {
@@ -92,11 +89,13 @@
 
 // components are the long-running parts of a sidecar.
 type components struct {
-	loop        *control.Loop
-	server      *grpc.Server
-	modelLoader *modelload.Loader
-	keys        tlsKeys
-	metrics     *metrics.Metrics
+	loop   *control.Loop
+	server *grpc.Server
+	// endControlStreams ends the control streams of all gateways.
+	endControlStreams func()
+	modelLoader       *modelload.Loader
+	keys              tlsKeys
+	metrics           *metrics.Metrics
 }
 
 func serve(s config.Settings, c components) error {
@@ -122,34 +121,35 @@
 	group.Add("admin", func(ctx context.Context) error {
 		return admin.Serve(ctx, adminListener, admin.NewHandler(c.loop, c.metrics.Handler))
 	})
-	group.AddSignalHandler(func(ctx context.Context) { drain(ctx, s.Shutdown.DrainTimeout, c.loop, c.server) })
+	group.AddSignalHandler(func(ctx context.Context) { drain(ctx, s.Shutdown.DrainTimeout, c) })
 	err = group.Run()
 	klog.Flush()
 	return err
 }
 
-// drain waits until all attempts have ended and then stops the server, for which
-// it waits up to gracefulStopTimeout. It returns early when the timeout has passed
-// or the context has ended.
-func drain(ctx context.Context, timeout time.Duration, loop *control.Loop, server *grpc.Server) {
+// drain waits until all attempts have ended and the gateways have read all responses. It
+// returns early when the timeout has passed or the context has ended.
+func drain(ctx context.Context, timeout time.Duration, c components) {
 	klog.InfoS("draining streams before shutdown")
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	select {
-	case <-loop.Drain():
+	case <-c.loop.Drain():
 	case <-ctx.Done():
 		klog.ErrorS(ctx.Err(), "drain ended before all streams had finished; closing the remaining streams")
 		return
 	}
 	stopped := make(chan struct{})
 	go func() {
-		server.GracefulStop()
+		c.server.GracefulStop()
 		close(stopped)
 	}()
+	// Control streams have no end of their own, and the graceful stop waits for them too.
+	c.endControlStreams()
 	select {
 	case <-stopped:
-	case <-time.After(gracefulStopTimeout):
 	case <-ctx.Done():
+		klog.ErrorS(ctx.Err(), "drain ended before all responses had been read; closing the remaining streams")
 	}
 }
 
