--- a/gateway/httpapi/fuzz_test.go
+++ b/gateway/httpapi/fuzz_test.go
@@ -35,6 +35,12 @@
 }
 
 func newTestServer(t testing.TB) *Server {
+	t.Helper()
+	return newTestServerWith(t, func(*Config) {})
+}
+
+// newTestServerWith returns a server whose configuration was changed by prepare.
+func newTestServerWith(t testing.TB, prepare func(*Config)) *Server {
 	t.Helper()
 	hash := tables.HashToken("secret")
 	routes := "[account a]\ntoken_sha256 = " + hex.EncodeToString(hash[:]) + "\n[route m]\naccounts = a\nmodel = m1\npool = p\n[route s]\naccounts = a\nservice = s1\npool = q\n"
@@ -44,13 +50,15 @@
 		t.Fatal(err)
 	}
 	view := &control.View{Configured: true, Config: tables.Snapshot{Revision: 1, Tables: parsed}}
-	return New(Config{
+	c := Config{
 		Limits: config.Callers{
 			MaxRequests: 10, MaxBodyBytes: 1 << 16, BodyMemoryBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
 			DefaultOutputTokens: 10, MaxOutputTokens: 100, WriteTimeout: 1e9, BodyTimeout: 1e9,
 		},
 		View: func() *control.View { return view }, Dispatcher: echoDispatcher{}, Scope: tally.NoopScope,
-	})
+	}
+	prepare(&c)
+	return New(c)
 }
 
 // Guards against input that crashes a handler, produces an invalid JSON response,
