gateway: store the results of calls before stopping

A caller whose call had run and who sent it again with the same Idempotency-Key got may_have_run instead of the recorded result, if the gateway had been stopped right after the call; and after a call that had not run, the key stayed claimed until the claim expired.

The update of a claim goes on in the background for up to 3 s when the deadline of the request passes or its caller leaves. A shutdown waited for the requests only, and then stopped the claim log.

Drain now waits for these updates too, within the shutdown limit. The new test stores a result in 1.5 s for a call with a deadline of 0.3 s.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -46,6 +46,7 @@
 	deps           Dependencies
 	connections    *sidecar.ConnectionPool
 	loop           *control.Loop
+	dispatcher     *dispatch.Dispatcher
 	callerServer   *httpapi.Server
 	callerListener net.Listener
 	adminListener  net.Listener
@@ -79,7 +80,7 @@
 		Invariants: d.Invariants, Suspects: d.Suspects,
 	})
 	d.Base.loop.Store(d.loop)
-	dispatcher := dispatch.New(dispatch.Config{
+	d.dispatcher = dispatch.New(dispatch.Config{
 		ProcessID: s.Process.ID, Control: d.loop, Client: client, Claims: d.deps.Claims, Suspects: d.Suspects,
 		Invariants: d.Invariants, Scope: d.Metrics.Scope, Objectives: d.Burn,
 		Routing:     routing.Policy{PrefixShare: s.Routing.PrefixShare, DefaultRate: s.Routing.DefaultRate, IncludeOwnPrefill: true},
@@ -88,7 +89,7 @@
 		RetryAfter: s.Retry.RetryAfter, GroupShare: s.Routing.GroupShare,
 	})
 	d.callerServer = httpapi.New(httpapi.Config{
-		Limits: s.Callers, TLS: d.TLSKeys.callerTLS(), View: d.loop.View, Dispatcher: dispatcher,
+		Limits: s.Callers, TLS: d.TLSKeys.callerTLS(), View: d.loop.View, Dispatcher: d.dispatcher,
 		Invariants: d.Invariants, Scope: d.Metrics.Scope,
 	})
 }
@@ -134,13 +135,14 @@
 	}
 }
 
-// Drain refuses new requests and waits for the running ones, up to the shutdown
-// limit.
+// Drain refuses new requests and waits for the running ones and the updates of their
+// claims, up to the shutdown limit.
 func (d *Daemon) Drain(ctx context.Context) {
 	klog.InfoS("gateway shutting down", "process", d.Settings.Process.ID)
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Shutdown.Timeout)
 	defer cancel()
 	d.callerServer.Shutdown(ctx, d.Settings.Shutdown.Notice)
+	d.dispatcher.AwaitClaimUpdates(ctx)
 }
 
 // NotReadyReason returns the reason why the gateway is not ready, or an empty
--- a/gateway/daemon/daemon_test.go
+++ b/gateway/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -89,6 +90,9 @@
 
 // memClaimLog is an in-memory claim.Registry.
 type memClaimLog struct {
+	// completeDelay is how long Complete takes.
+	completeDelay time.Duration
+
 	mu      sync.Mutex
 	records map[claim.Key]claim.Record
 }
@@ -111,6 +115,7 @@
 }
 
 func (c *memClaimLog) Complete(_ context.Context, k claim.Key, _ string, result claim.Result) error {
+	time.Sleep(c.completeDelay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.records[k]
--- a/gateway/daemon/failure_test.go
+++ b/gateway/daemon/failure_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/coord/claim"
 	"siskinstand.example/coord/invariant"
 	pb "siskinstand.example/peerpb"
 )
@@ -350,3 +351,21 @@
 	}
 	f.violations = 1
 }
+
+// Guards against a gateway that stops before the result of a call is stored with its claim. A
+// caller that sends the call again would get may_have_run.
+func TestShutdownStoresResults(t *testing.T) {
+	f := startGateway(t, "", startSidecar(t, "e1", respondWith("{}"), nil))
+	f.claims.completeDelay = 1500 * time.Millisecond
+	if status, body, _ := f.call("POST", "/services/book/x", "{}", map[string]string{"Idempotency-Key": "k1", "Siskin-Deadline-Ms": "300"}); status != http.StatusOK {
+		t.Fatalf("response %d %s, want 200", status, body)
+	}
+	f.stop()
+	f.claims.mu.Lock()
+	defer f.claims.mu.Unlock()
+	for _, r := range f.claims.records {
+		if r.State != claim.StateDone {
+			t.Errorf("claim in state %v after the shutdown, want its result", r.State)
+		}
+	}
+}
--- a/gateway/dispatch/claimed.go
+++ b/gateway/dispatch/claimed.go
@@ -60,10 +60,27 @@
 func (d *Dispatcher) updateClaim(ctx context.Context, r *Request, write func(context.Context) error) {
 	updateCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimUpdateTimeout)
 	done := make(chan struct{})
-	go func() {
+	d.claimUpdates.Go(func() {
 		defer close(done)
 		defer cancel()
 		d.logClaimError(r, write(updateCtx))
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// AwaitClaimUpdates waits until the claim updates of all ended requests have ended or ctx
+// is done. While ctx is not done, no request may be running.
+func (d *Dispatcher) AwaitClaimUpdates(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.claimUpdates.Wait()
 	}()
 	select {
 	case <-done:
--- a/gateway/dispatch/dispatcher.go
+++ b/gateway/dispatch/dispatcher.go
@@ -20,6 +20,10 @@
 type Dispatcher struct {
 	config  Config
 	metrics *metrics
+	// claimUpdates counts the claim updates in progress, some of which outlast their
+	// request.
+	claimUpdates sync.WaitGroup
+
 	mu      sync.Mutex
 	budgets map[string]retry.Budget
 }
