engine: don't reuse connections that the engine is about to close

A call that a sidecar sent in the moment at which its engine closed the connection as idle failed with may_have_run; callers of calls that must not run twice got 502. The sidecar reused connections that had been idle for up to 60 s, but HTTP servers usually close them after 2 s (gunicorn) or 5 s (uvicorn, Node.js).

Connections are now reused for 1.5 s at most, which is longer than the interval between two probes. The client closes an idle connection under the lock under which it hands connections out, so it can't do that to one in use.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -4,9 +4,23 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
+
+	"siskinstand.example/adapters/internal/httpjson"
 )
 
+// maxIdleTime is how long a connection may have been idle to be reused. HTTP servers
+// usually close idle connections after 2 s or more, and it is unknown whether a call
+// that is sent meanwhile has run. New connections cost little on the same host.
+const maxIdleTime = 1500 * time.Millisecond
+
+func newTransport(l Limits) *http.Transport {
+	t := httpjson.NewTransport(l.DialTimeout)
+	t.IdleConnTimeout = maxIdleTime
+	return t
+}
+
 // ErrStaleFence is returned for an order whose fencing number is lower than the
 // highest one that the engine has seen.
 var ErrStaleFence = errors.New("engine: order has an old fencing number")
--- a/adapters/engine/model.go
+++ b/adapters/engine/model.go
@@ -56,7 +56,7 @@
 // or without "http://".
 func NewModelClient(address string, limits Limits) *ModelClient {
 	baseURL := httpjson.BaseURL(address)
-	transport := httpjson.NewTransport(limits.DialTimeout)
+	transport := newTransport(limits)
 	return &ModelClient{
 		baseURL:      baseURL,
 		limits:       limits,
--- a/adapters/engine/plain.go
+++ b/adapters/engine/plain.go
@@ -22,7 +22,7 @@
 // NewPlainClient returns a client for the service at address: host and port, with
 // or without "http://".
 func NewPlainClient(address string, limits Limits) *PlainClient {
-	client := &http.Client{Transport: httpjson.NewTransport(limits.DialTimeout), CheckRedirect: noRedirect}
+	client := &http.Client{Transport: newTransport(limits), CheckRedirect: noRedirect}
 	return &PlainClient{baseURL: httpjson.BaseURL(address), limits: limits, httpClient: client}
 }
 
