peer: don't break off other calls when one runs into its timeout

A claim that ran into its timeout, for example while its partition loads its chain, closed the connection to that gateway with all other claims and exchanges on it. The forwarded claims were then appended twice, by both gateways, beyond the planned rate of writes to the store. A call whose timeout was noticed late also closed the connection that had already replaced its own.

A call now closes only its own connection, and only if no other call on it was answered since the call started. After a partition nothing is answered, so that connections are still replaced; TestReconnect passes.

In node_test.go, the call of applyDelta follows the changed signature.

--- a/gateway/peer/claims.go
+++ b/gateway/peer/claims.go
@@ -96,19 +96,13 @@
 	if !ok {
 		return nil, errPreferredIsLocal
 	}
-	client, err := c.node.clients.get(address)
-	if err != nil {
-		return nil, err
-	}
-	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
 	request.Sender, request.KeyHash = c.node.sender(), key[:]
-	response, err := client.Claim(callCtx, request)
+	var response *peerpb.ClaimResponse
+	err := c.node.clients.call(ctx, address, forwardTimeout, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		response, err = client.Claim(ctx, request)
+		return err
+	})
 	if err != nil {
-		// If the caller's own deadline has passed, the connection may be intact.
-		if ctx.Err() == nil {
-			c.node.clients.closeOnTimeout(address, err)
-		}
 		klog.V(1).InfoS("forwarding a claim to the preferred appender failed", "address", address, "err", err)
 	}
 	return response, err
--- a/gateway/peer/client.go
+++ b/gateway/peer/client.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -17,7 +19,13 @@
 type clientPool struct {
 	options []grpc.DialOption
 	mu      sync.Mutex
-	conns   map[string]*grpc.ClientConn
+	conns   map[string]*clientConn
+}
+
+type clientConn struct {
+	*grpc.ClientConn
+	// answered counts the calls that were answered.
+	answered atomic.Int64
 }
 
 // connectParams limits the backoff between connection attempts. With gRPC's
@@ -30,38 +38,56 @@
 
 func newClientPool(options []grpc.DialOption) *clientPool {
 	options = append([]grpc.DialOption{grpc.WithConnectParams(connectParams)}, options...)
-	return &clientPool{options: options, conns: map[string]*grpc.ClientConn{}}
+	return &clientPool{options: options, conns: map[string]*clientConn{}}
 }
 
-// closeOnTimeout closes the connection to an address if err is an exceeded
-// deadline. A connection that a network partition has cut silently would
-// otherwise stay in use until the operating system times it out, long after the
-// end of the partition.
-func (c *clientPool) closeOnTimeout(address string, err error) {
-	if status.Code(err) != codes.DeadlineExceeded {
-		return
+// call makes a call to an address. It closes the connection if the call runs into the
+// timeout and no other call on the connection was answered meanwhile. A connection that a
+// network partition has cut silently would otherwise stay in use until the operating
+// system times it out, long after the end of the partition.
+func (c *clientPool) call(ctx context.Context, address string, timeout time.Duration, call func(context.Context, peerpb.PeerClient) error) error {
+	conn, err := c.get(address)
+	if err != nil {
+		return err
+	}
+	answered := conn.answered.Load()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err = call(callCtx, peerpb.NewPeerClient(conn))
+	if err == nil {
+		conn.answered.Add(1)
+		return nil
 	}
+	// If the caller's own deadline has passed, the connection may be intact.
+	if status.Code(err) == codes.DeadlineExceeded && ctx.Err() == nil && conn.answered.Load() == answered {
+		c.close(address, conn)
+	}
+	return err
+}
+
+// close closes a connection unless another one has replaced it.
+func (c *clientPool) close(address string, conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
+	if c.conns[address] == conn {
 		conn.Close()
 		delete(c.conns, address)
 	}
 }
 
-// get returns a client for an address, and creates the connection on first use.
-func (c *clientPool) get(address string) (peerpb.PeerClient, error) {
+// get returns the connection to an address, and creates it on first use.
+func (c *clientPool) get(address string) (*clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conn, ok := c.conns[address]
-	if !ok {
-		var err error
-		if conn, err = grpc.NewClient("passthrough:///"+address, c.options...); err != nil {
-			return nil, err
-		}
-		c.conns[address] = conn
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
+	if err != nil {
+		return nil, err
 	}
-	return peerpb.NewPeerClient(conn), nil
+	c.conns[address] = &clientConn{ClientConn: conn}
+	return c.conns[address], nil
 }
 
 // closeExcept closes all connections except those to the given peers.
--- a/gateway/peer/exchange.go
+++ b/gateway/peer/exchange.go
@@ -15,23 +15,19 @@
 // exchange sends this gateway's digest to a peer, and applies the newer
 // configuration and the suspects that the peer returns.
 func (n *Node) exchange(ctx context.Context, to gossip.Peer) error {
-	client, err := n.clients.get(to.Address)
-	if err != nil {
-		return err
-	}
-	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
 	reader, age := n.currentHeartbeat()
-	delta, err := client.Exchange(callCtx, &peerpb.Digest{
-		Sender: n.sender(), ReaderHeartbeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects(),
+	digest := &peerpb.Digest{Sender: n.sender(), ReaderHeartbeatAgeMs: age, ReaderProcessId: reader, Suspects: n.suspects()}
+	var delta *peerpb.Delta
+	err := n.clients.call(ctx, to.Address, exchangeTimeout, func(ctx context.Context, client peerpb.PeerClient) (err error) {
+		delta, err = client.Exchange(ctx, digest)
+		return err
 	})
 	if err != nil {
-		n.clients.closeOnTimeout(to.Address, err)
 		n.recordIfSelf(to, err)
 		return err
 	}
 	n.mergeSuspects(delta.GetSuspects())
-	if err := n.applyDelta(ctx, client, delta); err != nil {
+	if err := n.applyDelta(ctx, to, delta); err != nil {
 		return err
 	}
 	n.postUpdate(peerUpdate{
@@ -43,9 +39,9 @@
 
 // applyDelta puts the peer's changes or its snapshot in force. If this build
 // cannot read them, it raises an alarm and the configuration in force stays.
-func (n *Node) applyDelta(ctx context.Context, client peerpb.PeerClient, delta *peerpb.Delta) error {
+func (n *Node) applyDelta(ctx context.Context, from gossip.Peer, delta *peerpb.Delta) error {
 	if delta.GetSnapshotNeeded() {
-		return n.pullSnapshot(ctx, client)
+		return n.pullSnapshot(ctx, from)
 	}
 	if len(delta.GetChanges()) == 0 {
 		return nil
@@ -65,10 +61,14 @@
 	return nil
 }
 
-func (n *Node) pullSnapshot(ctx context.Context, client peerpb.PeerClient) error {
+func (n *Node) pullSnapshot(ctx context.Context, from gossip.Peer) error {
+	conn, err := n.clients.get(from.Address)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	stream, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{Sender: n.sender()})
+	stream, err := peerpb.NewPeerClient(conn).Snapshot(ctx, &peerpb.SnapshotRequest{Sender: n.sender()})
 	if err != nil {
 		return err
 	}
--- a/gateway/peer/node_test.go
+++ b/gateway/peer/node_test.go
@@ -158,7 +158,7 @@
 	cluster := &testCluster{invariants: invariant.NewRegistry(nil)}
 	m := cluster.start(t, "g", nil)
 	m.ActiveConfig.ActivateIfNewer(document(t, 5, 1))
-	err := m.applyDelta(t.Context(), nil, &peerpb.Delta{Changes: []*peerpb.Change{{Revision: 6, Base: 5, Rows: []*peerpb.RowEdit{
+	err := m.applyDelta(t.Context(), gossip.Peer{}, &peerpb.Delta{Changes: []*peerpb.Change{{Revision: 6, Base: 5, Rows: []*peerpb.RowEdit{
 		{Table: "pools", Section: "zone a", Text: "state = later\n"},
 	}}}})
 	alarms := m.Alarms.List()
--- a/gateway/peer/permits.go
+++ b/gateway/peer/permits.go
@@ -35,13 +35,13 @@
 	if r.GetForwarded() || !known {
 		return nil, status.Errorf(codes.Unavailable, "the weight-load budget is held by %q", decision.Holder)
 	}
-	client, err := n.clients.get(holder.Address)
+	conn, err := n.clients.get(holder.Address)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	return client.LoadPermit(ctx, &peerpb.LoadPermitRequest{
+	return peerpb.NewPeerClient(conn).LoadPermit(ctx, &peerpb.LoadPermitRequest{
 		Sender: r.GetSender(), Endpoint: r.GetEndpoint(), Model: r.GetModel(), Bytes: r.GetBytes(), Forwarded: true,
 	})
 }
