coord/suspect: track prompt parts that may crash replicas

One part of a prompt may crash each replica that begins to answer a request with it, while no two of the requests are alike. Crash suspects are known by the fingerprint of a whole request, so each new request with the part reached a replica.

PartTracker blames the parts of the requests that had received nothing from the replica when it crashed. Parts of requests that have finished lately need more evidence, so that neither the neighbors of such a request nor the loss of a rack makes a shared part refused. Reports carry the crashes of strikes and clearances, so hosts agree whatever order they arrive in.

The tracker is not in use yet.

--- /dev/null
+++ b/coord/suspect/parts_test.go
@@ -0,0 +1,201 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func newPartTracker(host string) *PartTracker { return NewPartTracker(DefaultPartConfig(host)) }
+
+func checkPartStatus(t *testing.T, tracker *PartTracker, now time.Time, p Part, want Status) {
+	t.Helper()
+	if got := tracker.Status(now, p); got != want {
+		t.Errorf("status of part %d = %s, want %s", p, got, want)
+	}
+}
+
+func TestBlame(t *testing.T) {
+	const popular, first, second, deadly Part = 1, 2, 3, 9
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	t.Run("fresh part", func(t *testing.T) {
+		// Guards against replicas that die one after another because of a part that comes with requests of
+		// any kind.
+		tracker := newPartTracker("a")
+		tracker.RecordFinish(start, []Part{popular, first})
+		tracker.RecordFinish(start, []Part{second})
+		tracker.RecordCrash(ms(100), 1, [][]Part{{popular, deadly}, {popular, first}, {second}})
+		checkPartStatus(t, tracker, ms(100), deadly, StatusIsolate)
+		tracker.RecordCrash(ms(600), 2, [][]Part{{second, deadly}, {popular, first}})
+		checkPartStatus(t, tracker, ms(600), deadly, StatusRefuse)
+		for _, p := range []Part{popular, first, second} {
+			if v := tracker.Judge(ms(600), []Part{p}, 3); v.Status == StatusRefuse {
+				t.Errorf("part %d, of finished requests, is refused", p)
+			}
+		}
+	})
+	t.Run("a rack fails", func(t *testing.T) {
+		// Guards against the refusal of a part that is in use on all replicas that fail at one instant.
+		tracker := newPartTracker("a")
+		tracker.RecordFinish(start, []Part{popular})
+		for crash := range CrashID(20) {
+			tracker.RecordCrash(ms(100+int(crash)), crash, [][]Part{{popular}, {popular, first}})
+		}
+		checkPartStatus(t, tracker, ms(200), popular, StatusIsolate)
+		checkPartStatus(t, tracker, ms(200), first, StatusIsolate)
+		tracker.RecordFinish(ms(300), []Part{popular, first})
+		checkPartStatus(t, tracker, ms(300), popular, StatusClear)
+		checkPartStatus(t, tracker, ms(300), first, StatusClear)
+	})
+	t.Run("popular part crashes replicas", func(t *testing.T) {
+		tracker := newPartTracker("a")
+		tracker.RecordFinish(start, []Part{popular})
+		for i, want := range []Status{StatusClear, StatusIsolate, StatusIsolate, StatusRefuse} {
+			tracker.RecordCrash(ms(400*(i+1)), CrashID(i), [][]Part{{popular}})
+			checkPartStatus(t, tracker, ms(400*(i+1)), popular, want)
+		}
+	})
+	t.Run("two parts at once", func(t *testing.T) {
+		// Guards against one of two such parts that is missed, whether they come with one kind of request
+		// or with two.
+		tracker := newPartTracker("a")
+		tracker.RecordFinish(start, []Part{popular})
+		tracker.RecordCrash(ms(0), 1, [][]Part{{popular, 8}, {popular, deadly}})
+		tracker.RecordCrash(ms(500), 2, [][]Part{{popular, 8}})
+		checkPartStatus(t, tracker, ms(500), 8, StatusRefuse)
+		tracker.RecordCrash(ms(900), 3, [][]Part{{popular, 8}, {deadly}})
+		checkPartStatus(t, tracker, ms(900), deadly, StatusRefuse)
+		checkPartStatus(t, tracker, ms(900), popular, StatusClear)
+	})
+	t.Run("part always together with another", func(t *testing.T) {
+		// Guards against the refusal of a new part that has crashed nothing by itself: a request with it
+		// alone is tried before another one with both.
+		tracker := newPartTracker("a")
+		tracker.RecordCrash(ms(0), 1, [][]Part{{first, deadly}})
+		both, alone := tracker.Judge(ms(0), []Part{first, deadly}, 1), tracker.Judge(ms(0), []Part{first}, 1)
+		if both.Wait <= alone.Wait {
+			t.Errorf("both parts wait %s, one alone %s", both.Wait, alone.Wait)
+		}
+		tracker.RecordFinish(ms(500), []Part{first})
+		tracker.RecordCrash(ms(900), 2, [][]Part{{first, deadly}})
+		checkPartStatus(t, tracker, ms(900), first, StatusClear)
+		checkPartStatus(t, tracker, ms(900), deadly, StatusRefuse)
+	})
+}
+
+// Guards against a host that has just started, to which no part is known good: its
+// refusal of a popular part must not spread.
+func TestRefusalByNewHost(t *testing.T) {
+	const popular, deadly Part = 1, 9
+	old, started := newPartTracker("old"), newPartTracker("started")
+	old.RecordFinish(start, []Part{popular})
+	for i := range 2 {
+		started.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), [][]Part{{popular, deadly}})
+	}
+	now := start.Add(time.Second)
+	checkPartStatus(t, started, now, popular, StatusRefuse)
+	old.Merge(now, started.Reports(now, 8))
+	checkPartStatus(t, old, now, popular, StatusIsolate)
+	checkPartStatus(t, old, now, deadly, StatusRefuse)
+	old.RecordFinish(now, []Part{popular})
+	started.Merge(now, old.Reports(now, 8))
+	checkPartStatus(t, started, now, popular, StatusClear)
+	checkPartStatus(t, started, now, deadly, StatusRefuse)
+
+	// A host learns all refusals from one full report, and from a store.
+	for name, reports := range map[string][]PartReport{"report": old.Reports(now, 8), "store": old.Refused(now)} {
+		learner := newPartTracker(name)
+		learner.Merge(now, reports)
+		checkPartStatus(t, learner, now, deadly, StatusRefuse)
+	}
+}
+
+// Guards against memory that grows with the number of parts, and against a caller that
+// displaces a refused part by sending others.
+func TestPartBounds(t *testing.T) {
+	c := DefaultPartConfig("a")
+	c.MaxSuspected, c.MaxRefused, c.MaxKnownGood = 10, 5, 20
+	tracker := NewPartTracker(c)
+	now := start
+	tracker.RecordCrash(now, 1, [][]Part{{1}})
+	now = now.Add(time.Second)
+	tracker.RecordCrash(now, 2, [][]Part{{1}})
+	for i := range 1_000 {
+		now = now.Add(time.Second)
+		p := Part(1_000 + i)
+		tracker.RecordCrash(now, CrashID(1_000+i), [][]Part{{p}})
+		tracker.RecordFinish(now, []Part{p + 10_000})
+		tracker.Merge(now, []PartReport{{Part: p + 20_000, Crashes: []CrashID{1}}})
+	}
+	checkPartStatus(t, tracker, now, 1, StatusRefuse)
+	if tracker.Len() > 11 || tracker.knownGood.order.Len() > 20 || len(tracker.knownGood.elements) > 20 {
+		t.Errorf("%d entries, %d known good parts", tracker.Len(), tracker.knownGood.order.Len())
+	}
+	for i := range Part(100) {
+		now = now.Add(time.Second)
+		tracker.Merge(now, []PartReport{{Part: 50_000 + i, Crashes: []CrashID{1, 2}, Refused: true}})
+	}
+	if got := len(tracker.Refused(now)); got != 5 {
+		t.Errorf("%d refused parts, want 5", got)
+	}
+	if got := tracker.Status(now.Add(time.Hour), 50_099); got != StatusClear {
+		t.Errorf("status after an hour = %s, want clear", got)
+	}
+}
+
+// Guards against refused parts that a report never has room for.
+func TestReportsInTurn(t *testing.T) {
+	tracker, other := newPartTracker("a"), newPartTracker("b")
+	for i := range Part(50) {
+		tracker.Merge(start, []PartReport{{Part: 1 + i, Crashes: []CrashID{1, 2}, Refused: true, Age: time.Duration(i) * time.Second}})
+	}
+	for range 20 {
+		reports := tracker.Reports(start, 8)
+		if len(reports) != 8 {
+			t.Fatalf("%d reports, want 8", len(reports))
+		}
+		other.Merge(start, reports)
+	}
+	if diff := cmp.Diff(tracker.Refused(start), other.Refused(start)); diff != "" {
+		t.Errorf("refused parts (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against trackers that disagree after they have exchanged all reports, against a
+// tracker that changes when its own reports are merged, and against a clearance that a late
+// report undoes.
+func TestPartMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		a, b := newPartTracker("a"), newPartTracker("b")
+		drawTracker := func(t *rapid.T) *PartTracker {
+			return rapid.SampledFrom([]*PartTracker{a, b}).Draw(t, "tracker")
+		}
+		part := func(t *rapid.T) Part { return Part(rapid.IntRange(1, 3).Draw(t, "part")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"crash": func(t *rapid.T) {
+				drawTracker(t).RecordCrash(now, CrashID(rapid.IntRange(1, 3).Draw(t, "crash")), [][]Part{{part(t)}})
+			},
+			"finish": func(t *rapid.T) { drawTracker(t).RecordFinish(now, []Part{part(t)}) },
+			"merge":  func(*rapid.T) { a.Merge(now, b.Reports(now, 10)) },
+			"wait":   func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "s")) * time.Second) },
+			"":       func(*rapid.T) { now = now.Add(time.Second) },
+		})
+		now = now.Add(time.Minute) // no part is known good any more
+		for range 3 {
+			ra, rb := a.Reports(now, 10), b.Reports(now, 10)
+			a.Merge(now, rb)
+			b.Merge(now, ra)
+		}
+		for p := range Part(4) {
+			if a.Status(now, p) != b.Status(now, p) {
+				t.Fatalf("part %d is %s in tracker a and %s in b:\n%s", p, a.Status(now, p), b.Status(now, p), cmp.Diff(a.Reports(now, 10), b.Reports(now, 10)))
+			}
+		}
+		if changed := a.Merge(now, a.Reports(now, 10)); changed != 0 {
+			t.Fatalf("merging own reports changed %d entries", changed)
+		}
+	})
+}
--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -2,7 +2,9 @@
 // Behind a sidecar, a suspect with one strike runs only in isolation; one with two
 // strikes is refused until it expires. Sidecars and gateways each keep a Tracker
 // and merge each other's reports. Entry hosts do the same among themselves, but do
-// not isolate requests.
+// not isolate requests. They also track, with a PartTracker, the parts of prompts that
+// requests share, because requests with a part that crashes replicas may differ in
+// everything else.
 package suspect
 
 import (
