edge: refuse prompt parts that crash replicas

Callers saw stream after stream break off: one part of a prompt crashed each replica that began to answer a request with it, and no two such requests were alike, so that the fingerprint of a request stopped none of them. Evidence: the connection closes with no event about 100 ms after the replica starts on the request.

Hosts now take the shared parts of a prompt from Prompt-Prefix and blame them for a crash if the request had received no event. A suspected part is tried by one request at a time, on a replica with the fewest streams, and by the hosts in turn; a second crash refuses it. Strikes, refusals and clearances go out with the next load report at once, in part rows of the datagram (format version 4). Log lines name the part.

--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -69,7 +69,7 @@
 }
 
 var (
-	freshThreshold     = partThreshold{isolate: 1, refuse: 2, minSpan: 300 * time.Millisecond}
+	freshThreshold     = partThreshold{isolate: 1, refuse: 2, minSpan: 100 * time.Millisecond}
 	knownGoodThreshold = partThreshold{isolate: 2, refuse: 3, minSpan: time.Second}
 )
 
@@ -115,7 +115,7 @@
 func (t *PartTracker) blamed(now time.Time, parts []Part) []Part {
 	var fresh []Part
 	for _, p := range parts {
-		if !t.knownGood.contains(now, p) {
+		if !t.IsKnownGood(now, p) {
 			fresh = append(fresh, p)
 		}
 	}
@@ -175,6 +175,9 @@
 	}
 }
 
+// IsKnownGood reports whether a request with the part has finished lately.
+func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
+
 // Verdict is the way to treat a request because of its parts.
 type Verdict struct {
 	Status Status
@@ -243,7 +246,7 @@
 func (t *PartTracker) Len() int { return len(t.entries) }
 
 func (t *PartTracker) threshold(now time.Time, p Part) partThreshold {
-	if t.knownGood.contains(now, p) {
+	if t.IsKnownGood(now, p) {
 		return knownGoodThreshold
 	}
 	return freshThreshold
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,7 +37,11 @@
 	service *catalog.Service
 	timeout time.Duration
 
-	fingerprint   suspect.Fingerprint
+	fingerprint suspect.Fingerprint
+	// parts are the parts of the prompt that other requests may share. refusedPart is the one
+	// because of which the request was not placed, or 0.
+	parts         []suspect.Part
+	refusedPart   suspect.Part
 	triedReplicas []string
 	sendCount     int
 	mayHaveRun    bool
@@ -102,6 +107,9 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body)
+	for _, p := range q.headers.SharedPromptParts {
+		q.parts = append(q.parts, suspect.Part(p))
+	}
 	return nil
 }
 
@@ -311,7 +319,15 @@
 		version = q.view.Catalog.Version()
 		age, _ = q.view.Proof.Age(q.received)
 	}
-	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail,
+	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail, "part", formatPart(q.refusedPart),
 		"route", route, "account", account, "prompt", q.headers.PromptTokens, "sends", q.sendCount, "replicas", q.triedReplicas, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"took_ms", took.Milliseconds(), "events", q.eventCount, "gap_ms", q.longestGap.Milliseconds(), "config_version", version, "proof_age_ms", age.Milliseconds())
 }
+
+// formatPart returns a part as in the header of a request, or "" for none.
+func formatPart(p suspect.Part) string {
+	if p == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(p), 16)
+}
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -30,6 +30,8 @@
 	// mayHaveCrashed is set if the replica may have crashed while it ran the request: it sent
 	// no response, or a stream that did not end properly.
 	mayHaveCrashed bool
+	// began is set if a complete event of a stream has arrived.
+	began bool
 	// finished is set if the replica has run the request to its end without an error.
 	finished bool
 	// failedHelper is the helper that the replica named as the cause of a rejection.
@@ -49,7 +51,8 @@
 			break
 		}
 		if refusal.Reason != "" {
-			klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
+			q.refusedPart = refusal.Part
+			klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "part", formatPart(refusal.Part), "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
 				"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount)
 			if last.err == nil {
 				last.err = q.refusalError(refusal)
@@ -72,7 +75,7 @@
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
-		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0,
+		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0,
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(),
 	}
@@ -172,7 +175,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	case control.RefusedNoReplica:
 		reason = verdict.ReasonNoEndpoint
-	case control.RefusedCrashSuspect:
+	case control.RefusedCrashSuspect, control.RefusedSuspectedPart:
 		reason = verdict.ReasonCrashSuspect
 	}
 	// Jitter keeps callers that are refused together from retrying together.
@@ -185,7 +188,7 @@
 	loop := q.server.config.Loop
 	var o outcome
 	defer func() {
-		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Finished: o.finished}, q.fingerprint)
+		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Began: o.began, Finished: o.finished}, q.fingerprint)
 		if o.failedHelper.ID != "" {
 			// Without an assignment ID, only the outcome for the helper is recorded.
 			loop.RecordSendEnd(control.Assignment{Target: o.failedHelper}, control.SendResult{Outcome: health.NoHelp}, q.fingerprint)
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -42,21 +42,22 @@
 		q.writer.WriteHeader(resp.Status)
 	}
 	var pending []byte
-	unidentified := 0
+	unidentified, began := 0, false
 	buffer := make([]byte, 4096)
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
+			began = true
 			if continued && !continuesAfter(pending[:end], lastEventID) {
-				return q.brokenStreamOutcome(ctx, errBadContinuation)
+				return q.brokenStreamOutcome(ctx, began, errBadContinuation)
 			}
 			continued = false
 			if _, ok := eventID(pending[:end]); ok {
 				unidentified = 0
 			} else if unidentified += end; unidentified > maxUnidentifiedBytes {
-				return q.brokenStreamOutcome(ctx, errNoEventIDs)
+				return q.brokenStreamOutcome(ctx, began, errNoEventIDs)
 			}
 			if writeErr := q.writeEvents(pending[:end]); writeErr != nil {
 				return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "the caller left").WithCause(writeErr), health: health.Served}
@@ -67,21 +68,22 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			return outcome{health: health.Served, finished: true}
 		case err != nil:
-			return q.brokenStreamOutcome(ctx, err)
+			return q.brokenStreamOutcome(ctx, began, err)
 		case len(pending) > maxEventBytes:
-			return q.brokenStreamOutcome(ctx, errEventTooLong)
+			return q.brokenStreamOutcome(ctx, began, errEventTooLong)
 		}
 	}
 }
 
-// brokenStreamOutcome returns the outcome of a stream that did not end properly.
-func (q *request) brokenStreamOutcome(ctx context.Context, err error) outcome {
+// brokenStreamOutcome returns the outcome of a stream that did not end properly. began is
+// set if a complete event has arrived.
+func (q *request) brokenStreamOutcome(ctx context.Context, began bool, err error) outcome {
 	if ctx.Err() != nil {
 		q.mayHaveRun = true
 		return outcome{err: q.contextError(ctx), health: health.Served}
 	}
 	o := brokenOutcome("the stream broke off", err)
-	o.mayHaveCrashed = true
+	o.mayHaveCrashed, o.began = true, began
 	return o
 }
 
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/catalog"
@@ -39,9 +40,10 @@
 	StoreUnavailable bool
 }
 
-// ReportSender sends this host's load report and crash suspects to other entry hosts.
+// ReportSender sends this host's load report, crash suspects and suspected prompt parts to
+// other entry hosts.
 type ReportSender interface {
-	Send(to peer.Recipients, r placement.Report, suspects []suspect.Report)
+	Send(to peer.Recipients, r placement.Report, suspects []suspect.Report, parts []suspect.PartReport)
 	// SetNeighbors replaces the addresses of the other hosts of this host's availability
 	// zone, to which the sender forwards reports from other zones.
 	SetNeighbors(addresses []string)
@@ -85,6 +87,8 @@
 	ReportSender   ReportSender
 	Prober         Prober
 	Placement      placement.Policy
+	// Scope receives the gauges of suspected and refused prompt parts; nil for none.
+	Scope tally.Scope
 }
 
 // Loop is the control loop. Its exported methods are safe for concurrent use.
@@ -105,6 +109,9 @@
 	health   *health.Tracker
 	ledger   *placement.Ledger
 	suspects *suspect.Tracker
+	parts    *suspect.PartTracker
+	// partSends holds the prompt parts of the requests that are at a replica.
+	partSends partSends
 	// budgets holds the retry budgets, models the placement models, by service name.
 	budgets map[string]retry.Budget
 	models  map[string]placement.Model
@@ -143,6 +150,7 @@
 		config: c, messages: make(chan message, messageQueueSize), configured: make(chan struct{}),
 		directory: directory.New(directory.DefaultPolicy()), health: health.New(health.DefaultPolicy()),
 		ledger: placement.NewLedger(c.PeerTimeout), suspects: suspect.New(suspect.DefaultConfig()),
+		parts: suspect.NewPartTracker(suspect.DefaultPartConfig(c.Name)), partSends: newPartSends(),
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
 		peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
@@ -218,11 +226,10 @@
 	return l.post(ctx, storeOutage{err})
 }
 
-// ReceiveReport applies the load report and crash suspects of another host, or drops them
-// if the message queue is full.
+// ReceiveReport applies the load report and the suspects of another host, or drops them if the message queue is full.
 func (l *Loop) ReceiveReport(m peer.Message) {
 	select {
-	case l.messages <- peerReport{m.Name, m.Incarnation, m.Sequence, m.Report, m.Suspects}:
+	case l.messages <- peerReport{m.Name, m.Incarnation, m.Sequence, m.Report, m.Suspects, m.Parts}:
 	default: // the next full report makes up for a dropped one
 	}
 }
@@ -304,4 +311,5 @@
 	if n := l.suspects.Merge(time.Now(), m.suspects); n > 0 {
 		klog.V(1).InfoS("crash suspects received", "peer", m.name, "changed", n)
 	}
+	l.mergePartReports(now, m.name, m.parts)
 }
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -50,6 +50,8 @@
 	// Regions are the regions in which the request may run; empty allows all.
 	Regions     []string
 	Fingerprint suspect.Fingerprint
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []suspect.Part
 	// Excluded holds the IDs of replicas that this request has already tried.
 	Excluded []string
 	// IsRetry is set if a replica may already have received the request. Retries use the
@@ -82,6 +84,8 @@
 	PredictedFirstEvent time.Duration
 	// ReplicaCount is the number of replicas that were considered.
 	ReplicaCount int
+	// Part is the part of the prompt because of which the request was refused, or 0.
+	Part suspect.Part
 	// mayQueue is set if the request can wait for a replica.
 	mayQueue bool
 	// blockedByOlder is set if the request could be placed but for an older request.
@@ -96,6 +100,9 @@
 	RefusedNoReplica    RefusalReason = "no_replica"
 	RefusedRetryBudget  RefusalReason = "retry_budget"
 	RefusedCrashSuspect RefusalReason = "crash_suspect"
+	// RefusedSuspectedPart means that a part of the prompt is suspected of crashing replicas
+	// and that this host may not try it now.
+	RefusedSuspectedPart RefusalReason = "suspected_part"
 	// RefusedDraining means that the request would have to wait at a draining host.
 	RefusedDraining RefusalReason = "leaving"
 )
@@ -109,6 +116,8 @@
 	Outcome health.Outcome
 	// MayHaveCrashed is set if the replica may have crashed while it ran the request.
 	MayHaveCrashed bool
+	// Began is set if the replica had begun to write an answer.
+	Began bool
 	// Finished is set if the replica has run the request to its end without an error.
 	Finished bool
 }
@@ -119,6 +128,8 @@
 	target       Target
 	result       SendResult
 	fingerprint  suspect.Fingerprint
+	// parts is set when the control goroutine handles the message.
+	parts []suspect.Part
 }
 
 // storeUpdate holds changes read from the store.
@@ -139,6 +150,7 @@
 	sequence uint32
 	report   placement.Report
 	suspects []suspect.Report
+	parts    []suspect.PartReport
 }
 
 // probeResult reports whether a replica accepts connections.
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -33,6 +33,10 @@
 	if l.suspects.Status(time.Now(), req.Fingerprint) == suspect.StatusRefuse {
 		return decision{refusal: Refusal{Reason: RefusedCrashSuspect}}
 	}
+	refusedPart, isTrial := l.judgeParts(now, req)
+	if refusedPart.Reason != "" {
+		return decision{refusal: refusedPart}
+	}
 	candidates := l.candidates(now, req)
 	if len(candidates) == 0 {
 		return decision{refusal: Refusal{Reason: RefusedNoReplica, RetryAfter: noReplicaRetryAfter}}
@@ -40,7 +44,11 @@
 	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
 	}
-	plan, refusal := l.choose(now, req, candidates)
+	choose := l.choose
+	if isTrial {
+		choose = l.chooseForTrial
+	}
+	plan, refusal := choose(now, req, candidates)
 	if refusal.Reason != placement.RefusedNone {
 		return decision{refusal: Refusal{Reason: RefusalReason(refusal.Reason), RetryAfter: refusal.RetryAfter, PredictedFirstEvent: refusal.PredictedFirstEvent, ReplicaCount: len(candidates), mayQueue: refusal.CanWait, blockedByOlder: refusal.BlockedByOlderPrompt}}
 	}
@@ -50,6 +58,10 @@
 		l.coldPlacements[plan.Primary] = append(l.coldPlacements[plan.Primary], now)
 	}
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
+	l.partSends.add(id, req.Parts)
+	if isTrial {
+		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "replica", plan.Primary)
+	}
 	if len(plan.Helpers) > 0 {
 		l.scheduleReport(reportNow)
 	} else {
@@ -199,6 +211,7 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
+	m.parts = l.partSends.remove(m.assignmentID)
 	l.scheduleReport(reportLater)
 	if m.target.ID == "" {
 		return
@@ -211,10 +224,11 @@
 		}
 	}
 	if m.result.MayHaveCrashed {
-		l.recordBrokenSend(m)
+		l.recordBrokenSend(now, m)
 		return
 	}
 	if m.result.Finished {
 		l.suspects.Clear(time.Now(), m.fingerprint)
+		l.recordPartFinish(now, m.target.ID, m.parts)
 	}
 }
--- a/edge/control/reports.go
+++ b/edge/control/reports.go
@@ -108,9 +108,14 @@
 		l.lastFullReport = now
 	}
 	l.reportUnchanged = false
-	l.config.ReportSender.Send(l.recipients(now), report, l.suspects.Reports(time.Now(), maxReportedSuspects))
+	l.config.ReportSender.Send(l.recipients(now), report, l.suspects.Reports(time.Now(), maxReportedSuspects), l.parts.Reports(partTime(now), maxReportedParts))
 }
 
-// maxReportedSuspects limits the crash suspects in a report. At 31 bytes or less each, they
-// leave room for the load rows in the same datagram.
-const maxReportedSuspects = 8
+const (
+	// maxReportedSuspects limits the crash suspects in a report. At 31 bytes or less each,
+	// they leave room for the load rows in the same datagram.
+	maxReportedSuspects = 8
+	// maxReportedParts limits the suspected prompt parts in a report. A part has 14 bytes and
+	// 8 for each crash.
+	maxReportedParts = 16
+)
--- a/edge/control/reports_test.go
+++ b/edge/control/reports_test.go
@@ -22,7 +22,7 @@
 	neighbors  []string
 }
 
-func (s *countingSender) Send(to peer.Recipients, r placement.Report, _ []suspect.Report) {
+func (s *countingSender) Send(to peer.Recipients, r placement.Report, _ []suspect.Report, _ []suspect.PartReport) {
 	s.reports = append(s.reports, r)
 	s.recipients = to
 }
--- a/edge/control/suspects.go
+++ b/edge/control/suspects.go
@@ -12,26 +12,32 @@
 // recordBrokenSend keeps a send that may have crashed its replica until a probe shows
 // whether the replica has died. A replica that only resets single connections has not crashed,
 // so its requests do not become suspects.
-func (l *Loop) recordBrokenSend(m sendEnded) {
+func (l *Loop) recordBrokenSend(now time.Duration, m sendEnded) {
 	list := l.brokenSends[m.target.ID]
 	l.brokenSends[m.target.ID] = append(list, m)
 	if len(list) == 0 && !l.scheduleProbe(m.target.ID, 0) {
-		l.resolveBrokenSends(m.target.ID, true) // the replica has already been removed
+		l.resolveBrokenSends(now, m.target.ID, true) // the replica has already been removed
 	}
 }
 
 // resolveBrokenSends marks the recorded requests of a replica as crash suspects if the
 // replica has died, and discards them otherwise.
-func (l *Loop) resolveBrokenSends(id string, died bool) {
+func (l *Loop) resolveBrokenSends(now time.Duration, id string, died bool) {
 	list := l.brokenSends[id]
 	delete(l.brokenSends, id)
-	if !died {
+	if !died || len(list) == 0 {
 		return
 	}
 	for _, m := range list {
-		crash := suspect.CrashID(placement.HashID(id) ^ uint64(m.target.StartUnixMs))
+		crash := m.crashID()
 		status := l.suspects.AddStrike(time.Now(), m.fingerprint, crash)
 		klog.V(1).InfoS("crash suspect", "fingerprint", uint64(m.fingerprint), "replica", id, "status", status)
 	}
+	l.recordPartCrash(now, id, list[0].crashID(), list)
 	l.scheduleReport(reportNow)
 }
+
+// crashID returns the ID of the crash of the replica's process. It is the same on all hosts.
+func (m sendEnded) crashID() suspect.CrashID {
+	return suspect.CrashID(placement.HashID(m.target.ID) ^ uint64(m.target.StartUnixMs))
+}
--- a/edge/peer/codec.go
+++ b/edge/peer/codec.go
@@ -14,16 +14,16 @@
 
 const (
 	// magic is the start of every datagram; its last byte is the format version.
-	magic uint32 = 0x53495303
+	magic uint32 = 0x53495304
 	// maxDatagramBytes is the maximum size of a report. It fits into one packet on links
 	// with an MTU of 9,000. A report about 45 replicas and eight crash suspects takes
-	// 1.1 KB.
+	// 1.1 KB, 16 suspected prompt parts at most 2.3 KB.
 	maxDatagramBytes = 8192
 	maxNameBytes     = 255
 )
 
-// datagramHeader is the fixed part of a datagram. The name, the load rows and the suspect
-// rows follow it.
+// datagramHeader is the fixed part of a datagram. The name, the load rows, the suspect rows
+// and the part rows follow it.
 type datagramHeader struct {
 	Magic           uint32
 	Forward         bool
@@ -34,6 +34,7 @@
 	Partial         bool
 	LoadCount       uint16
 	SuspectCount    uint16
+	PartCount       uint16
 	NameLength      uint8
 }
 
@@ -60,6 +61,21 @@
 	CrashIDCount uint8
 }
 
+// partRow is a suspected prompt part; its crash IDs follow it.
+type partRow struct {
+	Part         uint64
+	AgeMS        uint32
+	State        uint8
+	CrashIDCount uint8
+}
+
+// States of a partRow.
+const (
+	partSuspected uint8 = iota
+	partRefused
+	partCleared
+)
+
 // forwardOffset is the position of datagramHeader.Forward.
 const forwardOffset = 4
 
@@ -75,6 +91,7 @@
 	Incarnation int64
 	Report      placement.Report
 	Suspects    []suspect.Report
+	Parts       []suspect.PartReport
 }
 
 // headerBytes and the others are the sizes of encoded structs.
@@ -82,9 +99,15 @@
 	headerBytes     = binary.Size(datagramHeader{})
 	loadRowBytes    = binary.Size(loadRow{})
 	suspectRowBytes = binary.Size(suspectRow{})
+	partRowBytes    = binary.Size(partRow{})
 )
 
-const crashIDBytes = 8
+const (
+	crashIDBytes = 8
+	// maxPartCrashIDs is the maximum number of crashes encoded for one part.
+	maxPartCrashIDs = 16
+	maxPartBytes    = 14 + maxPartCrashIDs*crashIDBytes
+)
 
 // Encode encodes a message as a datagram. Rows that do not fit are omitted.
 func Encode(m Message) ([]byte, error) {
@@ -106,6 +129,13 @@
 		out = appendSuspect(out, s)
 		h.SuspectCount++
 	}
+	for _, p := range m.Parts {
+		if len(out) > maxDatagramBytes-maxPartBytes {
+			break
+		}
+		out = appendPart(out, p)
+		h.PartCount++
+	}
 	if _, err := binary.Encode(out[:headerBytes], binary.BigEndian, h); err != nil {
 		return nil, eris.Wrap(err, "encode load report")
 	}
@@ -142,6 +172,24 @@
 	return out
 }
 
+func appendPart(out []byte, p suspect.PartReport) []byte {
+	crashes := p.Crashes[:min(len(p.Crashes), maxPartCrashIDs)]
+	state := partSuspected
+	switch {
+	case p.Cleared:
+		state = partCleared
+	case p.Refused:
+		state = partRefused
+	}
+	out = binary.BigEndian.AppendUint64(out, uint64(p.Part))
+	out = binary.BigEndian.AppendUint32(out, uint32(min(max(p.Age.Milliseconds(), 0), math.MaxUint32)))
+	out = append(out, state, uint8(len(crashes)))
+	for _, c := range crashes {
+		out = binary.BigEndian.AppendUint64(out, uint64(c))
+	}
+	return out
+}
+
 func clampMilliseconds(d time.Duration) uint16 {
 	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
 }
@@ -181,6 +229,14 @@
 		m.Suspects = append(m.Suspects, s)
 		data = data[size:]
 	}
+	for range h.PartCount {
+		p, size, err := decodePart(data)
+		if err != nil {
+			return m, err
+		}
+		m.Parts = append(m.Parts, p)
+		data = data[size:]
+	}
 	return m, nil
 }
 
@@ -213,3 +269,26 @@
 	}
 	return s, size, nil
 }
+
+// decodePart decodes the partRow and crash IDs at the start of data, and returns their size.
+func decodePart(data []byte) (suspect.PartReport, int, error) {
+	var row partRow
+	if _, err := binary.Decode(data, binary.BigEndian, &row); err != nil {
+		return suspect.PartReport{}, 0, eris.Wrap(err, "load report truncated in a part row")
+	}
+	if row.State > partCleared || row.CrashIDCount > maxPartCrashIDs {
+		return suspect.PartReport{}, 0, eris.Errorf("part row with state %d and %d crashes", row.State, row.CrashIDCount)
+	}
+	size := partRowBytes + int(row.CrashIDCount)*crashIDBytes
+	if len(data) < size {
+		return suspect.PartReport{}, 0, eris.New("load report truncated in a part row")
+	}
+	p := suspect.PartReport{
+		Part: suspect.Part(row.Part), Age: time.Duration(row.AgeMS) * time.Millisecond,
+		Refused: row.State == partRefused, Cleared: row.State == partCleared, Crashes: make([]suspect.CrashID, row.CrashIDCount),
+	}
+	for i := range p.Crashes {
+		p.Crashes[i] = suspect.CrashID(binary.BigEndian.Uint64(data[partRowBytes+i*crashIDBytes:]))
+	}
+	return p, size, nil
+}
--- a/edge/peer/codec_test.go
+++ b/edge/peer/codec_test.go
@@ -18,6 +18,11 @@
 			11: {Unreachable: true},
 		}},
 		Suspects: []suspect.Report{{Fingerprint: 9, Crashes: []suspect.CrashID{1, 2}, Strikes: 2, Age: 3 * time.Second}},
+		Parts: []suspect.PartReport{
+			{Part: 0xe4402b7d, Crashes: []suspect.CrashID{1, 2}, Refused: true, Age: time.Hour},
+			{Part: 5, Crashes: []suspect.CrashID{3}, Age: 20 * time.Millisecond},
+			{Part: 6, Crashes: []suspect.CrashID{4}, Cleared: true},
+		},
 	}
 }
 
--- a/edge/peer/peer.go
+++ b/edge/peer/peer.go
@@ -80,9 +80,9 @@
 
 // Send sends this host's report. Lost reports are not resent; the next full report makes up
 // for them. It must not be called concurrently.
-func (s *Socket) Send(to Recipients, r placement.Report, suspects []suspect.Report) {
+func (s *Socket) Send(to Recipients, r placement.Report, suspects []suspect.Report, parts []suspect.PartReport) {
 	s.sequence++
-	data, err := Encode(Message{Name: s.config.Name, Incarnation: s.config.Incarnation, Sequence: s.sequence, Report: r, Suspects: suspects})
+	data, err := Encode(Message{Name: s.config.Name, Incarnation: s.config.Incarnation, Sequence: s.sequence, Report: r, Suspects: suspects, Parts: parts})
 	if err != nil {
 		klog.ErrorS(err, "load report not sent")
 		return
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -116,7 +116,7 @@
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime,
-		ReportSender:   d.socket, Prober: d.pool, Placement: placement.DefaultPolicy(),
+		ReportSender:   d.socket, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
