coord/suspect: do not hold explained crashes against neighbors

A caller's retry got 503 crash_suspect although nothing was wrong with the request: it had been at two replicas that the same prompt part of other requests crashed, and two strikes refuse a fingerprint. Crashes that a refused part explains no longer count against fingerprints, nor isolate other parts.

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -26,14 +26,19 @@
 
 const (
 	// maxPartCrashes is the maximum number of counted crashes kept for one part.
-	maxPartCrashes = 8
+	maxPartCrashes = 16
 	// maxClearedPartCrashes is the maximum number of cleared crashes kept for one part.
 	maxClearedPartCrashes = 16
 )
 
+// knows reports whether a crash is among those that count or have been cleared.
+func (e *partEntry) knows(id CrashID) bool {
+	return slices.Contains(e.cleared, id) || slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == id })
+}
+
 // addCrash adds a crash that is neither known nor cleared, and reports whether it did.
 func (e *partEntry) addCrash(id CrashID, at time.Time) bool {
-	if len(e.crashes) >= maxPartCrashes || slices.Contains(e.cleared, id) || slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == id }) {
+	if len(e.crashes) >= maxPartCrashes || e.knows(id) {
 		return false
 	}
 	index := len(e.crashes)
@@ -44,6 +49,15 @@
 	return true
 }
 
+// addOwnCrash adds a crash that this host has seen. It replaces the last one if the entry is
+// full: many crashes at one instant refuse no part, but a later one does.
+func (e *partEntry) addOwnCrash(id CrashID, at time.Time) bool {
+	if len(e.crashes) >= maxPartCrashes && !e.knows(id) {
+		e.crashes = e.crashes[:maxPartCrashes-1]
+	}
+	return e.addCrash(id, at)
+}
+
 // span returns the time from the first to the last counted crash.
 func (e *partEntry) span() time.Duration {
 	if len(e.crashes) == 0 {
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -133,7 +134,7 @@
 			return false
 		}
 	}
-	if !e.addCrash(crash, now) {
+	if !e.addOwnCrash(crash, now) {
 		return false
 	}
 	e.changedAt = now
@@ -168,13 +169,29 @@
 		return StatusClear
 	case e.refused:
 		return StatusRefuse
-	case len(e.crashes) >= t.threshold(now, p).isolate:
+	case len(e.crashes) >= t.threshold(now, p).isolate && !t.isExplained(now, e):
 		return StatusIsolate
 	default:
 		return StatusClear
 	}
 }
 
+// isExplained reports whether refused parts explain all crashes of an entry.
+func (t *PartTracker) isExplained(now time.Time, e *partEntry) bool {
+	return !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !t.Explains(now, c.id) })
+}
+
+// Explains reports whether a refused part has caused a crash, so that the crash is no
+// evidence against other requests.
+func (t *PartTracker) Explains(now time.Time, crash CrashID) bool {
+	for _, e := range t.entries {
+		if e.refused && !t.expired(now, e) && slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == crash }) {
+			return true
+		}
+	}
+	return false
+}
+
 // IsKnownGood reports whether a request with the part has finished lately.
 func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
 
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -11,7 +11,6 @@
 	"siskinstand.example/coord/directory"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/retry"
-	"siskinstand.example/coord/suspect"
 )
 
 const (
@@ -30,7 +29,7 @@
 // tryPlace chooses a replica for a request and records the assignment. It does not
 // queue the request.
 func (l *Loop) tryPlace(now time.Duration, req PlacementRequest) decision {
-	if l.suspects.Status(time.Now(), req.Fingerprint) == suspect.StatusRefuse {
+	if l.isCrashSuspect(now, req.Fingerprint) {
 		return decision{refusal: Refusal{Reason: RefusedCrashSuspect}}
 	}
 	refusedPart, isTrial := l.judgeParts(now, req)
--- a/edge/control/suspects.go
+++ b/edge/control/suspects.go
@@ -37,6 +37,14 @@
 	l.scheduleReport(reportNow)
 }
 
+// isCrashSuspect reports whether a request has to be refused because replicas crashed while
+// they ran it. Crashes that a refused prompt part explains do not count: requests with the
+// part are refused anyway.
+func (l *Loop) isCrashSuspect(now time.Duration, f suspect.Fingerprint) bool {
+	return l.suspects.Status(time.Now(), f) == suspect.StatusRefuse &&
+		l.suspects.HasCrash(time.Now(), f, func(c suspect.CrashID) bool { return !l.parts.Explains(partTime(now), c) })
+}
+
 // crashID returns the ID of the crash of the replica's process. It is the same on all hosts.
 func (m sendEnded) crashID() suspect.CrashID {
 	return suspect.CrashID(placement.HashID(m.target.ID) ^ uint64(m.target.StartUnixMs))
