--- /dev/null
+++ b/edge/caller/parts_test.go
@@ -0,0 +1,79 @@
+package caller
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/placement"
+	"siskinstand.example/coord/suspect"
+	"siskinstand.example/edge/control"
+)
+
+// serveCrashing starts a replica that dies while it answers its first request, after the
+// given start of the answer. It returns its address.
+func serveCrashing(t *testing.T, answer string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.Close()
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = c.Write([]byte(answer)) // a failure shows in the status of the part
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a part that crashes replicas and is not suspected, and against suspicion of
+// a part whose answer had begun.
+func TestPartOfBrokenStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const part suspect.Part = 0x5c1e07a5 // not this host's turn after a strike
+	tests := map[string]struct {
+		answer string
+		want   control.RefusalReason
+	}{
+		"no answer":     {"", control.RefusedSuspectedPart},
+		"no event":      {head, control.RefusedSuspectedPart},
+		"partial event": {head + "5\r\nid: 1\r\n", control.RefusedSuspectedPart},
+		"one event":     {head + "f\r\nid: 1\ndata: x\n\n\r\n", control.RefusedNoReplica},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, loop := startServer(t, serveCrashing(t, tc.answer))
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/x", nil)
+			r.Host = "h.example"
+			r.Header.Set("Attempt-Id", "a1")
+			r.Header.Set("Prompt-Prefix", "5c1e07a5:800,e4402b7d:250")
+			func() {
+				defer func() { _ = recover() }() // a started answer is aborted by a panic
+				s.ServeHTTP(httptest.NewRecorder(), r)
+			}()
+			var got control.RefusalReason
+			for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && got == ""; time.Sleep(time.Millisecond) {
+				_, refusal, err := loop.Place(t.Context(), control.PlacementRequest{
+					ID: "a2", Service: loop.View().Catalog.Service("app"), Parts: []suspect.Part{part}, Request: placement.Request{Service: "app", Objective: time.Second, TimeLeft: time.Second},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				got = refusal.Reason
+			}
+			if got != tc.want {
+				t.Errorf("refusal = %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
