coord/suspect: try parts that always came together one by one

Callers were refused because of a part that had crashed nothing: it had come with the crash-causing part in each of the requests that crashed replicas, four within 0.1 s, so both were refused. Of two refused parts, the one whose crashes the other explains is now tried alone, and only requests with both are refused.

Reports also repeat older clearances in turn. Before, a lost clearance was not sent again once eight newer changes and one refused part were to be reported.

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -26,14 +26,19 @@
 
 const (
 	// maxPartCrashes is the maximum number of counted crashes kept for one part.
-	maxPartCrashes = 16
+	maxPartCrashes = 32
 	// maxClearedPartCrashes is the maximum number of cleared crashes kept for one part.
 	maxClearedPartCrashes = 16
 )
 
 // knows reports whether a crash is among those that count or have been cleared.
 func (e *partEntry) knows(id CrashID) bool {
-	return slices.Contains(e.cleared, id) || slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == id })
+	return slices.Contains(e.cleared, id) || e.counts(id)
+}
+
+// counts reports whether a crash is among those that count.
+func (e *partEntry) counts(id CrashID) bool {
+	return slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == id })
 }
 
 // addCrash adds a crash that is neither known nor cleared, and reports whether it did.
--- a/coord/suspect/part_reports.go
+++ b/coord/suspect/part_reports.go
@@ -78,8 +78,8 @@
 	return out
 }
 
-// Reports returns up to limit reports: the most recent changes first, and older ones in
-// turn. A part with a clearance and newer strikes has two reports.
+// Reports returns up to limit reports: the most recent changes, and of the older ones the
+// refused parts and the others in turn. A part with a clearance and newer strikes has two reports.
 func (t *PartTracker) Reports(now time.Time, limit int) []PartReport {
 	t.expire(now)
 	var all []PartReport
@@ -98,23 +98,35 @@
 		return all
 	}
 	recent := (limit + 1) / 2
-	return append(all[:recent:recent], t.rotated(all[recent:], limit-recent)...)
+	var refused, others []PartReport
+	for _, r := range all[recent:] {
+		if r.Refused {
+			refused = append(refused, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	out := all[:recent:recent]
+	out = append(out, rotate(refused, &t.nextRefused, max((limit-recent+1)/2, limit-recent-len(others)))...)
+	return append(out, rotate(others, &t.nextOther, limit-len(out))...)
 }
 
-// rotated returns the next reports in the order of their parts, refused parts first.
-func (t *PartTracker) rotated(older []PartReport, limit int) []PartReport {
-	refused := slices.DeleteFunc(slices.Clone(older), func(r PartReport) bool { return !r.Refused })
-	if len(refused) > 0 {
-		older = refused
-	}
-	slices.SortFunc(older, func(a, b PartReport) int { return cmp.Compare(a.Part, b.Part) })
-	first, _ := slices.BinarySearchFunc(older, t.nextRotated, func(r PartReport, p Part) int { return cmp.Compare(r.Part, p+1) })
-	out := make([]PartReport, 0, limit)
-	for i := range min(limit, len(older)) {
-		out = append(out, older[(first+i)%len(older)])
+// rotate returns up to limit reports in the order of their parts, beginning after the part
+// at last, and updates that.
+func rotate(reports []PartReport, last *Part, limit int) []PartReport {
+	slices.SortStableFunc(reports, func(a, b PartReport) int { return cmp.Compare(a.Part, b.Part) })
+	first, _ := slices.BinarySearchFunc(reports, *last, func(r PartReport, p Part) int {
+		if r.Part <= p {
+			return -1
+		}
+		return 1
+	})
+	var out []PartReport
+	for i := range min(limit, len(reports)) {
+		out = append(out, reports[(first+i)%len(reports)])
 	}
 	if len(out) > 0 {
-		t.nextRotated = out[len(out)-1].Part
+		*last = out[len(out)-1].Part
 	}
 	return out
 }
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -82,8 +82,9 @@
 	config    PartConfig
 	entries   map[Part]*partEntry
 	knownGood *recentSet[Part]
-	// nextRotated is the part after which Reports continues with older entries.
-	nextRotated Part
+	// nextRefused and nextOther are the parts after which Reports continues with older
+	// entries.
+	nextRefused, nextOther Part
 }
 
 // NewPartTracker returns an empty tracker.
@@ -167,8 +168,10 @@
 	switch {
 	case e == nil || t.expired(now, e):
 		return StatusClear
-	case e.refused:
+	case e.refused && !t.isAmbiguous(p, e):
 		return StatusRefuse
+	case e.refused:
+		return StatusIsolate
 	case len(e.crashes) >= t.threshold(now, p).isolate && !t.isExplained(now, e):
 		return StatusIsolate
 	default:
@@ -176,6 +179,18 @@
 	}
 }
 
+// isAmbiguous reports whether another refused part explains all crashes of a refused part,
+// as happens to a part that came with the other one in each of the requests. A request with
+// one of them shows which one is to blame.
+func (t *PartTracker) isAmbiguous(p Part, e *partEntry) bool {
+	for q, other := range t.entries {
+		if q != p && other.refused && !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !other.counts(c.id) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isExplained reports whether refused parts explain all crashes of an entry.
 func (t *PartTracker) isExplained(now time.Time, e *partEntry) bool {
 	return !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !t.Explains(now, c.id) })
@@ -185,7 +200,7 @@
 // evidence against other requests.
 func (t *PartTracker) Explains(now time.Time, crash CrashID) bool {
 	for _, e := range t.entries {
-		if e.refused && !t.expired(now, e) && slices.ContainsFunc(e.crashes, func(c partCrash) bool { return c.id == crash }) {
+		if e.refused && !t.expired(now, e) && e.counts(crash) {
 			return true
 		}
 	}
@@ -211,18 +226,25 @@
 // it.
 func (t *PartTracker) Judge(now time.Time, parts []Part, hosts int) Verdict {
 	v := Verdict{Status: StatusClear}
+	ambiguous := 0
 	for _, p := range parts {
 		switch t.Status(now, p) {
 		case StatusRefuse:
 			return Verdict{Status: StatusRefuse, Part: p}
 		case StatusIsolate:
 			e := t.entries[p]
+			if e.refused {
+				ambiguous++
+			}
 			turnAt := e.changedAt.Add(time.Duration(t.turn(p, hosts)) * t.config.TurnTime)
 			v.Wait = max(v.Wait, turnAt.Sub(now))
 			v.Status, v.Part = StatusIsolate, p
 			v.Suspected = append(v.Suspected, p)
 		}
 	}
+	if ambiguous > 1 {
+		return Verdict{Status: StatusRefuse, Part: v.Part}
+	}
 	if n := len(v.Suspected); n > 1 {
 		last := t.entries[v.Part].changedAt
 		for _, p := range v.Suspected {
--- a/edge/peer/codec.go
+++ b/edge/peer/codec.go
@@ -17,7 +17,7 @@
 	magic uint32 = 0x53495304
 	// maxDatagramBytes is the maximum size of a report. It fits into one packet on links
 	// with an MTU of 9,000. A report about 45 replicas and eight crash suspects takes
-	// 1.1 KB, 16 suspected prompt parts at most 2.3 KB.
+	// 1.1 KB, 16 suspected prompt parts 0.6 KB with three crashes each.
 	maxDatagramBytes = 8192
 	maxNameBytes     = 255
 )
@@ -105,7 +105,7 @@
 const (
 	crashIDBytes = 8
 	// maxPartCrashIDs is the maximum number of crashes encoded for one part.
-	maxPartCrashIDs = 16
+	maxPartCrashIDs = 32
 	maxPartBytes    = 14 + maxPartCrashIDs*crashIDBytes
 )
 
