storewatch: keep refused prompt parts in the store

Cause: the refusal of a part of prompts is lost when all hosts end at once, and does not reach hosts that datagrams do not reach. The age of a known entry is measured on the boot clock. Followers get entries and removals through the relay, which passes on all keys and needed no change.

--- a/edge/storewatch/follow_test.go
+++ b/edge/storewatch/follow_test.go
@@ -18,6 +18,8 @@
 	store   *fake.Store
 	address string
 	hosts   []*zoneHost
+	// partExpiry is the expiry of refused parts.
+	partExpiry time.Duration
 }
 
 type zoneHost struct {
@@ -32,14 +34,21 @@
 // startZone starts n hosts, of which two watch the store. The first two have the most cores.
 func startZone(t *testing.T, n int) *zoneHosts {
 	t.Helper()
-	z := &zoneHosts{store: fake.NewStore()}
+	z := newZone(t)
+	for i := range n {
+		z.hosts = append(z.hosts, z.start(t, i))
+	}
+	return z
+}
+
+// newZone starts a store without hosts.
+func newZone(t *testing.T) *zoneHosts {
+	t.Helper()
+	z := &zoneHosts{store: fake.NewStore(), partExpiry: time.Hour}
 	t.Cleanup(z.store.Close)
 	server := httptest.NewServer(z.store)
 	t.Cleanup(server.CloseClientConnections)
 	z.address = strings.TrimPrefix(server.URL, "http://")
-	for i := range n {
-		z.hosts = append(z.hosts, z.start(t, i))
-	}
 	return z
 }
 
@@ -58,6 +67,7 @@
 		Store: store, Sink: h.sink, MaxWatchWait: 2 * time.Second, Name: fmt.Sprintf("edge-%d", i), LeaseTime: 10 * time.Second,
 		Peer:      platform.Peer{Address: strings.TrimPrefix(h.server.URL, "http://"), Zone: "z1", Cores: cores},
 		Following: Following{Log: log, Client: client, Watchers: 2, MaxProofAge: followMaxAge},
+		Parts:     NewPartStore(PartStoreConfig{Store: store, Expiry: z.partExpiry}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/edge/storewatch/watcher.go
+++ b/edge/storewatch/watcher.go
@@ -1,6 +1,6 @@
 // Package storewatch keeps the control state in sync with the platform's store. It reads
 // a full snapshot and then watches for changes. It also maintains this host's own entry
-// in the store.
+// and the entries of refused prompt parts in the store.
 package storewatch
 
 import (
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/retry"
+	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/relay"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
@@ -51,6 +52,8 @@
 	MaxProofAge time.Duration
 	// Following configures how this host learns changes from other hosts.
 	Following Following
+	// Parts keeps refused prompt parts in the store. If it is nil, this host publishes none.
+	Parts *PartStore
 }
 
 const (
@@ -92,14 +95,19 @@
 
 // New returns a watcher; Run starts it.
 func New(c Config) *Watcher {
+	if c.Parts == nil {
+		c.Parts = NewPartStore(PartStoreConfig{Store: c.Store, Expiry: suspect.DefaultConfig().Expiry})
+	}
 	return &Watcher{config: c, hosts: map[string]platform.Peer{}, follower: newFollower(c)}
 }
 
-// Run watches the store and maintains this host's entry until the context ends.
+// Run watches the store and maintains this host's entry and those of refused parts until the
+// context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { w.watchLoop(ctx); return nil })
 	g.Go(func() error { w.maintainEntry(ctx); return nil })
+	g.Go(func() error { w.config.Parts.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -149,6 +157,7 @@
 func (w *Watcher) readAll(ctx context.Context) (int64, error) {
 	sent := bootclock.Now()
 	clear(w.hosts)
+	w.config.Parts.reset()
 	var list []platform.Change
 	var items []platform.Item
 	var firstRevision int64
@@ -223,6 +232,7 @@
 // watch waits for changes after a revision and returns the revision to continue from.
 func (w *Watcher) watch(ctx context.Context, after int64) (int64, error) {
 	sent := bootclock.Now()
+	w.config.Parts.removeExpired(sent)
 	wait := w.watchWait(sent)
 	page, err := w.config.Store.Watch(ctx, platform.WatchPrefix, after, wait)
 	if err != nil {
@@ -260,6 +270,9 @@
 			c.Deleted = true
 		}
 		w.updateHosts(c)
+		if c.Kind == platform.ChangeCrashPart {
+			w.config.Parts.observe(c)
+		}
 		list = append(list, c)
 	}
 	return list
--- a/edge/storewatch/watcher_test.go
+++ b/edge/storewatch/watcher_test.go
@@ -13,12 +13,13 @@
 	"siskinstand.example/platform"
 )
 
-// countingSink counts the calls and changes that it receives.
+// countingSink counts the calls and changes that it receives, and keeps the refused parts.
 type countingSink struct {
 	mu        sync.Mutex
 	snapshots int
 	changes   int
 	failures  int
+	parts     map[uint64]bool
 }
 
 func (s *countingSink) ApplySnapshot(ctx context.Context, list []platform.Change, asOf time.Duration) error {
@@ -32,6 +33,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changes += len(list)
+	for _, c := range list {
+		if c.Kind == platform.ChangeCrashPart {
+			if s.parts == nil {
+				s.parts = map[uint64]bool{}
+			}
+			s.parts[c.CrashPart.Part] = !c.Deleted
+		}
+	}
 	return nil
 }
 
