control: learn and publish refused prompt parts through the store

Cause: part reports go from host to host over UDP, so a refusal was lost when all hosts ended at once, while datagrams between zones were lost, and at a host that had just started. Hosts now apply the entries of the store to the part tracker: at the start before they are ready, later with the other changes. A host writes the entry of a part that it begins to refuse if it has seen one of the crashes itself, and removes it when a request with the part finishes. The removal of an expired entry does not clear a part.

--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// removeMissing removes replicas, evacuations and peers that are missing from a
+// removeMissing removes replicas, evacuations, refused parts and peers that are missing from a
 // complete list. After a store outage, the directory keeps the replicas for a while.
 func (l *Loop) removeMissing(now time.Duration, list []platform.Change) {
 	replicas, zones, peers := map[string]bool{}, map[string]bool{}, map[string]bool{}
@@ -53,6 +53,7 @@
 			peers[c.Name] = true
 		}
 	}
+	l.removeMissingParts(now, list)
 	l.directory.RetainOnly(now, replicas)
 	for _, z := range l.directory.EvacuatedZones() {
 		if !zones[z] {
@@ -91,6 +92,8 @@
 		l.directory.SetEvacuated(c.Name, !c.Deleted)
 	case platform.ChangeReplica:
 		l.applyReplica(now, c)
+	case platform.ChangeCrashPart:
+		l.applyCrashPart(now, c)
 	case platform.ChangePeer:
 		if c.Deleted {
 			l.removePeer(c.Name)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -85,8 +85,10 @@
 	// started. A request that waits longer might not finish before the shutdown.
 	DrainQueueTime time.Duration
 	ReportSender   ReportSender
-	Prober         Prober
-	Placement      placement.Policy
+	// PartStore keeps the prompt parts that this host begins to refuse; nil for none.
+	PartStore PartStore
+	Prober    Prober
+	Placement placement.Policy
 	// Scope receives the gauges of suspected and refused prompt parts; nil for none.
 	Scope tally.Scope
 }
@@ -111,7 +113,8 @@
 	suspects *suspect.Tracker
 	parts    *suspect.PartTracker
 	// partSends holds the prompt parts of the requests that are at a replica.
-	partSends partSends
+	partSends   partSends
+	storedParts storedParts
 	// budgets holds the retry budgets, models the placement models, by service name.
 	budgets map[string]retry.Budget
 	models  map[string]placement.Model
@@ -150,7 +153,7 @@
 		config: c, messages: make(chan message, messageQueueSize), configured: make(chan struct{}),
 		directory: directory.New(directory.DefaultPolicy()), health: health.New(health.DefaultPolicy()),
 		ledger: placement.NewLedger(c.PeerTimeout), suspects: suspect.New(suspect.DefaultConfig()),
-		parts: suspect.NewPartTracker(suspect.DefaultPartConfig(c.Name)), partSends: newPartSends(),
+		parts: suspect.NewPartTracker(suspect.DefaultPartConfig(c.Name)), partSends: newPartSends(), storedParts: newStoredParts(),
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
 		peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
--- /dev/null
+++ b/edge/control/part_store.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"siskinstand.example/coord/suspect"
+	"siskinstand.example/platform"
+)
+
+// PartStore keeps refused prompt parts for hosts that start later or that no report reaches.
+// Its methods must not block.
+type PartStore interface {
+	Publish(p platform.CrashPart)
+	Withdraw(part uint64)
+}
+
+// maxOwnCrashes is the maximum number of crashes that are kept as seen by this host.
+const maxOwnCrashes = 64
+
+// storedParts is what this host knows of the refused parts in the store.
+type storedParts struct {
+	entries map[suspect.Part]storedPart
+	// ownCrashes holds the crashes that this host has seen itself, oldest first.
+	ownCrashes []suspect.CrashID
+	expiry     time.Duration
+}
+
+type storedPart struct {
+	crashes   []suspect.CrashID
+	expiresAt time.Duration
+}
+
+func newStoredParts() storedParts {
+	return storedParts{entries: map[suspect.Part]storedPart{}, expiry: suspect.DefaultPartConfig("").Expiry}
+}
+
+// recordOwnCrash records that this host has seen a crash that prompt parts are blamed for.
+func (s *storedParts) recordOwnCrash(crash suspect.CrashID) {
+	if slices.Contains(s.ownCrashes, crash) {
+		return
+	}
+	s.ownCrashes = append(s.ownCrashes, crash)
+	if excess := len(s.ownCrashes) - maxOwnCrashes; excess > 0 {
+		s.ownCrashes = slices.Delete(s.ownCrashes, 0, excess)
+	}
+}
+
+// publishIfRefused stores a part that is refused because of a crash that this host has seen.
+// The other hosts leave it to the ones that have, so that few write the same entry.
+func (l *Loop) publishIfRefused(now time.Duration, c suspect.PartChange) {
+	if c.Status != suspect.StatusRefuse || l.config.PartStore == nil {
+		return
+	}
+	refused := l.parts.Refused(partTime(now))
+	i := slices.IndexFunc(refused, func(r suspect.PartReport) bool { return r.Part == c.Part })
+	if i < 0 || !slices.ContainsFunc(refused[i].Crashes, func(id suspect.CrashID) bool { return slices.Contains(l.storedParts.ownCrashes, id) }) {
+		return
+	}
+	entry := platform.CrashPart{Part: uint64(c.Part), RefusedAt: time.Now().Add(-refused[i].Age).UnixMilli()}
+	for _, id := range refused[i].Crashes {
+		entry.Crashes = append(entry.Crashes, uint64(id))
+	}
+	l.config.PartStore.Publish(entry)
+}
+
+// partsToWithdraw returns those of the parts that are refused here or in the store.
+func (l *Loop) partsToWithdraw(now time.Duration, parts []suspect.Part) []suspect.Part {
+	var list []suspect.Part
+	for _, p := range parts {
+		if _, isStored := l.storedParts.entries[p]; isStored || l.parts.Status(partTime(now), p) == suspect.StatusRefuse {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// withdrawParts removes the entries of parts that a finished request has cleared.
+func (l *Loop) withdrawParts(parts []suspect.Part, changes []suspect.PartChange) {
+	if l.config.PartStore == nil {
+		return
+	}
+	for _, c := range changes {
+		if c.Status != suspect.StatusRefuse && slices.Contains(parts, c.Part) {
+			l.config.PartStore.Withdraw(uint64(c.Part))
+		}
+	}
+}
+
+// applyCrashPart applies the entry of a refused part, or its removal.
+func (l *Loop) applyCrashPart(now time.Duration, c platform.Change) {
+	part := suspect.Part(c.CrashPart.Part)
+	if c.Deleted {
+		l.removeStoredPart(now, part)
+		return
+	}
+	// The clock of the host that wrote the entry may be ahead.
+	age := max(0, time.Since(time.UnixMilli(c.CrashPart.RefusedAt)))
+	if age >= l.storedParts.expiry {
+		delete(l.storedParts.entries, part)
+		klog.V(1).InfoS("expired prompt part in the store ignored", "part", formatPart(part), "age_s", int64(age.Seconds()), "store_revision", c.Revision)
+		return
+	}
+	report := suspect.PartReport{Part: part, Refused: true, Age: age}
+	for _, id := range c.CrashPart.Crashes {
+		report.Crashes = append(report.Crashes, suspect.CrashID(id))
+	}
+	l.storedParts.entries[part] = storedPart{crashes: report.Crashes, expiresAt: now + l.storedParts.expiry - age}
+	_, isChanged := l.parts.Apply(partTime(now), report)
+	klog.V(1).InfoS("prompt part read from the store", "part", formatPart(part), "changed", isChanged, "status", l.parts.Status(partTime(now), part), "store_revision", c.Revision)
+	if isChanged {
+		l.updatePartGauges(now)
+	}
+}
+
+// removeStoredPart clears a part whose entry was withdrawn. The removal of an expired entry
+// says nothing about the part.
+func (l *Loop) removeStoredPart(now time.Duration, part suspect.Part) {
+	stored, ok := l.storedParts.entries[part]
+	if !ok {
+		return
+	}
+	delete(l.storedParts.entries, part)
+	isExpired := now >= stored.expiresAt
+	if !isExpired {
+		l.parts.Apply(partTime(now), suspect.PartReport{Part: part, Crashes: stored.crashes, Cleared: true})
+		l.updatePartGauges(now)
+	}
+	klog.V(1).InfoS("prompt part removed from the store", "part", formatPart(part), "expired", isExpired, "status", l.parts.Status(partTime(now), part))
+}
+
+// removeMissingParts handles the parts whose entries are missing from a complete list.
+func (l *Loop) removeMissingParts(now time.Duration, list []platform.Change) {
+	exists := map[suspect.Part]bool{}
+	for _, c := range list {
+		if c.Kind == platform.ChangeCrashPart {
+			exists[suspect.Part(c.CrashPart.Part)] = true
+		}
+	}
+	for part := range l.storedParts.entries {
+		if !exists[part] {
+			l.removeStoredPart(now, part)
+		}
+	}
+}
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -133,15 +133,21 @@
 			requests = append(requests, m.parts)
 		}
 	}
+	if len(requests) > 0 {
+		l.storedParts.recordOwnCrash(crash)
+	}
 	for _, c := range l.parts.RecordCrash(partTime(now), crash, requests) {
 		klog.V(1).InfoS("prompt part suspected", "part", formatPart(c.Part), "replica", id, "crash", uint64(crash), "strikes", c.Strikes, "status", c.Status)
+		l.publishIfRefused(now, c)
 	}
 	l.updatePartGauges(now)
 }
 
 // recordPartFinish clears the strikes of the parts of a finished request.
 func (l *Loop) recordPartFinish(now time.Duration, replicaID string, parts []suspect.Part) {
+	withdrawable := l.partsToWithdraw(now, parts)
 	changes := l.parts.RecordFinish(partTime(now), parts)
+	l.withdrawParts(withdrawable, changes)
 	for _, c := range changes {
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
 	}
@@ -158,6 +164,9 @@
 		if c, ok := l.parts.Apply(partTime(now), r); ok {
 			isChanged = true
 			klog.V(1).InfoS("prompt part received", "part", formatPart(c.Part), "peer", peer, "cleared", r.Cleared, "strikes", c.Strikes, "status", c.Status)
+			if !r.Refused {
+				l.publishIfRefused(now, c)
+			}
 		}
 	}
 	if isChanged {
--- a/edge/storewatch/parts.go
+++ b/edge/storewatch/parts.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -90,7 +91,7 @@
 		return
 	}
 	if !exists && len(p.stored) >= maxStoredParts {
-		klog.InfoS("crash part not stored, the store has too many", "part", entry.Part, "stored", len(p.stored))
+		klog.InfoS("crash part not stored, the store has too many", "part", formatPart(entry.Part), "stored", len(p.stored))
 		return
 	}
 	p.add(&partCall{action: actionPublish, entry: entry, revision: known.revision})
@@ -108,10 +109,13 @@
 	p.add(&partCall{action: actionWithdraw, entry: platform.CrashPart{Part: part}, revision: known.revision})
 }
 
+// formatPart returns a part as in the header of a request.
+func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+
 // add appends a call. The caller holds the lock.
 func (p *PartStore) add(c *partCall) {
 	if len(p.pending) >= maxPendingParts {
-		klog.InfoS("crash part neither written nor removed, too many calls are pending", "part", c.entry.Part, "action", c.action)
+		klog.InfoS("crash part neither written nor removed, too many calls are pending", "part", formatPart(c.entry.Part), "action", c.action)
 		return
 	}
 	p.pending = append(p.pending, c)
@@ -218,7 +222,7 @@
 	for len(p.pending) > 0 {
 		c := p.pending[0]
 		if c.action == actionPublish && p.timeLeft(c.entry) == 0 {
-			klog.InfoS("crash part not stored, it has expired", "part", c.entry.Part, "tries", c.tries)
+			klog.InfoS("crash part not stored, it has expired", "part", formatPart(c.entry.Part), "tries", c.tries)
 			p.pending = p.pending[1:]
 			continue
 		}
@@ -241,17 +245,17 @@
 	var status *platform.StatusError
 	switch {
 	case err == nil:
-		klog.V(1).InfoS("crash part stored or removed", "part", c.entry.Part, "action", c.action, "tries", c.tries)
+		klog.V(1).InfoS("crash part stored or removed", "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
 		p.finish(c)
 	case errors.As(err, &status) && status.Conflict():
 		if p.resolveConflict(c, status) {
 			return err
 		}
 	case errors.As(err, &status) && isPermanent(status):
-		klog.ErrorS(err, "crash part refused by the store", "part", c.entry.Part, "action", c.action)
+		klog.ErrorS(err, "crash part refused by the store", "part", formatPart(c.entry.Part), "action", c.action)
 		p.finish(c)
 	default:
-		klog.V(1).InfoS("crash part not yet stored or removed", "err", err, "part", c.entry.Part, "action", c.action, "tries", c.tries)
+		klog.V(1).InfoS("crash part not yet stored or removed", "err", err, "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
 		return err
 	}
 	return nil
@@ -286,7 +290,7 @@
 		}
 		return true
 	}
-	klog.V(1).InfoS("entry of crash part written or removed by another host", "part", c.entry.Part, "action", c.action, "store_revision", revision)
+	klog.V(1).InfoS("entry of crash part written or removed by another host", "part", formatPart(c.entry.Part), "action", c.action, "store_revision", revision)
 	p.finish(c)
 	return false
 }
--- a/edge/storewatch/watcher.go
+++ b/edge/storewatch/watcher.go
@@ -96,7 +96,7 @@
 // New returns a watcher; Run starts it.
 func New(c Config) *Watcher {
 	if c.Parts == nil {
-		c.Parts = NewPartStore(PartStoreConfig{Store: c.Store, Expiry: suspect.DefaultConfig().Expiry})
+		c.Parts = NewPartStore(PartStoreConfig{Store: c.Store, Expiry: suspect.DefaultPartConfig(c.Name).Expiry})
 	}
 	return &Watcher{config: c, hosts: map[string]platform.Peer{}, follower: newFollower(c)}
 }
