storewatch: withdraw an entry that the store writes late

Cause: the store may execute a write without a response seconds later. If the part was withdrawn in between, the removal found no entry, and the late one would have refused the part at hosts that start within the hour. The host now remembers the time of such an entry and removes it when it appears.

Evidence: TestWithdraw/written_late fails without the change; three runs with the race detector ok.

--- a/edge/storewatch/parts.go
+++ b/edge/storewatch/parts.go
@@ -45,6 +45,9 @@
 	stored map[uint64]storedPart
 	// pending holds the calls to make, oldest first, at most one for each part.
 	pending []*partCall
+	// cancelled holds, by part, the RefusedAt of entries that were withdrawn while a write of
+	// them had no response. The store may still execute it.
+	cancelled map[uint64]int64
 	// wake has a value if pending may have become non-empty.
 	wake chan struct{}
 }
@@ -76,7 +79,7 @@
 
 // NewPartStore returns a PartStore. A Watcher runs it and tells it what the store holds.
 func NewPartStore(c PartStoreConfig) *PartStore {
-	return &PartStore{config: c, stored: map[uint64]storedPart{}, wake: make(chan struct{}, 1)}
+	return &PartStore{config: c, stored: map[uint64]storedPart{}, cancelled: map[uint64]int64{}, wake: make(chan struct{}, 1)}
 }
 
 // Publish writes the entry of a part that this host has begun to refuse, unless the store
@@ -85,6 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.drop(entry.Part)
+	delete(p.cancelled, entry.Part)
 	known, exists := p.stored[entry.Part]
 	// An entry that is being removed is replaced, since the removal may still take effect.
 	if exists && bootclock.Now() < known.expiresAt && (old == nil || old.action == actionPublish) {
@@ -103,8 +107,14 @@
 	defer p.mu.Unlock()
 	old := p.drop(part)
 	known, exists := p.stored[part]
-	if !exists && old != nil && old.action == actionPublish && old.tries == 0 {
-		return // the entry was not written yet
+	if old != nil && old.action == actionPublish {
+		if old.tries == 0 && !exists {
+			return // the entry was not written yet
+		}
+		if len(p.cancelled) >= maxPendingParts {
+			clear(p.cancelled) // an entry that is written late expires nevertheless
+		}
+		p.cancelled[part] = old.entry.RefusedAt
 	}
 	p.add(&partCall{action: actionWithdraw, entry: platform.CrashPart{Part: part}, revision: known.revision})
 }
@@ -167,6 +177,9 @@
 	if isPublished && left > 0 {
 		p.drop(part)
 	}
+	if refusedAt, ok := p.cancelled[part]; ok && refusedAt == c.CrashPart.RefusedAt && call == nil {
+		p.add(&partCall{action: actionWithdraw, entry: platform.CrashPart{Part: part}, revision: c.Revision})
+	}
 }
 
 // timeLeft returns the time until an entry expires. An entry from a host whose system clock
