relay: test questions at a host that stops

Suspicion: hosts that follow a watching host take a response that its shutdown cuts off for a complete one, or wait for it.

--- a/edge/relay/relay_test.go
+++ b/edge/relay/relay_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +201,45 @@
 		})
 	}
 }
+
+// Guards against a response that is cut off when the watching host stops and taken for a
+// complete one, and against a question that waits for a host that has stopped. The changes
+// arrive while the host closes its connections.
+func TestHostStopsDuringQuestions(t *testing.T) {
+	const questions, changes = 100, 50
+	for round := range 10 {
+		l := watchingLog()
+		server := httptest.NewServer(NewHandler(l))
+		client := NewClient(ClientConfig{Timeout: time.Second})
+		var answered, failed atomic.Int64
+		var wg sync.WaitGroup
+		for range questions {
+			wg.Go(func() {
+				got, err := client.Watch(t.Context(), strings.TrimPrefix(server.URL, "http://"), 10, testMaxAge)
+				switch {
+				case err != nil:
+					failed.Add(1)
+				case got.Revision != 10+changes || len(got.Items) != changes:
+					t.Errorf("response with revision %d and %d changes, want %d changes or an error", got.Revision, len(got.Items), changes)
+				default:
+					answered.Add(1)
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		startedAt := time.Now()
+		update := Update{Revision: 10 + changes, ProofAt: bootclock.Now()}
+		for i := range changes {
+			update.Items = append(update.Items, platform.Item{Key: fmt.Sprint(i), Value: make([]byte, 1000), Revision: int64(11 + i)})
+		}
+		time.AfterFunc(time.Duration(round)*time.Millisecond, func() { _ = server.Config.Close() }) // the questions show whether it has stopped
+		l.Append(update)
+		wg.Wait()
+		if took := time.Since(startedAt); took > testMaxAge/2 {
+			t.Errorf("the questions ended after %v", took)
+		}
+		client.Close()
+		server.Close()
+		t.Logf("%d questions answered, %d failed", answered.Load(), failed.Load())
+	}
+}
