caller: keep replicas in use when this host has no descriptors

A host without free file descriptors took each replica to which it opened a connection out of use as unreachable, told the other hosts so, and refused requests until a probe succeeded, at least 0.3 s after the shortage. A probe that failed for the same reason counted as the death of the replica, which makes the requests at it crash suspects.

Such a dial now says nothing about the replica, and a probe tries again until the host can open a connection.

--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -274,6 +274,9 @@
 	o.err = failure
 	if failure.Verdict == verdict.NotRun {
 		o.health, o.sent = health.Unreachable, false
+		if replica.IsLocalError(err) {
+			o.health = health.Served // the replica is not at fault
+		}
 	}
 	if ctx.Err() != nil {
 		// The connection was closed by the timeout or because the caller disconnected,
--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -6,16 +6,31 @@
 	"net"
 	"slices"
 	"syscall"
+	"time"
 )
 
-// Probe opens a connection to an address and closes it. If that fails, it closes other
-// connections as described at dial.
+// localRetryInterval is the time between two attempts of Probe while this host lacks the
+// resources for a connection.
+const localRetryInterval = 100 * time.Millisecond
+
+// Probe opens a connection to an address and closes it. If the address does not accept it,
+// Probe closes other connections as described at dial. While this host lacks the resources
+// for a connection, it tries again until ctx ends.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	n, err := p.dial(ctx, address)
-	if err != nil {
-		return err
+	for {
+		n, err := p.dial(ctx, address)
+		if err == nil {
+			return n.Close()
+		}
+		if !IsLocalError(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(localRetryInterval):
+		}
 	}
-	return n.Close()
 }
 
 // dial opens a connection. If the address does not accept it, dial closes the other
@@ -32,7 +47,7 @@
 	stop := context.AfterFunc(ctx, cancel)
 	n, err := p.dialer.DialContext(dialCtx, "tcp", address)
 	ctxEnded := !stop()
-	if err != nil && !ctxEnded && !isLocalError(err) {
+	if err != nil && !ctxEnded && !IsLocalError(err) {
 		p.closeSilent(address, before)
 	}
 	return n, err
@@ -41,7 +56,9 @@
 // localErrors are errors of a dial that are caused by a shortage on this host.
 var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
 
-func isLocalError(err error) bool {
+// IsLocalError reports whether an error is caused by a shortage on this host, such as one of
+// file descriptors, and says nothing about the replica.
+func IsLocalError(err error) bool {
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
 
