replica: reuse connections with an announced timeout for single runs

A call that must run at most once opened a new connection, and closed the idle ones, whenever the replica announced an idle timeout shorter than idle_timeout plus 0.7 s: the pool took the announced timeout off the time for which a connection had been idle. The platform charges for new connections to replicas.

The time since which a connection is idle is now kept. The new test makes 3 calls in a row to a replica that announces 5 s, at an idle_timeout of 1 min.

--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -58,8 +58,9 @@
 	budget  *budgetReader
 	address string
 	reused  bool
-	// usableUntil is the time after which an idle connection is not reused.
-	usableUntil time.Duration
+	// idleSince is the time since which an idle connection has been idle, usableUntil the
+	// time after which it is not reused.
+	idleSince, usableUntil time.Duration
 }
 
 // maxIdleAtMostOnce is how long a connection may have been idle to be reused for a
@@ -120,8 +121,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[address] = list
-		idleSince := c.usableUntil - p.config.IdleTimeout
-		if now >= c.usableUntil || atMostOnce && now-idleSince > maxIdleAtMostOnce {
+		if now >= c.usableUntil || atMostOnce && now-c.idleSince > maxIdleAtMostOnce {
 			c.Close()
 			continue
 		}
@@ -139,7 +139,8 @@
 		// The replica's timeout started when it sent its last byte; stop a second earlier.
 		limit = min(limit, serverTimeout-time.Second)
 	}
-	c.usableUntil = bootclock.Now() + limit
+	c.idleSince = bootclock.Now()
+	c.usableUntil = c.idleSince + limit
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if limit <= 0 || len(p.idle[c.address]) >= p.config.MaxIdle {
--- a/edge/replica/pool_test.go
+++ b/edge/replica/pool_test.go
@@ -304,3 +304,28 @@
 	_, err = send(testPool(t), address, "a1", "")
 	checkVerdict(t, err, verdict.NotRun)
 }
+
+// Guards against a new connection for each call that must run at most once, because an
+// announced timeout made connections look as if they had been idle for long.
+func TestReuseAfterAnnouncedTimeout(t *testing.T) {
+	s := serveRaw(t, func(s *rawServer, c net.Conn, r *bufio.Reader) {
+		for attempt, ok := s.readRequest(r); ok; attempt, ok = s.readRequest(r) {
+			fmt.Fprint(c, strings.Replace(responseText(attempt, "ok"), "\r\n", "\r\nKeep-Alive: timeout=5\r\n", 1))
+		}
+	})
+	p := testPool(t)
+	for i := range 3 {
+		attempt := fmt.Sprintf("a%d", i)
+		resp, err := p.Do(t.Context(), Request{Address: s.address, Method: http.MethodPost, Target: "/", Host: "h", Headers: http.Header{"Attempt-Id": {attempt}}, AttemptID: attempt, AtMostOnce: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp); err != nil {
+			t.Fatal(err)
+		}
+		resp.Close()
+	}
+	if n := s.connections.Load(); n != 1 {
+		t.Errorf("%d connections for 3 calls in a row, want 1", n)
+	}
+}
