edge: clear a suspected part by the first event of an answer

A sound part that had been at a replica that died stayed isolated until a request with it had finished, which takes seconds for a stream, and callers with it were refused meanwhile. The crashes in question come before the first event, so the first event already clears the part. Only requests with a part that is not known good report it.

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -9,7 +9,7 @@
 type partEntry struct {
 	// crashes holds the crashes that count, oldest first.
 	crashes []partCrash
-	// cleared holds the crashes after which a request with the part has finished, oldest
+	// cleared holds the crashes after which a request with the part was answered, oldest
 	// first, so that late reports of them do not count again.
 	cleared []CrashID
 	// refused is set if requests with the part are refused.
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -14,13 +14,13 @@
 	Part    Part
 	Crashes []CrashID
 	// Refused is set if requests with the part are refused. Cleared is set if a request with
-	// the part has finished since all of Crashes.
+	// the part was answered since all of Crashes.
 	Refused, Cleared bool
 	// Age is the time since the last strike or, with Cleared, since the clearance.
 	Age time.Duration
 }
 
-// PartChange describes what a crash, a finished request or a report changed about a part,
+// PartChange describes what a crash, an answer or a report changed about a part,
 // for the log.
 type PartChange struct {
 	Part    Part
@@ -35,8 +35,8 @@
 	// Expiry is the time after its last change at which a suspected part, and with it a
 	// refusal, is removed.
 	Expiry time.Duration
-	// KnownGoodTime is how long a part counts as known good after a request with it has
-	// finished.
+	// KnownGoodTime is how long a part counts as known good after a request with it was
+	// answered.
 	KnownGoodTime time.Duration
 	// MaxSuspected and MaxRefused bound the suspected and the refused parts. They are counted
 	// separately, so that no caller can displace a refused part with suspected ones.
@@ -76,8 +76,8 @@
 
 // PartTracker holds the prompt parts that may crash replicas, and the parts known to be
 // good. A part is suspected if a replica crashed before it began to answer a request with
-// the part; parts of requests that have finished recently need more evidence. A request
-// with the part that finishes clears it.
+// the part; parts of requests that were answered recently need more evidence. A replica
+// that begins to answer a request with the part clears it.
 type PartTracker struct {
 	config    PartConfig
 	entries   map[Part]*partEntry
@@ -97,19 +97,18 @@
 // known good get a strike or, if all are known good, all parts.
 func (t *PartTracker) RecordCrash(now time.Time, crash CrashID, requests [][]Part) []PartChange {
 	t.expire(now)
-	var changes []PartChange
-	counted := map[Part]bool{}
+	var struck []Part
 	for _, parts := range requests {
 		for _, p := range t.blamed(now, parts) {
-			if counted[p] {
-				continue
-			}
-			counted[p] = true
-			if t.addStrike(now, p, crash) {
-				changes = append(changes, t.change(now, p))
+			if !slices.Contains(struck, p) && t.addStrike(now, p, crash) {
+				struck = append(struck, p)
 			}
 		}
 	}
+	var changes []PartChange
+	for _, p := range struck {
+		changes = append(changes, t.change(now, p))
+	}
 	return changes
 }
 
@@ -145,9 +144,9 @@
 	return true
 }
 
-// RecordFinish records that a request with the given parts has finished. It returns the
-// parts whose strikes it cleared.
-func (t *PartTracker) RecordFinish(now time.Time, parts []Part) []PartChange {
+// RecordAnswer records that a replica has begun to answer a request with the given parts, or
+// has finished it. It returns the parts whose strikes that cleared.
+func (t *PartTracker) RecordAnswer(now time.Time, parts []Part) []PartChange {
 	var changes []PartChange
 	for _, p := range parts {
 		t.knownGood.add(now, p)
@@ -207,7 +206,7 @@
 	return false
 }
 
-// IsKnownGood reports whether a request with the part has finished lately.
+// IsKnownGood reports whether a request with the part was answered lately.
 func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
 
 // Verdict is the way to treat a request because of its parts.
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -39,7 +39,7 @@
 	}
 	if success && q.isStream(resp) {
 		q.server.config.Loop.RecordResponseStart(assignment)
-		return q.stream(ctx, resp)
+		return q.stream(ctx, assignment, resp)
 	}
 	if q.responseStarted {
 		// Its bytes would be appended to the events that the caller already has.
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -10,6 +10,7 @@
 
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/verdict"
+	"siskinstand.example/edge/control"
 	"siskinstand.example/edge/replica"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
@@ -32,7 +33,7 @@
 // stream passes on complete events as they arrive. It holds back partial events,
 // because the replica may fail in the middle of one and another replica may then
 // continue the stream.
-func (q *request) stream(ctx context.Context, resp *replica.Response) outcome {
+func (q *request) stream(ctx context.Context, assignment control.Assignment, resp *replica.Response) outcome {
 	lastEventID, continued := q.lastEventID, q.responseStarted
 	if !q.responseStarted {
 		q.status = resp.Status
@@ -49,6 +50,9 @@
 		pending = append(pending, buffer[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
+			if !began && assignment.TriesParts {
+				q.server.config.Loop.RecordAnswerBegun(assignment)
+			}
 			began = true
 			if continued && !continuesAfter(pending[:end], lastEventID) {
 				return q.brokenStreamOutcome(ctx, began, errBadContinuation)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -110,7 +110,8 @@
 	ledger   *placement.Ledger
 	suspects *suspect.Tracker
 	parts    *suspect.PartTracker
-	// partSends holds the prompt parts of the requests that are at a replica.
+	// partSends holds the prompt parts of the requests that are at a replica and have received
+	// no event.
 	partSends partSends
 	// budgets holds the retry budgets, models the placement models, by service name.
 	budgets map[string]retry.Budget
@@ -203,6 +204,9 @@
 // that the prompt is prefilled.
 func (l *Loop) RecordResponseStart(a Assignment) { l.messages <- responseStarted{a.ID} }
 
+// RecordAnswerBegun records that the first event of a stream has arrived.
+func (l *Loop) RecordAnswerBegun(a Assignment) { l.messages <- answerBegun{a.ID, a.Target} }
+
 // RecordSendEnd records the end of a send of the request with the given fingerprint.
 func (l *Loop) RecordSendEnd(a Assignment, r SendResult, f suspect.Fingerprint) {
 	l.messages <- sendEnded{assignmentID: a.ID, target: a.Target, result: r, fingerprint: f}
@@ -271,6 +275,8 @@
 		if l.ledger.MarkPrefillDone(m.assignmentID) {
 			l.scheduleReport(reportNow)
 		}
+	case answerBegun:
+		l.handleAnswerBegun(now, m)
 	case sendEnded:
 		l.handleSendEnded(now, m)
 	case storeUpdate:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -29,6 +29,9 @@
 	// HelperReservations is the memory to reserve at helpers, in tokens by replica ID.
 	HelperReservations  map[string]int
 	PredictedFirstEvent time.Duration
+	// TriesParts is set if a part of the prompt is not known good, so that the first event is
+	// to be reported with RecordAnswerBegun.
+	TriesParts bool
 	// Load is the replica's load as known at the time of placement, for the log.
 	Load placement.Load
 }
@@ -110,6 +113,12 @@
 // responseStarted reports that a replica has started to send a stream.
 type responseStarted struct{ assignmentID uint64 }
 
+// answerBegun reports that the first event of a stream has arrived.
+type answerBegun struct {
+	assignmentID uint64
+	target       Target
+}
+
 // SendResult describes how a send ended.
 type SendResult struct {
 	// Outcome is what the send revealed about the replica.
@@ -165,6 +174,7 @@
 
 func (placementMessage) isMessage()  {}
 func (responseStarted) isMessage()   {}
+func (answerBegun) isMessage()       {}
 func (sendEnded) isMessage()         {}
 func (storeUpdate) isMessage()       {}
 func (storeOutage) isMessage()       {}
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -23,7 +23,8 @@
 // formatPart returns a part as in the header of a request.
 func formatPart(p suspect.Part) string { return strconv.FormatUint(uint64(p), 16) }
 
-// partSends holds the parts of the requests that are at a replica.
+// partSends holds the parts of the requests that are at a replica and have received no
+// event.
 type partSends struct {
 	parts    map[uint64][]suspect.Part
 	inFlight map[suspect.Part]int
@@ -80,6 +81,11 @@
 	return Refusal{}, v.Status == suspect.StatusIsolate
 }
 
+// hasFreshPart reports whether any of the parts is not known good.
+func (l *Loop) hasFreshPart(now time.Duration, parts []suspect.Part) bool {
+	return slices.ContainsFunc(parts, func(p suspect.Part) bool { return !l.parts.IsKnownGood(partTime(now), p) })
+}
+
 // unresolvedPart returns the first of the given parts that is not known good and belongs to
 // a send that may have crashed its replica.
 func (l *Loop) unresolvedPart(now time.Duration, parts []suspect.Part) (suspect.Part, bool) {
@@ -139,9 +145,16 @@
 	l.updatePartGauges(now)
 }
 
-// recordPartFinish clears the strikes of the parts of a finished request.
-func (l *Loop) recordPartFinish(now time.Duration, replicaID string, parts []suspect.Part) {
-	changes := l.parts.RecordFinish(partTime(now), parts)
+// handleAnswerBegun clears the parts of a request that has received an event. The request is
+// no trial any more.
+func (l *Loop) handleAnswerBegun(now time.Duration, m answerBegun) {
+	l.recordPartAnswer(now, m.target.ID, l.partSends.remove(m.assignmentID))
+}
+
+// recordPartAnswer clears the strikes of the parts of a request that a replica has answered
+// or has begun to answer.
+func (l *Loop) recordPartAnswer(now time.Duration, replicaID string, parts []suspect.Part) {
+	changes := l.parts.RecordAnswer(partTime(now), parts)
 	for _, c := range changes {
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
 	}
--- a/edge/control/parts_test.go
+++ b/edge/control/parts_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Guards against a sound part that stays isolated until a long stream ends.
+func TestBegunAnswerClearsPart(t *testing.T) {
+	const part suspect.Part = 5
+	l := testLoop(t, llmReplicas()...)
+	a := l.place(t, 0, requestWithParts(l, t, 1, part))
+	l.breakOff(100*time.Millisecond, a, false)
+	l.handle(100*time.Millisecond, probeResult{id: a.Target.ID, err: errProbe})
+	trial := l.place(t, time.Second, requestWithParts(l, t, 2, part))
+	placeAndCheckReason(t, l, time.Second, requestWithParts(l, t, 3, part), RefusedSuspectedPart)
+	l.handle(1200*time.Millisecond, answerBegun{trial.ID, trial.Target})
+	l.checkPartStatus(t, 1200*time.Millisecond, part, suspect.StatusClear)
+	placeAndCheckReason(t, l, 1200*time.Millisecond, requestWithParts(l, t, 4, part), "")
+}
+
 // Guards against a retry that is refused because its request was at two replicas that a
 // part of another request crashed.
 func TestNeighborOfCrashes(t *testing.T) {
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -66,7 +66,7 @@
 	} else {
 		l.scheduleReport(reportSoon)
 	}
-	assignment := Assignment{ID: id, Target: target(primary), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent}
+	assignment := Assignment{ID: id, Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent}
 	for _, h := range plan.Helpers {
 		assignment.Helpers = append(assignment.Helpers, target(l.replica(now, h.ID)))
 	}
@@ -228,6 +228,6 @@
 	}
 	if m.result.Finished {
 		l.suspects.Clear(time.Now(), m.fingerprint)
-		l.recordPartFinish(now, m.target.ID, m.parts)
+		l.recordPartAnswer(now, m.target.ID, m.parts)
 	}
 }
