--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -23,6 +23,14 @@
 // formatPart returns a part as in the header of a request.
 func formatPart(p suspect.Part) string { return strconv.FormatUint(uint64(p), 16) }
 
+func formatParts(parts []suspect.Part) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = formatPart(p)
+	}
+	return out
+}
+
 // partSends holds the parts of the requests that are at a replica and have received no
 // event.
 type partSends struct {
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -59,7 +59,7 @@
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
 	l.partSends.add(id, req.Parts)
 	if isTrial {
-		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "replica", plan.Primary)
+		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "parts", formatParts(req.Parts), "replica", plan.Primary)
 	}
 	if len(plan.Helpers) > 0 {
 		l.scheduleReport(reportNow)
