edge/control: suspect no prompt part while the network fails

Callers with a sound part got 503 crash_suspect after a zone had been cut off. A crashed replica's host refuses the connection, so only that counts now; the probe's error is in the log.

--- a/edge/control/parts_test.go
+++ b/edge/control/parts_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
-	"errors"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,7 +12,7 @@
 	"siskinstand.example/platform"
 )
 
-var errProbe = errors.New("connection refused")
+var errProbe = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
 // requestWithParts returns a small request with the given parts.
 func requestWithParts(l *Loop, t *testing.T, fingerprint suspect.Fingerprint, parts ...suspect.Part) PlacementRequest {
@@ -108,6 +110,10 @@
 			l.breakOff(time.Second, a, false)
 			l.handle(time.Second, probeResult{id: a.Target.ID})
 		},
+		"replica cut off": func(l *Loop, a Assignment) {
+			l.breakOff(time.Second, a, false)
+			l.handle(time.Second, probeResult{id: a.Target.ID, err: os.ErrDeadlineExceeded})
+		},
 		"replica silent": func(l *Loop, a Assignment) {
 			l.handle(time.Second, sendEnded{assignmentID: a.ID, target: a.Target, result: SendResult{Outcome: health.Silent, MayHaveCrashed: true}})
 			l.handle(time.Second, probeResult{id: a.Target.ID, err: errProbe})
--- a/edge/control/probe.go
+++ b/edge/control/probe.go
@@ -31,9 +31,9 @@
 }
 
 func (l *Loop) handleProbeResult(at time.Duration, m probeResult) {
-	l.resolveBrokenSends(at, m.id, m.err != nil)
+	l.resolveBrokenSends(at, m.id, m.err)
 	if m.err != nil && l.health.Record(at, m.id, health.Unreachable) {
-		klog.V(1).InfoS("replica out of use", "replica", m.id, "outcome", health.Unreachable)
+		klog.V(1).InfoS("replica out of use", "replica", m.id, "outcome", health.Unreachable, "err", m.err)
 		l.scheduleReport(reportNow)
 	}
 	if !l.health.IsUnreachable(m.id) {
--- a/edge/control/suspects.go
+++ b/edge/control/suspects.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,16 +18,19 @@
 	list := l.brokenSends[m.target.ID]
 	l.brokenSends[m.target.ID] = append(list, m)
 	if len(list) == 0 && !l.scheduleProbe(m.target.ID, 0) {
-		l.resolveBrokenSends(now, m.target.ID, true) // the replica has already been removed
+		l.resolveBrokenSends(now, m.target.ID, errReplicaRemoved)
 	}
 }
 
+var errReplicaRemoved = errors.New("the replica has been removed")
+
 // resolveBrokenSends marks the recorded requests of a replica as crash suspects if the
-// replica has died, and discards them otherwise.
-func (l *Loop) resolveBrokenSends(now time.Duration, id string, died bool) {
+// replica cannot be reached, and discards them otherwise. Their parts are suspected only if
+// the replica's host refuses the connection: without an answer, the network may have failed.
+func (l *Loop) resolveBrokenSends(now time.Duration, id string, probeErr error) {
 	list := l.brokenSends[id]
 	delete(l.brokenSends, id)
-	if !died || len(list) == 0 {
+	if probeErr == nil || len(list) == 0 {
 		return
 	}
 	for _, m := range list {
@@ -33,7 +38,9 @@
 		status := l.suspects.AddStrike(time.Now(), m.fingerprint, crash)
 		klog.V(1).InfoS("crash suspect", "fingerprint", uint64(m.fingerprint), "replica", id, "status", status)
 	}
-	l.recordPartCrash(now, id, list[0].crashID(), list)
+	if errors.Is(probeErr, syscall.ECONNREFUSED) {
+		l.recordPartCrash(now, id, list[0].crashID(), list)
+	}
 	l.scheduleReport(reportNow)
 }
 
