--- a/coord/suspect/part_reports.go
+++ b/coord/suspect/part_reports.go
@@ -79,31 +79,59 @@
 }
 
 // Reports returns up to limit reports: the most recent changes, and of the older ones the
-// refused parts and the others in turn. A part with a clearance and newer strikes has two reports.
+// refused parts and the others in turn. A part with a clearance and newer strikes has two
+// reports.
 func (t *PartTracker) Reports(now time.Time, limit int) []PartReport {
 	t.expire(now)
-	var all []PartReport
+	all := t.reportable(now)
+	slices.SortFunc(all, func(a, b reportKey) int {
+		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.part, b.part))
+	})
+	if len(all) > limit {
+		all = t.selectReports(all, limit)
+	}
+	reports := make([]PartReport, len(all))
+	for i, k := range all {
+		e := t.entries[k.part]
+		if k.isCleared {
+			reports[i] = PartReport{Part: k.part, Crashes: slices.Clone(e.cleared), Cleared: true, Age: k.age}
+		} else {
+			reports[i] = e.strikeReport(now, k.part)
+		}
+	}
+	return reports
+}
+
+// reportKey identifies a report of an entry.
+type reportKey struct {
+	part                 Part
+	isCleared, isRefused bool
+	age                  time.Duration
+}
+
+// reportable returns the keys of all reports.
+func (t *PartTracker) reportable(now time.Time) []reportKey {
+	var all []reportKey
 	for p, e := range t.entries {
 		if len(e.crashes) > 0 {
-			all = append(all, e.strikeReport(now, p))
+			all = append(all, reportKey{part: p, isRefused: e.refused, age: e.strikeAge(now)})
 		}
 		if len(e.cleared) > 0 && now.Sub(e.clearedAt) < t.config.Expiry {
-			all = append(all, PartReport{Part: p, Crashes: slices.Clone(e.cleared), Cleared: true, Age: now.Sub(e.clearedAt)})
+			all = append(all, reportKey{part: p, isCleared: true, age: now.Sub(e.clearedAt)})
 		}
 	}
-	slices.SortFunc(all, func(a, b PartReport) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part))
-	})
-	if len(all) <= limit {
-		return all
-	}
+	return all
+}
+
+// selectReports returns limit of the keys, which are sorted by age.
+func (t *PartTracker) selectReports(all []reportKey, limit int) []reportKey {
 	recent := (limit + 1) / 2
-	var refused, others []PartReport
-	for _, r := range all[recent:] {
-		if r.Refused {
-			refused = append(refused, r)
+	var refused, others []reportKey
+	for _, k := range all[recent:] {
+		if k.isRefused {
+			refused = append(refused, k)
 		} else {
-			others = append(others, r)
+			others = append(others, k)
 		}
 	}
 	out := all[:recent:recent]
@@ -111,26 +139,30 @@
 	return append(out, rotate(others, &t.nextOther, limit-len(out))...)
 }
 
-// rotate returns up to limit reports in the order of their parts, beginning after the part
-// at last, and updates that.
-func rotate(reports []PartReport, last *Part, limit int) []PartReport {
-	slices.SortStableFunc(reports, func(a, b PartReport) int { return cmp.Compare(a.Part, b.Part) })
-	first, _ := slices.BinarySearchFunc(reports, *last, func(r PartReport, p Part) int {
-		if r.Part <= p {
+// rotate returns up to limit keys in the order of their parts, beginning after the part at
+// last, and updates that.
+func rotate(keys []reportKey, last *Part, limit int) []reportKey {
+	slices.SortStableFunc(keys, func(a, b reportKey) int { return cmp.Compare(a.part, b.part) })
+	first, _ := slices.BinarySearchFunc(keys, *last, func(k reportKey, p Part) int {
+		if k.part <= p {
 			return -1
 		}
 		return 1
 	})
-	var out []PartReport
-	for i := range min(limit, len(reports)) {
-		out = append(out, reports[(first+i)%len(reports)])
+	var out []reportKey
+	for i := range min(limit, len(keys)) {
+		out = append(out, keys[(first+i)%len(keys)])
 	}
 	if len(out) > 0 {
-		*last = out[len(out)-1].Part
+		*last = out[len(out)-1].part
 	}
 	return out
 }
 
+func (e *partEntry) strikeAge(now time.Time) time.Duration {
+	return now.Sub(e.crashes[len(e.crashes)-1].at)
+}
+
 func (e *partEntry) strikeReport(now time.Time, p Part) PartReport {
-	return PartReport{Part: p, Crashes: e.crashIDs(), Refused: e.refused, Age: now.Sub(e.crashes[len(e.crashes)-1].at)}
+	return PartReport{Part: p, Crashes: e.crashIDs(), Refused: e.refused, Age: e.strikeAge(now)}
 }
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -209,8 +209,8 @@
 // IsKnownGood reports whether a request with the part was answered lately.
 func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
 
-// Verdict is the way to treat a request because of its parts.
-type Verdict struct {
+// Treatment is the way to treat a request because of its parts.
+type Treatment struct {
 	Status Status
 	// Part is the part to blame for a refusal, or a suspected part.
 	Part Part
@@ -223,37 +223,37 @@
 // Judge returns how to treat a request with the given parts. Hosts try a suspected part in
 // turns, so that a part that crashes replicas is known everywhere before most of them send
 // it.
-func (t *PartTracker) Judge(now time.Time, parts []Part, hosts int) Verdict {
-	v := Verdict{Status: StatusClear}
+func (t *PartTracker) Judge(now time.Time, parts []Part, hosts int) Treatment {
+	r := Treatment{Status: StatusClear}
 	ambiguous := 0
 	for _, p := range parts {
 		switch t.Status(now, p) {
 		case StatusRefuse:
-			return Verdict{Status: StatusRefuse, Part: p}
+			return Treatment{Status: StatusRefuse, Part: p}
 		case StatusIsolate:
 			e := t.entries[p]
 			if e.refused {
 				ambiguous++
 			}
 			turnAt := e.changedAt.Add(time.Duration(t.turn(p, hosts)) * t.config.TurnTime)
-			v.Wait = max(v.Wait, turnAt.Sub(now))
-			v.Status, v.Part = StatusIsolate, p
-			v.Suspected = append(v.Suspected, p)
+			r.Wait = max(r.Wait, turnAt.Sub(now))
+			r.Status, r.Part = StatusIsolate, p
+			r.Suspected = append(r.Suspected, p)
 		}
 	}
 	if ambiguous > 1 {
-		return Verdict{Status: StatusRefuse, Part: v.Part}
+		return Treatment{Status: StatusRefuse, Part: r.Part}
 	}
-	if n := len(v.Suspected); n > 1 {
-		last := t.entries[v.Part].changedAt
-		for _, p := range v.Suspected {
+	if n := len(r.Suspected); n > 1 {
+		last := t.entries[r.Part].changedAt
+		for _, p := range r.Suspected {
 			if at := t.entries[p].changedAt; at.After(last) {
 				last = at
 			}
 		}
-		v.Wait = max(v.Wait, last.Add(time.Duration(n-1)*t.config.SeveralPartsDelay).Sub(now))
+		r.Wait = max(r.Wait, last.Add(time.Duration(n-1)*t.config.SeveralPartsDelay).Sub(now))
 	}
-	return v
+	return r
 }
 
 // turn returns the turn of this host for a part.
