--- a/edge/control/part_store_test.go
+++ b/edge/control/part_store_test.go
@@ -108,19 +108,19 @@
 	// that finishes.
 	l, f := partLoop(t)
 	now := time.Minute
-	l.recordPartFinish(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
 	l.handle(now, storeUpdate{list: []platform.Change{entryOf(0)}})
 	for range 3 {
-		l.recordPartFinish(now, "i-1", []suspect.Part{testPart})
+		l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
 	}
 	l.checkRefused(t, now, false)
 	checkStoreCalls(t, f, 0, 1)
 	l.crashOf(now, "i-1", 3)
-	l.recordPartFinish(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
 	l.handle(now, storeUpdate{list: []platform.Change{removalOfEntry()}})
 	before := len(f.withdrawn)
 	l.crashOf(now, "i-1", 4)
-	l.recordPartFinish(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
 	checkStoreCalls(t, f, 0, before)
 }
 
--- a/edge/control/parts_test.go
+++ b/edge/control/parts_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
-	"errors"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,7 +12,7 @@
 	"siskinstand.example/platform"
 )
 
-var errProbe = errors.New("connection refused")
+var errProbe = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
 // requestWithParts returns a small request with the given parts.
 func requestWithParts(l *Loop, t *testing.T, fingerprint suspect.Fingerprint, parts ...suspect.Part) PlacementRequest {
@@ -108,6 +110,10 @@
 			l.breakOff(time.Second, a, false)
 			l.handle(time.Second, probeResult{id: a.Target.ID})
 		},
+		"replica cut off": func(l *Loop, a Assignment) {
+			l.breakOff(time.Second, a, false)
+			l.handle(time.Second, probeResult{id: a.Target.ID, err: os.ErrDeadlineExceeded})
+		},
 		"replica silent": func(l *Loop, a Assignment) {
 			l.handle(time.Second, sendEnded{assignmentID: a.ID, target: a.Target, result: SendResult{Outcome: health.Silent, MayHaveCrashed: true}})
 			l.handle(time.Second, probeResult{id: a.Target.ID, err: errProbe})
@@ -135,6 +141,20 @@
 	}
 }
 
+// Guards against a sound part that stays isolated until a long stream ends.
+func TestBegunAnswerClearsPart(t *testing.T) {
+	const part suspect.Part = 5
+	l := testLoop(t, llmReplicas()...)
+	a := l.place(t, 0, requestWithParts(l, t, 1, part))
+	l.breakOff(100*time.Millisecond, a, false)
+	l.handle(100*time.Millisecond, probeResult{id: a.Target.ID, err: errProbe})
+	trial := l.place(t, time.Second, requestWithParts(l, t, 2, part))
+	placeAndCheckReason(t, l, time.Second, requestWithParts(l, t, 3, part), RefusedSuspectedPart)
+	l.handle(1200*time.Millisecond, answerBegun{trial.ID, trial.Target})
+	l.checkPartStatus(t, 1200*time.Millisecond, part, suspect.StatusClear)
+	placeAndCheckReason(t, l, 1200*time.Millisecond, requestWithParts(l, t, 4, part), "")
+}
+
 // Guards against a retry that is refused because its request was at two replicas that a
 // part of another request crashed.
 func TestNeighborOfCrashes(t *testing.T) {
