--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,7 +37,11 @@
 	service *catalog.Service
 	timeout time.Duration
 
-	fingerprint   suspect.Fingerprint
+	fingerprint suspect.Fingerprint
+	// parts are the parts of the prompt that other requests may share. refusedPart is the one
+	// because of which the request was not placed, or 0.
+	parts         []suspect.Part
+	refusedPart   suspect.Part
 	triedReplicas []string
 	sendCount     int
 	mayHaveRun    bool
@@ -98,10 +103,13 @@
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "the route's service is not configured").WithRetryAfter(time.Second)
 	}
-	if since, draining := q.server.timeSinceDrain(); draining && since > q.server.config.DrainAcceptTime && since+q.estimateDuration() > q.server.config.DrainDeadline {
+	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since) {
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body)
+	for _, p := range q.headers.SharedPromptParts {
+		q.parts = append(q.parts, suspect.Part(p))
+	}
 	return nil
 }
 
@@ -139,15 +147,35 @@
 	tokenTimeFactor = 1.6
 )
 
+// fitsIntoDrain reports whether a request that arrives the given time after the start of
+// draining is to be accepted. After the notice time the load balancer sends new connections
+// to other hosts, so that only requests are accepted that finish in time whatever the
+// length of their output.
+func (q *request) fitsIntoDrain(since time.Duration) bool {
+	c := q.server.config
+	switch {
+	case since <= c.DrainAcceptTime:
+		return true
+	case since <= c.DrainNotice:
+		return since+q.estimateDuration() <= c.DrainDeadline
+	}
+	return since+q.durationFor(q.headers.MaxOutputTokens) <= c.DrainDeadline
+}
+
 // estimateDuration estimates how long the request takes until its response is complete.
 func (q *request) estimateDuration() time.Duration {
+	if q.headers.OutputTokensHint > 0 {
+		return q.durationFor(outputHintFactor * q.headers.OutputTokensHint)
+	}
+	return q.durationFor(q.headers.MaxOutputTokens)
+}
+
+// durationFor returns how long the request takes if its output has the given length. The
+// length matters only for streams.
+func (q *request) durationFor(tokens int) time.Duration {
 	if q.route.Repeat != catalog.RepeatStream || q.service.Engine == nil {
 		return q.route.Objective
 	}
-	tokens := q.headers.MaxOutputTokens
-	if q.headers.OutputTokensHint > 0 {
-		tokens = outputHintFactor * q.headers.OutputTokensHint
-	}
 	return q.route.Objective + time.Duration(tokenTimeFactor*float64(tokens)*float64(q.service.Engine.StepTime))
 }
 
@@ -311,7 +339,15 @@
 		version = q.view.Catalog.Version()
 		age, _ = q.view.Proof.Age(q.received)
 	}
-	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail,
+	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail, "part", formatPart(q.refusedPart),
 		"route", route, "account", account, "prompt", q.headers.PromptTokens, "sends", q.sendCount, "replicas", q.triedReplicas, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"took_ms", took.Milliseconds(), "events", q.eventCount, "gap_ms", q.longestGap.Milliseconds(), "config_version", version, "proof_age_ms", age.Milliseconds())
 }
+
+// formatPart returns a part as in the header of a request, or "" for none.
+func formatPart(p suspect.Part) string {
+	if p == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(p), 16)
+}
