--- a/service/http1/retire_test.go
+++ b/service/http1/retire_test.go
@@ -122,43 +122,69 @@
 // Guards against closing a connection at its idle timeout although a request has arrived.
 // The deadline of a read passes without a look at the socket if the process could not run.
 func TestRequestAtIdleTimeout(t *testing.T) {
-	l := &expiringListener{Listener: newPausingListener(t).Listener}
-	s := startServerOn(t, l)
-	s.timeouts.Store(&Timeouts{Header: 3 * time.Second, Idle: 400 * time.Millisecond})
-	c := s.dial()
-	c.send(getRequest("/1"))
-	c.expectResponse(200, "/1")
-	l.delay.Store(int64(600 * time.Millisecond))
-	c.send(getRequest("/2")) // ends the read that has already started
-	c.expectResponse(200, "/2")
-	time.Sleep(100 * time.Millisecond)
-	c.send(getRequest("/3"))
-	c.expectResponse(200, "/3")
+	tests := map[string][]time.Duration{
+		"read starts late":              {600 * time.Millisecond},
+		"read and last read start late": {600 * time.Millisecond, 5 * time.Millisecond},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &lateListener{Listener: newPausingListener(t).Listener}
+			s := startServerOn(t, l)
+			s.timeouts.Store(&Timeouts{Header: 3 * time.Second, Idle: 400 * time.Millisecond})
+			c := s.dial()
+			c.send(getRequest("/1"))
+			c.expectResponse(200, "/1")
+			l.setDelays(delays)
+			c.send(getRequest("/2")) // ends the read that has already started
+			c.expectResponse(200, "/2")
+			time.Sleep(100 * time.Millisecond)
+			c.send(getRequest("/3"))
+			c.expectResponse(200, "/3")
+		})
+	}
 }
 
-// expiringListener accepts connections whose next read for a request starts only after
-// delay.
-type expiringListener struct {
+// lateListener accepts connections whose next reads for a request start late.
+type lateListener struct {
 	net.Listener
-	delay atomic.Int64
+	mu     sync.Mutex
+	delays []time.Duration
+}
+
+func (l *lateListener) setDelays(delays []time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delays = delays
+}
+
+// nextDelay removes and returns the first delay, or 0.
+func (l *lateListener) nextDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.delays) == 0 {
+		return 0
+	}
+	delay := l.delays[0]
+	l.delays = l.delays[1:]
+	return delay
 }
 
-func (l *expiringListener) Accept() (net.Conn, error) {
+func (l *lateListener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &expiringConn{TCPConn: n.(*net.TCPConn), listener: l}, nil
+	return &lateConn{TCPConn: n.(*net.TCPConn), listener: l}, nil
 }
 
-type expiringConn struct {
+type lateConn struct {
 	*net.TCPConn
-	listener *expiringListener
+	listener *lateListener
 }
 
-func (c *expiringConn) Read(p []byte) (int, error) {
+func (c *lateConn) Read(p []byte) (int, error) {
 	if len(p) > 1 { // net/http reads a single byte to notice a caller that disconnects
-		time.Sleep(time.Duration(c.listener.delay.Swap(0)))
+		time.Sleep(c.listener.nextDelay())
 	}
 	return c.TCPConn.Read(p)
 }
