http1: notice a request whose first bytes came with the previous one

A caller that pipelines and splits a header got status 400, which is final, during a shutdown: part of the header had been read together with the previous request, so that the connection counted as unused and its reader was ended after 250 ms. Outside a shutdown a stalled header of this kind got 400 at the idle timeout instead of 408 at the header timeout.

net/http sets a second deadline once it has the first bytes of a request. If no byte has been read by then, they were in its buffer; the connection is busy from then on. A connection whose retirement is cancelled loses its past deadline, too: a body behind such a header failed with a timeout.

--- a/service/http1/conn.go
+++ b/service/http1/conn.go
@@ -38,6 +38,9 @@
 	// endsHeader is true if the bytes read last end with an empty line, the end of a
 	// header.
 	endsHeader bool
+	// deadlineCalls counts the deadlines that net/http has set since the last request. It
+	// sets the second one once it has the first bytes of the next request.
+	deadlineCalls int
 	// mayStartInside is true if the first bytes of the awaited request may have been read
 	// together with the previous request.
 	mayStartInside bool
@@ -66,6 +69,7 @@
 		c.receivedBytes, c.methodBytes, c.isMethodComplete = 0, 0, false
 		c.mayStartInside = !c.endsHeader
 		c.headerDeadline = time.Time{}
+		c.deadlineCalls = 0
 		c.awaitsHeader.Store(true)
 		c.setBusy(false)
 	}
@@ -78,8 +82,9 @@
 		c.unusedSince = time.Now()
 	}
 	c.isBusy = isBusy
-	if isBusy {
+	if isBusy && c.isRetired {
 		c.isRetired = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only for a closed connection, whose next read fails too
 	}
 }
 
@@ -171,9 +176,15 @@
 // SetReadDeadline applies the current timeouts instead of the given deadline while a
 // request is awaited. A zero deadline still removes the deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	awaitsHeader := c.awaitsHeader.Load() && !t.IsZero()
+	if awaitsHeader {
+		if c.deadlineCalls++; c.deadlineCalls == 2 && c.receivedBytes == 0 {
+			c.acceptBufferedBytes()
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.awaitsHeader.Load() && !t.IsZero() {
+	if awaitsHeader {
 		if t = c.headerDeadline; t.IsZero() {
 			t = time.Now().Add(c.server.config.Timeouts().Idle)
 		}
@@ -184,6 +195,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// acceptBufferedBytes handles the first bytes of a request that net/http has read together
+// with the previous request, so that Read does not see them.
+func (c *conn) acceptBufferedBytes() {
+	c.receivedBytes = 1 // the number does not matter
+	c.headerDeadline = time.Now().Add(c.server.config.Timeouts().Header)
+	c.setBusy(true)
+}
+
 // Write reports responses that net/http sends without calling the handler.
 func (c *conn) Write(p []byte) (int, error) {
 	if !c.isHandled.Load() && c.isRejected.CompareAndSwap(false, true) {
