--- a/models/parts.pml
+++ b/models/parts.pml
@@ -47,12 +47,12 @@
 #ifdef NO_MERGE_REFUSAL
 #define REFUSED(h) TWO(own[h] & ~cleared[h])
 #else
-#define REFUSED(h) TWO(OPEN(h))
+#define REFUSED(h) TWO(OPEN(h)) /* coord/suspect/parts.go Status */
 #endif
 #ifdef NO_ISOLATION
 #define ISOLATED(h) true
 #else
-#define ISOLATED(h) (OPEN(h) == 0 || flights[h] == 0)
+#define ISOLATED(h) (OPEN(h) == 0 || flights[h] == 0) /* edge/control/parts.go judgeParts */
 #endif
 
 bool deadly = false, touch = false;
@@ -153,7 +153,7 @@
 #ifdef NO_EVENT_ORDER
 		clear(me, strikes[me]);
 #else
-		clear(me, knownBefore);
+		clear(me, knownBefore); /* edge/control/place.go handleSendEnded, in part */
 #endif
 		knownBefore = 0
 	   }
@@ -187,7 +187,7 @@
 	:: atomic {
 		flights[me] > 0 -> /* the client leaves, or the replica rejects the request */
 #ifdef NO_FINISH
-		clear(me, knownAtSend[me]);
+		clear(me, knownAtSend[me]); /* edge/control/place.go handleSendEnded does not */
 #endif
 		land(me)
 	   }
@@ -199,7 +199,7 @@
 		:: (saidStrikes & ~strikes[me] & STRIKE(id)) != 0 -> break
 		:: id < LAST_STRIKE && (saidStrikes & ~strikes[me]) >= STRIKE(id + 1) -> id++
 		od;
-		strikes[me] = strikes[me] | STRIKE(id);
+		strikes[me] = strikes[me] | STRIKE(id); /* coord/suspect/part_reports.go Apply */
 		id = 0
 	   }
 	:: atomic {
@@ -233,7 +233,7 @@
 	:: atomic {
 		!serving[me] ->
 #ifndef NO_STORE_READ
-		strikes[me] = storeStrikes;
+		strikes[me] = storeStrikes; /* edge/control/part_store.go applyCrashPart */
 		cleared[me] = storeCleared;
 #endif
 		serving[me] = true
