--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -59,14 +59,14 @@
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
 	l.partSends.add(id, req.Parts)
 	if isTrial {
-		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "replica", plan.Primary)
+		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "parts", formatParts(req.Parts), "replica", plan.Primary)
 	}
 	if len(plan.Helpers) > 0 {
 		l.scheduleReport(reportNow)
 	} else {
 		l.scheduleReport(reportSoon)
 	}
-	assignment := Assignment{ID: id, Target: target(primary), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent}
+	assignment := Assignment{ID: id, Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent}
 	for _, h := range plan.Helpers {
 		assignment.Helpers = append(assignment.Helpers, target(l.replica(now, h.ID)))
 	}
@@ -228,6 +228,6 @@
 	}
 	if m.result.Finished {
 		l.suspects.Clear(time.Now(), m.fingerprint)
-		l.recordPartFinish(now, m.target.ID, m.parts)
+		l.recordPartAnswer(now, m.target.ID, m.parts)
 	}
 }
