sidecar: finish the prompts of groups before stopping

A long prompt that runs on a group of endpoints was cut off when the sidecar of a member got SIGTERM and was not back within 10 s: its drain waited only for the attempts that it led itself. Nobody renewed the hold in the member's engine after that, and the leader gave up with group_member_lost.

The drain now also waits until no group holds memory of the engine. It takes no new holds and renews the others as before; a hold whose leader is gone expires within 10 s.

The new test holds memory over a real connection and drains.

--- a/sidecar/control/drain.go
+++ b/sidecar/control/drain.go
@@ -7,8 +7,8 @@
 )
 
 // Drain stops admission and refuses attempts that have not been dispatched. The
-// returned channel is closed when all attempts have ended, but may stay open if
-// the loop stops before that.
+// returned channel is closed when all attempts have ended and no group holds memory of
+// the engine, but may stay open if the loop stops before that.
 func (l *Loop) Drain() <-chan struct{} {
 	done := make(chan struct{})
 	if l.send(drainMessage{done}) != nil {
@@ -26,7 +26,7 @@
 }
 
 func (l *Loop) finishDrainIfIdle() {
-	if !l.draining || len(l.attempts) > 0 {
+	if !l.draining || len(l.attempts) > 0 || l.holds.Tokens() > 0 {
 		return
 	}
 	for _, done := range l.drainWaiters {
--- a/sidecar/grpcserver/hold_renewal_test.go
+++ b/sidecar/grpcserver/hold_renewal_test.go
@@ -89,3 +89,38 @@
 		t.Errorf("hold %d of account a is granted, want at most %d holds", limit+1, limit)
 	}
 }
+
+// Guards against a group's prompt that is cut off because the sidecar of a member stops while
+// the member's engine still holds a part of it.
+func TestDrainWaitsForHolds(t *testing.T) {
+	ts := newTestServer(t)
+	request := &peerpb.HoldRequest{HoldId: "h", GroupId: "g", Tokens: 10, TtlMs: group.MaxTimeToLive.Milliseconds()}
+	hold := func() *peerpb.HoldResponse {
+		t.Helper()
+		response, err := ts.sidecarClient.Hold(t.Context(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	if !hold().Held {
+		t.Fatal("no hold")
+	}
+	drained := ts.loop.Drain()
+	select {
+	case <-drained:
+		t.Fatal("the drain ended while a group used the engine's memory")
+	case <-time.After(200 * time.Millisecond):
+	}
+	if r := hold(); !r.Held {
+		t.Errorf("renewal during the drain refused: %s", r.Reason)
+	}
+	if _, err := ts.sidecarClient.ReleaseHold(t.Context(), &peerpb.ReleaseHoldRequest{HoldId: "h"}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-drained:
+	case <-time.After(5 * time.Second):
+		t.Error("the drain goes on after the release of the last hold")
+	}
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -127,8 +127,9 @@
 	return err
 }
 
-// drain waits until all attempts have ended and the gateways have read all responses. It
-// returns early when the timeout has passed or the context has ended.
+// drain waits until all attempts have ended, no group holds memory of the engine and the
+// gateways have read all responses. It returns early when the timeout has passed or the
+// context has ended.
 func drain(ctx context.Context, timeout time.Duration, c components) {
 	klog.InfoS("draining streams before shutdown")
 	ctx, cancel := context.WithTimeout(ctx, timeout)
