--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against cutting off requests on connections that were opened or reused after the
+// start of a dial that fails.
+func TestFailedDialKeepsNewConnections(t *testing.T) {
+	s := serveRaw(t, func(s *rawServer, c net.Conn, r *bufio.Reader) {
+		for attempt, ok := s.readRequest(r); ok; attempt, ok = s.readRequest(r) {
+			time.Sleep(50 * time.Millisecond)
+			fmt.Fprint(c, responseText(attempt, "ok"))
+		}
+	})
+	p := testPool(t)
+	for i, name := range []string{"opened", "reused"} {
+		t.Run(name, func(t *testing.T) {
+			before := p.receivedBytes(s.address)
+			time.AfterFunc(20*time.Millisecond, func() { p.closeSilent(s.address, before) })
+			if got := sendAndRead(t, p, s.address, name); got != "ok" {
+				t.Errorf("response %q, want ok", got)
+			}
+			if n := s.connections.Load(); n != 1 {
+				t.Errorf("%d connections after %d requests, want 1", n, i+1)
+			}
+		})
+	}
+}
+
 func acquireOnce(p *Pool, address string) error {
 	_, err := send(p, address, "a2", "")
 	if err != nil && verdict.FromError(err) != verdict.NotRun {
