--- a/coord/suspect/parts_sim_test.go
+++ b/coord/suspect/parts_sim_test.go
@@ -41,9 +41,19 @@
 type simReplica struct {
 	id       CrashID
 	deadTill time.Duration
+	// dueAt is the time of the next end or crash.
+	dueAt    time.Duration
 	requests []*simRequest
 }
 
+// dueAt returns the time at which the request ends or crashes its replica.
+func (q *simRequest) dueAt() time.Duration {
+	if q.culprit != 0 {
+		return q.beginsAt
+	}
+	return q.finishes
+}
+
 type simHost struct {
 	tracker              *PartTracker
 	inFlight             map[Part]int
@@ -52,7 +62,6 @@
 }
 
 type simMessage struct {
-	at      time.Duration
 	to      int
 	reports []PartReport
 }
@@ -60,12 +69,13 @@
 // simulation runs hosts that send requests to replicas and exchange reports.
 type simulation struct {
 	simConfig
-	t        testing.TB
-	random   *rand.Rand
-	now      time.Duration
-	nodes    []*simHost
-	servers  []*simReplica
-	messages []simMessage
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Duration
+	nodes   []*simHost
+	servers []*simReplica
+	// messages and probes hold what arrives at a time.
+	messages map[time.Duration][]simMessage
 	probes   map[time.Duration][]func()
 	lastID   CrashID
 	// crashes are the times of the crashes by each part, sends those of the sends with it by
@@ -89,7 +99,7 @@
 
 func (s *simulation) run() {
 	s.random = rand.New(rand.NewPCG(s.seed, 0))
-	s.probes = map[time.Duration][]func(){}
+	s.messages, s.probes = map[time.Duration][]simMessage{}, map[time.Duration][]func(){}
 	s.crashes, s.sends = map[Part][]time.Duration{}, map[Part][]time.Duration{}
 	for i := range s.hosts {
 		s.nodes = append(s.nodes, &simHost{tracker: newPartTracker(fmt.Sprintf("edge-%d", i)), inFlight: map[Part]int{}})
@@ -184,7 +194,11 @@
 		h.inFlight[p]++
 	}
 	begins := s.now + time.Duration(60+s.random.IntN(150))*time.Millisecond
-	r.requests = append(r.requests, &simRequest{host: host, parts: parts, culprit: culprit, beginsAt: begins, finishes: begins + time.Duration(100+s.random.IntN(900))*time.Millisecond})
+	q := &simRequest{host: host, parts: parts, culprit: culprit, beginsAt: begins, finishes: begins + time.Duration(100+s.random.IntN(900))*time.Millisecond}
+	if len(r.requests) == 0 || q.dueAt() < r.dueAt {
+		r.dueAt = q.dueAt()
+	}
+	r.requests = append(r.requests, q)
 }
 
 func (s *simulation) runReplicas() {
@@ -196,6 +210,9 @@
 		}
 	}
 	for _, r := range s.servers {
+		if len(r.requests) == 0 || s.now < r.dueAt {
+			continue
+		}
 		if i := slices.IndexFunc(r.requests, func(q *simRequest) bool { return q.culprit != 0 && q.beginsAt <= s.now }); i >= 0 {
 			p := r.requests[i].culprit
 			s.crashes[p] = append(s.crashes[p], s.now)
@@ -211,6 +228,9 @@
 			}
 			return true
 		})
+		if len(r.requests) > 0 {
+			r.dueAt = slices.MinFunc(r.requests, func(a, b *simRequest) int { return cmp.Compare(a.dueAt(), b.dueAt()) }).dueAt()
+		}
 	}
 }
 
@@ -255,21 +275,19 @@
 	reports := h.tracker.Reports(s.time(), 16)
 	for to := range s.nodes {
 		if to != host && len(reports) > 0 && s.random.Float64() >= s.reportLoss {
-			s.messages = append(s.messages, simMessage{s.now + time.Duration(1+s.random.IntN(30))*time.Millisecond, to, reports})
+			at := s.now + time.Duration(1+s.random.IntN(30))*time.Millisecond
+			s.messages[at] = append(s.messages[at], simMessage{to, reports})
 		}
 	}
 }
 
 func (s *simulation) deliver() {
-	s.messages = slices.DeleteFunc(s.messages, func(m simMessage) bool {
-		if m.at > s.now {
-			return false
-		}
+	for _, m := range s.messages[s.now] {
 		if s.isUp(m.to) {
 			s.nodes[m.to].tracker.Merge(s.time(), m.reports)
 		}
-		return true
-	})
+	}
+	delete(s.messages, s.now)
 }
 
 // lateSends returns the number of sends with a part later than simContactTime after its
