--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -17,6 +17,7 @@
 	"siskinstand.example/edge/replica"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
+	"siskinstand.example/service/http1"
 )
 
 // outcome is the result of sending a request to one replica.
@@ -162,11 +163,19 @@
 		v = verdict.MayHaveRun
 	}
 	if q.httpRequest.Context().Err() != nil {
-		return verdict.New(v, verdict.ReasonCancelled, "the caller left")
+		return verdict.New(v, verdict.ReasonCancelled, "%s", q.disconnectCause())
 	}
 	return verdict.New(v, verdict.ReasonDeadlineExceeded, "the time limit has passed").WithCause(ctx.Err())
 }
 
+// disconnectCause returns, for the log, which side closed the caller's connection.
+func (q *request) disconnectCause() string {
+	if http1.ClosedByServer(q.httpRequest.Context()) {
+		return "this host closed the caller's connection"
+	}
+	return "the caller left"
+}
+
 // refusalError converts a refusal of the control loop into the error for the caller.
 func (q *request) refusalError(r control.Refusal) *verdict.Error {
 	reason := verdict.ReasonOverloaded
@@ -277,6 +286,9 @@
 	o.err = failure
 	if failure.Verdict == verdict.NotRun {
 		o.health, o.sent = health.Unreachable, false
+		if replica.IsLocalError(err) {
+			o.health = health.Served // the replica is not at fault
+		}
 	}
 	if ctx.Err() != nil {
 		// The connection was closed by the timeout or because the caller disconnected,
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -147,8 +147,12 @@
 			requests = append(requests, m.parts)
 		}
 	}
+	if len(requests) > 0 {
+		l.storedParts.recordOwnCrash(crash)
+	}
 	for _, c := range l.parts.RecordCrash(partTime(now), crash, requests) {
 		klog.V(1).InfoS("prompt part suspected", "part", formatPart(c.Part), "replica", id, "crash", uint64(crash), "strikes", c.Strikes, "status", c.Status)
+		l.publishIfRefused(now, c)
 	}
 	l.updatePartGauges(now)
 }
@@ -162,7 +166,9 @@
 // recordPartAnswer clears the strikes of the parts of a request that a replica has answered
 // or has begun to answer.
 func (l *Loop) recordPartAnswer(now time.Duration, replicaID string, parts []suspect.Part) {
+	withdrawable := l.partsToWithdraw(now, parts)
 	changes := l.parts.RecordAnswer(partTime(now), parts)
+	l.withdrawParts(withdrawable, changes)
 	for _, c := range changes {
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
 	}
@@ -179,6 +185,9 @@
 		if c, ok := l.parts.Apply(partTime(now), r); ok {
 			isChanged = true
 			klog.V(1).InfoS("prompt part received", "part", formatPart(c.Part), "peer", peer, "cleared", r.Cleared, "strikes", c.Strikes, "status", c.Status)
+			if !r.Refused {
+				l.publishIfRefused(now, c)
+			}
 		}
 	}
 	if isChanged {
