edge/control: store a part that a clearance has settled

A crash-causing part that had come together with a sound one in all crashes was refused once the sound one was cleared, but never stored, so that hosts that were all killed would send it again. A clearance, here or at another host, now stores it. The line of a received part has its status after all parts of the report; before, a part could be shown as refused that the next row made one of two to be tried.

--- a/coord/suspect/part_reports.go
+++ b/coord/suspect/part_reports.go
@@ -51,7 +51,7 @@
 	if at.After(e.changedAt) {
 		e.changedAt = at
 	}
-	return t.change(now, r.Part), true
+	return t.Change(now, r.Part), true
 }
 
 func (t *PartTracker) applyStrikes(now time.Time, r PartReport, e *partEntry, at time.Time) bool {
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -107,7 +107,7 @@
 	}
 	var changes []PartChange
 	for _, p := range struck {
-		changes = append(changes, t.change(now, p))
+		changes = append(changes, t.Change(now, p))
 	}
 	return changes
 }
@@ -156,7 +156,7 @@
 		}
 		e.clear(e.crashIDs())
 		e.changedAt, e.clearedAt = now, now
-		changes = append(changes, t.change(now, p))
+		changes = append(changes, t.Change(now, p))
 	}
 	return changes
 }
@@ -290,7 +290,8 @@
 	return freshThreshold
 }
 
-func (t *PartTracker) change(now time.Time, p Part) PartChange {
+// Change returns the strikes and the status of a part.
+func (t *PartTracker) Change(now time.Time, p Part) PartChange {
 	c := PartChange{Part: p, Status: t.Status(now, p)}
 	if e := t.entries[p]; e != nil {
 		c.Strikes = len(e.crashes)
--- a/edge/control/part_store.go
+++ b/edge/control/part_store.go
@@ -66,6 +66,16 @@
 	l.config.PartStore.Publish(entry)
 }
 
+// publishSettled stores the parts that are refused since another part was cleared, which had
+// come together with them in all crashes.
+func (l *Loop) publishSettled(now time.Duration) {
+	for _, r := range l.parts.Refused(partTime(now)) {
+		if _, isStored := l.storedParts.entries[r.Part]; !isStored {
+			l.publishIfRefused(now, l.parts.Change(partTime(now), r.Part))
+		}
+	}
+}
+
 // partsToWithdraw returns those of the parts that are refused here or in the store.
 func (l *Loop) partsToWithdraw(now time.Duration, parts []suspect.Part) []suspect.Part {
 	var list []suspect.Part
--- a/edge/control/part_store_test.go
+++ b/edge/control/part_store_test.go
@@ -167,3 +167,32 @@
 		l.checkRefused(t, later+time.Second, true)
 	})
 }
+
+// Guards against a refused part that is never stored, because it was one of two that came
+// together in all crashes until an answer, here or at another host, cleared the other one.
+func TestPublishedAfterClearance(t *testing.T) {
+	const sound suspect.Part = 0xcd
+	tests := map[string]func(l *Loop, now time.Duration){
+		"answered here": func(l *Loop, now time.Duration) { l.recordPartAnswer(now, "i-1", []suspect.Part{sound}) },
+		"answered at another host": func(l *Loop, now time.Duration) {
+			l.mergePartReports(now, "edge-2", []suspect.PartReport{{Part: sound, Crashes: []suspect.CrashID{1, 2}, Cleared: true}})
+		},
+	}
+	for name, clearSound := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, f := partLoop(t)
+			for i, id := range []string{"i-1", "i-2"} {
+				l.recordPartCrash(time.Minute+time.Duration(i)*time.Second, id, suspect.CrashID(i+1), []sendEnded{{
+					target: Target{ID: id}, result: SendResult{MayHaveCrashed: true, Outcome: health.Broken}, parts: []suspect.Part{sound, testPart},
+				}})
+			}
+			checkStoreCalls(t, f, 0, 0)
+			clearSound(l, time.Minute+2*time.Second)
+			l.checkRefused(t, time.Minute+2*time.Second, true)
+			checkStoreCalls(t, f, 1, 0)
+			if len(f.published) == 1 && f.published[0].Part != uint64(testPart) {
+				t.Errorf("published part %x, want %x", f.published[0].Part, testPart)
+			}
+		})
+	}
+}
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -173,6 +173,7 @@
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
 	}
 	if len(changes) > 0 {
+		l.publishSettled(now)
 		l.scheduleReport(reportNow)
 		l.updatePartGauges(now)
 	}
@@ -180,17 +181,24 @@
 
 // mergePartReports applies the part reports of another host.
 func (l *Loop) mergePartReports(now time.Duration, peer string, reports []suspect.PartReport) {
-	isChanged := false
+	var changed []suspect.PartReport
 	for _, r := range reports {
-		if c, ok := l.parts.Apply(partTime(now), r); ok {
-			isChanged = true
-			klog.V(1).InfoS("prompt part received", "part", formatPart(c.Part), "peer", peer, "cleared", r.Cleared, "strikes", c.Strikes, "status", c.Status)
-			if !r.Refused {
-				l.publishIfRefused(now, c)
-			}
+		if _, ok := l.parts.Apply(partTime(now), r); ok {
+			changed = append(changed, r)
+		}
+	}
+	// The status of a part depends on the other parts.
+	for _, r := range changed {
+		c := l.parts.Change(partTime(now), r.Part)
+		klog.V(1).InfoS("prompt part received", "part", formatPart(c.Part), "peer", peer, "cleared", r.Cleared, "strikes", c.Strikes, "status", c.Status)
+		if !r.Refused {
+			l.publishIfRefused(now, c)
 		}
 	}
-	if isChanged {
+	if slices.ContainsFunc(changed, func(r suspect.PartReport) bool { return r.Cleared }) {
+		l.publishSettled(now)
+	}
+	if len(changed) > 0 {
 		l.updatePartGauges(now)
 	}
 }
