edge: respond to requests that the end of the shutdown time interrupts

A request whose replica had not answered by the end of the shutdown time ended with a closed connection, although its host still had 0.4 s. Its context is now cancelled first, and 0.1 s is left for the response: 502 shutting_down, or 503 if the request was not sent. Streams that have begun break off as before.

--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -165,6 +165,9 @@
 	if q.httpRequest.Context().Err() != nil {
 		return verdict.New(v, verdict.ReasonCancelled, "%s", q.disconnectCause())
 	}
+	if q.server.ended.Err() != nil && q.timeLeft(bootclock.Now()) > 0 {
+		return verdict.New(v, verdict.ReasonShuttingDown, "the shutdown time of this host is over").WithRetryAfter(otherHostRetryAfter)
+	}
 	return verdict.New(v, verdict.ReasonDeadlineExceeded, "the time limit has passed").WithCause(ctx.Err())
 }
 
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -35,8 +35,8 @@
 	Timeouts       http1.Timeouts
 	// DrainAcceptTime is how long all requests are still accepted after draining has
 	// started. Later ones are accepted only if they are expected to finish before
-	// DrainDeadline, and after DrainNotice only if they are certain to. All three are
-	// counted from the start of draining.
+	// DrainDeadline, and after DrainNotice only if they are expected to with their longest
+	// possible output. All three are counted from the start of draining.
 	DrainAcceptTime time.Duration
 	DrainNotice     time.Duration
 	DrainDeadline   time.Duration
@@ -52,10 +52,21 @@
 	// maxProofAge is the age set by SetMaxProofAge, in nanoseconds.
 	maxProofAge atomic.Int64
 	metrics     metrics
+	// ended is cancelled by EndRequests.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a server with the given configuration.
-func New(c Config) *Server { return &Server{config: c, metrics: newMetrics(c.Scope)} }
+func New(c Config) *Server {
+	s := &Server{config: c, metrics: newMetrics(c.Scope)}
+	s.ended, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// EndRequests ends the requests in progress. Callers that have received nothing yet get an
+// error response.
+func (s *Server) EndRequests() { s.end() }
 
 // SetMaxProofAge sets the age of the configuration proof at which requests with a key
 // must be refused (the setting key_age), since the key may have been revoked without this
@@ -124,6 +135,8 @@
 	left := q.timeLeft(bootclock.Now())
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
+	stop := context.AfterFunc(s.ended, cancel)
+	defer stop()
 	q.sendUntilAnswered(ctx)
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -39,6 +39,9 @@
 	// exiting. Late requests are accepted only if they are expected to finish another
 	// margin earlier.
 	shutdownMargin = 400 * time.Millisecond
+	// finalResponseTime is the part of shutdownMargin for the responses to requests that are
+	// ended at the end of the shutdown time.
+	finalResponseTime = 100 * time.Millisecond
 	// maxDrainAcceptTime is how long after SIGTERM every request is accepted, limited to
 	// 1/drainAcceptDivisor of the shutdown time. With a shutdown time of 8 s, the platform
 	// does not count a request as cut off if it arrived within the first 3 s and is still
@@ -202,8 +205,15 @@
 	case <-ctx.Done():
 	case <-notice.C:
 	}
-	if err := callerServer.Shutdown(ctx); err != nil {
-		klog.InfoS("shutdown time is over, running requests are cut off", "requests", d.server.InFlight(), "err", err)
+	if err := callerServer.Shutdown(ctx); err == nil {
+		return
+	}
+	klog.InfoS("shutdown time is over, running requests are ended", "requests", d.server.InFlight())
+	d.server.EndRequests()
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), finalResponseTime)
+	defer cancelEnd()
+	if err := callerServer.Shutdown(endCtx); err != nil {
+		klog.InfoS("connections closed without a response", "requests", d.server.InFlight(), "err", err)
 	}
 }
 
--- a/edge/signals_test.go
+++ b/edge/signals_test.go
@@ -14,6 +14,13 @@
 
 // startSingleHost starts one siskin-edge process and one replica of each service.
 func startSingleHost(t *testing.T, events int) (*edgeProcess, processSettings, *platform.Store) {
+	t.Helper()
+	return startSingleHostWith(t, events, platform.ResponseComplete)
+}
+
+// startSingleHostWith does what startSingleHost does. The replica of the plain service
+// responds as given.
+func startSingleHostWith(t *testing.T, events int, plainResponse platform.ResponseMode) (*edgeProcess, processSettings, *platform.Store) {
 	t.Helper()
 	store := platform.NewStore()
 	t.Cleanup(store.Close)
@@ -27,6 +34,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(r.Close)
+		if id == "i-app" {
+			r.SetResponseMode(plainResponse)
+		}
 		store.Put(platform.ReplicaPrefix+id, r.StoreEntry("ready"))
 	}
 	address := strings.TrimPrefix(server.URL, "http://")
@@ -103,3 +113,24 @@
 		t.Errorf("the process ended with %v, want exit status 0", err)
 	}
 }
+
+// Guards against a request that ends with a closed connection, without a response, because
+// the shutdown time is over before its replica has answered.
+func TestRequestsAtEndOfShutdownTime(t *testing.T) {
+	e, _, _ := startSingleHostWith(t, 1, platform.ResponseHang)
+	replies := make(chan platform.Reply, 2)
+	for _, route := range []string{"idempotent", "non_idempotent"} {
+		go func() {
+			replies <- platform.SendOnNewConnection(t.Context(), e.callerAddress, platform.PlainCall(route))
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := e.terminate(); err != nil {
+		t.Errorf("the process ended with %v, want exit status 0", err)
+	}
+	for range cap(replies) {
+		if r := <-replies; r.Err != nil || r.Status != http.StatusBadGateway || !strings.Contains(r.Body, `"shutting_down"`) {
+			t.Errorf("response %d %q, %v; want 502 shutting_down", r.Status, r.Body, r.Err)
+		}
+	}
+}
