rungroup: end a drain early on SIGINT only

A supervisor that sends SIGTERM twice cut the streams of a host that was draining: the second signal ended the drain. A further SIGTERM is now ignored; SIGINT still ends the drain at once.

--- a/edge/main.go
+++ b/edge/main.go
@@ -14,7 +14,7 @@
 var program = daemon.Program[config.Settings]{
 	Name:              "siskin-edge",
 	Summary:           "daemon between callers and replicas on the users' platform",
-	Description:       "Serves callers over HTTP and passes their requests to replicas. Follows the operators' configuration and the list of replicas in the platform's store. SIGTERM and SIGINT end it after its requests; a second one ends it at once. SIGHUP reads the settings again.",
+	Description:       "Serves callers over HTTP and passes their requests to replicas. Follows the operators' configuration and the list of replicas in the platform's store. SIGTERM and SIGINT end it after its requests; a SIGINT after that ends it at once. SIGHUP reads the settings again.",
 	DefaultConfigFile: "/etc/siskinstand/edge.ini",
 	Sample:            config.Sample, Load: config.Load, Check: check, RunWithReload: serve,
 }
--- a/edge/signals_test.go
+++ b/edge/signals_test.go
@@ -134,3 +134,21 @@
 		}
 	}
 }
+
+// Guards against a repeated SIGTERM that cuts the requests of a host that is shutting down.
+func TestRepeatedTermination(t *testing.T) {
+	e, _, _ := startSingleHost(t, 60)
+	stream := make(chan platform.Reply, 1)
+	go func() { stream <- platform.SendOnNewConnection(t.Context(), e.callerAddress, streamCall()) }()
+	time.Sleep(100 * time.Millisecond)
+	for range 3 {
+		e.signal(syscall.SIGTERM)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if r := <-stream; r.Err != nil || r.Body != platform.StreamBody(60) {
+		t.Errorf("the running stream ended with %d %q, %v; want all its events and no error", r.Status, r.Body, r.Err)
+	}
+	if err := <-e.exited(); err != nil {
+		t.Errorf("the process ended with %v, want exit status 0", err)
+	}
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -11,7 +11,7 @@
 var program = daemon.Program[config.Settings]{
 	Name:              "siskin-gateway",
 	Summary:           "daemon between callers and sidecars",
-	Description:       "Serves callers over HTTP and passes their requests to the sidecars of endpoints. SIGTERM and SIGINT end it after its requests; a second one ends it at once.",
+	Description:       "Serves callers over HTTP and passes their requests to the sidecars of endpoints. SIGTERM and SIGINT end it after its requests; a SIGINT after that ends it at once.",
 	DefaultConfigFile: "/etc/siskinstand/gateway.ini",
 	Sample:            config.Sample, Load: config.Load, Check: check, Run: serve,
 }
--- a/service/rungroup/rungroup.go
+++ b/service/rungroup/rungroup.go
@@ -29,9 +29,9 @@
 }
 
 // AddSignalHandler adds a task that calls drain on SIGINT or SIGTERM and stops the
-// group after drain has returned. A second signal cancels the context of drain. The
-// signals are caught from this call on, before any task of the group runs, and Run must
-// follow.
+// group after drain has returned. A SIGINT during the drain cancels the context of drain;
+// a further SIGTERM does not, since a supervisor may send it more than once. The signals are
+// caught from this call on, before any task of the group runs, and Run must follow.
 func (g *Group) AddSignalHandler(drain func(ctx context.Context)) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
@@ -45,10 +45,15 @@
 		drainCtx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
-			select {
-			case <-signals:
-				cancel()
-			case <-drainCtx.Done():
+			for {
+				select {
+				case s := <-signals:
+					if s == syscall.SIGINT {
+						cancel()
+					}
+				case <-drainCtx.Done():
+					return
+				}
 			}
 		}()
 		drain(drainCtx)
--- a/service/rungroup/rungroup_test.go
+++ b/service/rungroup/rungroup_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Guards against a task that continues after another one has failed.
@@ -39,3 +40,31 @@
 		t.Errorf("Run() = %v, drained: %t; want a drain", err, drained)
 	}
 }
+
+// Guards against a repeated SIGTERM that ends a drain, and against a drain that a SIGINT does
+// not end.
+func TestSignalsDuringDrain(t *testing.T) {
+	send := func(s syscall.Signal) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	var g Group
+	g.AddSignalHandler(func(ctx context.Context) {
+		send(syscall.SIGTERM)
+		send(syscall.SIGTERM)
+		if ctx.Err() != nil {
+			t.Error("a repeated SIGTERM ended the drain")
+		}
+		send(syscall.SIGINT)
+		if ctx.Err() == nil {
+			t.Error("SIGINT did not end the drain")
+		}
+	})
+	send(syscall.SIGTERM)
+	if err := g.Run(); err != nil {
+		t.Errorf("Run() = %v", err)
+	}
+}
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -12,7 +12,7 @@
 var program = daemon.Program[config.Settings]{
 	Name:              "siskin-sidecar",
 	Summary:           "process that admits work to the endpoint on its host",
-	Description:       "Queues the offers of gateways and passes them to the engine or plain service beside it. SIGTERM and SIGINT end it after its streams; a second one ends it at once.",
+	Description:       "Queues the offers of gateways and passes them to the engine or plain service beside it. SIGTERM and SIGINT end it after its streams; a SIGINT after that ends it at once.",
 	DefaultConfigFile: "/etc/siskinstand/sidecar.ini",
 	Sample:            config.Sample, Load: config.Load, Run: setupAndRun,
 	Check: func(config.Settings) error { return nil },
