coord/suspect: keep a refusal when an older request finishes

Now the refusal of a part that was known good is lifted only by a request that was sent after the first crash.

--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -145,15 +145,21 @@
 }
 
 // RecordAnswer records that a replica has begun to answer a request with the given parts, or
-// has finished it. It returns the parts whose strikes that cleared.
-func (t *PartTracker) RecordAnswer(now time.Time, parts []Part) []PartChange {
+// has finished it. It returns the parts whose strikes that cleared. A request sent before the
+// crashes of a refused part does not clear it if it was known good: the part, or the
+// replicas' software, may have changed since.
+func (t *PartTracker) RecordAnswer(now, sentAt time.Time, parts []Part) []PartChange {
 	var changes []PartChange
 	for _, p := range parts {
+		wasKnownGood := t.IsKnownGood(now, p)
 		t.knownGood.add(now, p)
 		e := t.entries[p]
 		if e == nil || t.expired(now, e) || len(e.crashes) == 0 {
 			continue
 		}
+		if e.refused && wasKnownGood && sentAt.Before(e.crashes[0].at) {
+			continue
+		}
 		e.clear(e.crashIDs())
 		e.changedAt, e.clearedAt = now, now
 		changes = append(changes, t.Change(now, p))
--- a/coord/suspect/parts_sim_test.go
+++ b/coord/suspect/parts_sim_test.go
@@ -223,7 +223,7 @@
 				return false
 			}
 			h := s.end(q)
-			if s.isUp(q.host) && len(h.tracker.RecordAnswer(s.time(), q.parts)) > 0 {
+			if s.isUp(q.host) && len(h.tracker.RecordAnswer(s.time(), s.time(), q.parts)) > 0 {
 				h.isDirty = true
 			}
 			return true
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -24,8 +24,8 @@
 		// Guards against replicas that die one after another because of a part that comes with requests of
 		// any kind.
 		tracker := newPartTracker("a")
-		tracker.RecordAnswer(start, []Part{popular, first})
-		tracker.RecordAnswer(start, []Part{second})
+		tracker.RecordAnswer(start, start, []Part{popular, first})
+		tracker.RecordAnswer(start, start, []Part{second})
 		tracker.RecordCrash(ms(100), 1, [][]Part{{popular, deadly}, {popular, first}, {second}})
 		checkPartStatus(t, tracker, ms(100), deadly, StatusIsolate)
 		tracker.RecordCrash(ms(600), 2, [][]Part{{second, deadly}, {popular, first}})
@@ -39,19 +39,19 @@
 	t.Run("a rack fails", func(t *testing.T) {
 		// Guards against the refusal of a part that is in use on all replicas that fail at one instant.
 		tracker := newPartTracker("a")
-		tracker.RecordAnswer(start, []Part{popular})
+		tracker.RecordAnswer(start, start, []Part{popular})
 		for crash := range CrashID(20) {
 			tracker.RecordCrash(ms(100+int(crash)), crash, [][]Part{{popular}, {popular, first}})
 		}
 		checkPartStatus(t, tracker, ms(200), popular, StatusIsolate)
 		checkPartStatus(t, tracker, ms(200), first, StatusIsolate)
-		tracker.RecordAnswer(ms(300), []Part{popular, first})
+		tracker.RecordAnswer(ms(300), ms(300), []Part{popular, first})
 		checkPartStatus(t, tracker, ms(300), popular, StatusClear)
 		checkPartStatus(t, tracker, ms(300), first, StatusClear)
 	})
 	t.Run("popular part crashes replicas", func(t *testing.T) {
 		tracker := newPartTracker("a")
-		tracker.RecordAnswer(start, []Part{popular})
+		tracker.RecordAnswer(start, start, []Part{popular})
 		for i, want := range []Status{StatusClear, StatusIsolate, StatusIsolate, StatusRefuse} {
 			tracker.RecordCrash(ms(400*(i+1)), CrashID(i), [][]Part{{popular}})
 			checkPartStatus(t, tracker, ms(400*(i+1)), popular, want)
@@ -82,7 +82,7 @@
 		// Guards against one of two such parts that is missed, whether they come with one kind of request
 		// or with two.
 		tracker := newPartTracker("a")
-		tracker.RecordAnswer(start, []Part{popular})
+		tracker.RecordAnswer(start, start, []Part{popular})
 		tracker.RecordCrash(ms(0), 1, [][]Part{{popular, 8}, {popular, deadly}})
 		tracker.RecordCrash(ms(500), 2, [][]Part{{popular, 8}})
 		checkPartStatus(t, tracker, ms(500), 8, StatusRefuse)
@@ -102,7 +102,7 @@
 		if both.Wait <= alone.Wait {
 			t.Errorf("both parts wait %s, one alone %s", both.Wait, alone.Wait)
 		}
-		tracker.RecordAnswer(ms(500), []Part{first})
+		tracker.RecordAnswer(ms(500), ms(500), []Part{first})
 		tracker.RecordCrash(ms(900), 2, [][]Part{{first, deadly}})
 		checkPartStatus(t, tracker, ms(900), first, StatusClear)
 		checkPartStatus(t, tracker, ms(900), deadly, StatusRefuse)
@@ -111,7 +111,7 @@
 		// Guards against the refusal of requests with one of two parts that came together in all crashes. A
 		// request with both is refused, one with the sound part alone clears it.
 		tracker := newPartTracker("a")
-		tracker.RecordAnswer(ms(0), []Part{popular})
+		tracker.RecordAnswer(ms(0), ms(0), []Part{popular})
 		for i := range 4 {
 			tracker.RecordCrash(ms(50*i), CrashID(i), [][]Part{{popular, first, deadly}})
 		}
@@ -126,7 +126,7 @@
 		check(ms(300), StatusIsolate, deadly)
 		check(ms(300), StatusClear, popular)
 		sound := *tracker.entries[first]
-		tracker.RecordAnswer(ms(400), []Part{popular, first})
+		tracker.RecordAnswer(ms(400), ms(400), []Part{popular, first})
 		check(ms(400), StatusClear, popular, first)
 		check(ms(400), StatusRefuse, deadly)
 
@@ -144,7 +144,7 @@
 func TestRefusalByNewHost(t *testing.T) {
 	const popular, deadly Part = 1, 9
 	old, started := newPartTracker("old"), newPartTracker("started")
-	old.RecordAnswer(start, []Part{popular})
+	old.RecordAnswer(start, start, []Part{popular})
 	for i := range 2 {
 		started.RecordCrash(start.Add(time.Duration(i)*time.Second), CrashID(i), [][]Part{{popular, deadly}})
 	}
@@ -155,7 +155,7 @@
 	old.Merge(now, started.Reports(now, 8))
 	checkPartStatus(t, old, now, popular, StatusClear)
 	checkPartStatus(t, old, now, deadly, StatusRefuse)
-	old.RecordAnswer(now, []Part{popular})
+	old.RecordAnswer(now, now, []Part{popular})
 	started.Merge(now, old.Reports(now, 8))
 	checkPartStatus(t, started, now, popular, StatusClear)
 	checkPartStatus(t, started, now, deadly, StatusRefuse)
@@ -182,7 +182,7 @@
 		now = now.Add(time.Second)
 		p := Part(1_000 + i)
 		tracker.RecordCrash(now, CrashID(1_000+i), [][]Part{{p}})
-		tracker.RecordAnswer(now, []Part{p + 10_000})
+		tracker.RecordAnswer(now, now, []Part{p + 10_000})
 		tracker.Merge(now, []PartReport{{Part: p + 20_000, Crashes: []CrashID{1}}})
 	}
 	checkPartStatus(t, tracker, now, 1, StatusRefuse)
@@ -234,7 +234,7 @@
 			"crash": func(t *rapid.T) {
 				drawTracker(t).RecordCrash(now, CrashID(rapid.IntRange(1, 3).Draw(t, "crash")), [][]Part{{part(t)}})
 			},
-			"finish": func(t *rapid.T) { drawTracker(t).RecordAnswer(now, []Part{part(t)}) },
+			"finish": func(t *rapid.T) { drawTracker(t).RecordAnswer(now, now, []Part{part(t)}) },
 			"merge":  func(*rapid.T) { a.Merge(now, b.Reports(now, 10)) },
 			"wait":   func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "s")) * time.Second) },
 			"":       func(*rapid.T) { now = now.Add(time.Second) },
--- a/edge/control/part_store_test.go
+++ b/edge/control/part_store_test.go
@@ -108,19 +108,19 @@
 	// that finishes.
 	l, f := partLoop(t)
 	now := time.Minute
-	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{testPart}, sentAt: now})
 	l.handle(now, storeUpdate{list: []platform.Change{entryOf(0)}})
 	for range 3 {
-		l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
+		l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{testPart}, sentAt: now})
 	}
 	l.checkRefused(t, now, false)
 	checkStoreCalls(t, f, 0, 1)
 	l.crashOf(now, "i-1", 3)
-	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{testPart}, sentAt: now})
 	l.handle(now, storeUpdate{list: []platform.Change{removalOfEntry()}})
 	before := len(f.withdrawn)
 	l.crashOf(now, "i-1", 4)
-	l.recordPartAnswer(now, "i-1", []suspect.Part{testPart})
+	l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{testPart}, sentAt: now})
 	checkStoreCalls(t, f, 0, before)
 }
 
@@ -173,7 +173,7 @@
 func TestPublishedAfterClearance(t *testing.T) {
 	const sound suspect.Part = 0xcd
 	tests := map[string]func(l *Loop, now time.Duration){
-		"answered here": func(l *Loop, now time.Duration) { l.recordPartAnswer(now, "i-1", []suspect.Part{sound}) },
+		"answered here": func(l *Loop, now time.Duration) { l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now}) },
 		"answered at another host": func(l *Loop, now time.Duration) {
 			l.mergePartReports(now, "edge-2", []suspect.PartReport{{Part: sound, Crashes: []suspect.CrashID{1, 2}, Cleared: true}})
 		},
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -34,34 +34,39 @@
 // partSends holds the parts of the requests that are at a replica and have received no
 // event.
 type partSends struct {
-	parts    map[uint64][]suspect.Part
+	sends    map[uint64]partSend
 	inFlight map[suspect.Part]int
 }
 
+type partSend struct {
+	parts  []suspect.Part
+	sentAt time.Duration
+}
+
 func newPartSends() partSends {
-	return partSends{parts: map[uint64][]suspect.Part{}, inFlight: map[suspect.Part]int{}}
+	return partSends{sends: map[uint64]partSend{}, inFlight: map[suspect.Part]int{}}
 }
 
-func (s partSends) add(assignmentID uint64, parts []suspect.Part) {
+func (s partSends) add(now time.Duration, assignmentID uint64, parts []suspect.Part) {
 	if len(parts) == 0 {
 		return
 	}
-	s.parts[assignmentID] = parts
+	s.sends[assignmentID] = partSend{parts: parts, sentAt: now}
 	for _, p := range parts {
 		s.inFlight[p]++
 	}
 }
 
 // remove returns the parts of a request and forgets it.
-func (s partSends) remove(assignmentID uint64) []suspect.Part {
-	parts := s.parts[assignmentID]
-	delete(s.parts, assignmentID)
-	for _, p := range parts {
+func (s partSends) remove(assignmentID uint64) partSend {
+	send := s.sends[assignmentID]
+	delete(s.sends, assignmentID)
+	for _, p := range send.parts {
 		if s.inFlight[p]--; s.inFlight[p] == 0 {
 			delete(s.inFlight, p)
 		}
 	}
-	return parts
+	return send
 }
 
 // judgeParts returns the refusal of a request because of its parts, and whether the request
@@ -165,9 +170,9 @@
 
 // recordPartAnswer clears the strikes of the parts of a request that a replica has answered
 // or has begun to answer.
-func (l *Loop) recordPartAnswer(now time.Duration, replicaID string, parts []suspect.Part) {
-	withdrawable := l.partsToWithdraw(now, parts)
-	changes := l.parts.RecordAnswer(partTime(now), parts)
+func (l *Loop) recordPartAnswer(now time.Duration, replicaID string, send partSend) {
+	withdrawable := l.partsToWithdraw(now, send.parts)
+	changes := l.parts.RecordAnswer(partTime(now), partTime(send.sentAt), send.parts)
 	l.withdrawParts(withdrawable, changes)
 	for _, c := range changes {
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
--- a/edge/control/parts_test.go
+++ b/edge/control/parts_test.go
@@ -185,7 +185,24 @@
 	for i := range suspect.Part(20) {
 		l.finish(0, l.place(t, 0, requestWithParts(l, t, 1, i, i+1)))
 	}
-	if len(l.partSends.parts) != 0 || len(l.partSends.inFlight) != 0 {
+	if len(l.partSends.sends) != 0 || len(l.partSends.inFlight) != 0 {
 		t.Errorf("parts in flight: %v", l.partSends)
 	}
 }
+
+// Guards against the clearing of a refused part by a request that was sent before the
+// crashes. The part or the replicas may have changed since.
+func TestFinishAfterCrashes(t *testing.T) {
+	const changed suspect.Part = 9
+	l := testLoop(t, llmReplicas()...)
+	l.finish(0, l.place(t, 0, requestWithParts(l, t, 1, changed)))
+	early := l.place(t, 0, requestWithParts(l, t, 2, changed))
+	l.handle(50*time.Millisecond, responseStarted{early.ID})
+	for i := range 4 {
+		now := time.Duration(i+1) * 600 * time.Millisecond
+		l.parts.RecordCrash(partTime(now), suspect.CrashID(i+1), [][]suspect.Part{{changed}})
+	}
+	l.checkPartStatus(t, 3*time.Second, changed, suspect.StatusRefuse)
+	l.finish(3*time.Second, early)
+	l.checkPartStatus(t, 3*time.Second, changed, suspect.StatusRefuse)
+}
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -57,7 +57,7 @@
 		l.coldPlacements[plan.Primary] = append(l.coldPlacements[plan.Primary], now)
 	}
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
-	l.partSends.add(id, req.Parts)
+	l.partSends.add(now, id, req.Parts)
 	if isTrial {
 		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "parts", formatParts(req.Parts), "replica", plan.Primary)
 	}
@@ -210,7 +210,8 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
-	m.parts = l.partSends.remove(m.assignmentID)
+	send := l.partSends.remove(m.assignmentID)
+	m.parts = send.parts
 	l.scheduleReport(reportLater)
 	if m.target.ID == "" {
 		return
@@ -228,6 +229,6 @@
 	}
 	if m.result.Finished {
 		l.suspects.Clear(time.Now(), m.fingerprint)
-		l.recordPartAnswer(now, m.target.ID, m.parts)
+		l.recordPartAnswer(now, m.target.ID, send)
 	}
 }
--- a/models/parts.pml
+++ b/models/parts.pml
@@ -153,7 +153,7 @@
 #ifdef NO_EVENT_ORDER
 		clear(me, strikes[me]);
 #else
-		clear(me, knownBefore); /* edge/control/place.go handleSendEnded, in part */
+		clear(me, knownBefore); /* coord/suspect/parts.go RecordAnswer, for refused parts */
 #endif
 		knownBefore = 0
 	   }
