--- a/edge/control/part_store_test.go
+++ b/edge/control/part_store_test.go
@@ -173,7 +173,9 @@
 func TestPublishedAfterClearance(t *testing.T) {
 	const sound suspect.Part = 0xcd
 	tests := map[string]func(l *Loop, now time.Duration){
-		"answered here": func(l *Loop, now time.Duration) { l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now}) },
+		"answered here": func(l *Loop, now time.Duration) {
+			l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now})
+		},
 		"answered at another host": func(l *Loop, now time.Duration) {
 			l.mergePartReports(now, "edge-2", []suspect.PartReport{{Part: sound, Crashes: []suspect.CrashID{1, 2}, Cleared: true}})
 		},
