caller: don't take a stream without a length and events for complete

A stream may have neither a length nor chunks and end with its connection. If the replica ended after the head and before the first event, the caller got a complete, empty answer, and the parts of its prompt counted as answered, although one of them may have crashed the replica. Such a stream is broken now, also one that was to continue another.

TestStreamThatEndsWithItsConnection and TestPartOfBrokenStream, 1 of 4 and 1 of 7 subtests, failed before.

--- a/edge/caller/parts_test.go
+++ b/edge/caller/parts_test.go
@@ -40,15 +40,19 @@
 // a part whose answer had begun.
 func TestPartOfBrokenStream(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const unframedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n"
 	const part suspect.Part = 0x5c1e07a5 // not this host's turn after a strike
 	tests := map[string]struct {
 		answer string
 		want   control.RefusalReason
 	}{
-		"no answer":     {"", control.RefusedSuspectedPart},
-		"no event":      {head, control.RefusedSuspectedPart},
-		"partial event": {head + "5\r\nid: 1\r\n", control.RefusedSuspectedPart},
-		"one event":     {head + "f\r\nid: 1\ndata: x\n\n\r\n", control.RefusedNoReplica},
+		"no answer":                          {"", control.RefusedSuspectedPart},
+		"no event":                           {head, control.RefusedSuspectedPart},
+		"partial event":                      {head + "5\r\nid: 1\r\n", control.RefusedSuspectedPart},
+		"one event":                          {head + "f\r\nid: 1\ndata: x\n\n\r\n", control.RefusedNoReplica},
+		"no event, ends with its connection": {unframedHead, control.RefusedSuspectedPart},
+		"partial event, ends with its connection":       {unframedHead + "id: 1\ndat", control.RefusedSuspectedPart},
+		"event and partial event, ends with connection": {unframedHead + "id: 1\ndata: x\n\nid: 2\nda", control.RefusedNoReplica},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -77,3 +81,35 @@
 		})
 	}
 }
+
+// Guards against a stream without a length that is presented as complete although its replica
+// has ended, and against one that is aborted although it is complete.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	const event = "id: 1\ndata: x\n\n"
+	tests := map[string]struct {
+		answer, want string
+		aborted      bool
+	}{
+		"no event":                {head, "", true},
+		"partial event":           {head + "id: 1\ndat", "", true},
+		"event and partial event": {head + event + "id: 2\nda", event, true},
+		"whole event":             {head + event, event, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := startServer(t, serveCrashing(t, tc.answer))
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/stream/x", nil)
+			r.Host = "h.example"
+			r.Header.Set("Attempt-Id", "a1")
+			recorder, aborted := httptest.NewRecorder(), false
+			func() {
+				defer func() { aborted = recover() != nil }()
+				s.ServeHTTP(recorder, r)
+			}()
+			if got := recorder.Body.String(); got != tc.want || aborted != tc.aborted {
+				t.Errorf("body %q, aborted: %t; want %q, %t", got, aborted, tc.want, tc.aborted)
+			}
+		})
+	}
+}
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -69,6 +69,8 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && resp.EndsWithConnection && !began:
+			return q.brokenStreamOutcome(ctx, began, errNoEvents)
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			return outcome{health: health.Served, finished: true}
 		case err != nil:
@@ -94,6 +96,7 @@
 var (
 	errEventTooLong = errors.New("event of the stream exceeds 128 KiB")
 	errNoEventIDs   = errors.New("128 KiB of events without an ID")
+	errNoEvents     = errors.New("connection closed before the first event")
 )
 
 var errBadContinuation = errors.New("first event of the continuation does not follow the last event sent")
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -50,6 +50,9 @@
 	Info    platform.ResponseInfo
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that a
+	// replica that has ended looks like the end of the body.
+	EndsWithConnection bool
 
 	pool     *Pool
 	conn     *conn
@@ -82,7 +85,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Headers: resp.Header, Info: platform.ParseResponseHeaders(resp.StatusCode, resp.Header),
-		Length: resp.ContentLength, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total.Load(),
+		Length: resp.ContentLength, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total.Load(),
 	}, nil
 }
 
