caller: clear parts only by answers to prompts

A replica's response with a status of 400 or above, or a request on a route without prompts, cleared the suspected parts in its header, so that a caller could keep a part that crashes replicas in use. Only a response with a 2xx status clears now, and only requests on routes with prompts have parts.

TestResponsesThatClearNoPart: both subtests failed before.

--- a/edge/caller/parts_test.go
+++ b/edge/caller/parts_test.go
@@ -5,12 +5,17 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/control"
+	"siskinstand.example/edge/peer"
 )
 
 // serveCrashing starts a replica that dies while it answers its first request, after the
@@ -113,3 +118,34 @@
 		})
 	}
 }
+
+// Guards against a suspected part that is cleared by a response without an answer, and against
+// parts of requests on routes without prompts.
+func TestResponsesThatClearNoPart(t *testing.T) {
+	const part = suspect.Part(0x5c1e07a5)
+	tests := map[string]struct{ path, status string }{
+		"stream, 404": {"/stream/x", "404 Not Found"},
+		"plain, 200":  {"/x", "200 OK"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			scope := tally.NewTestScope("", nil)
+			s, loop := startServerWithScope(t, serveCrashing(t, "HTTP/1.1 "+tc.status+"\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Length: 0\r\n\r\n"), scope)
+			loop.ReceiveReport(peer.Message{Name: "edge-2", Incarnation: 1, Parts: []suspect.PartReport{{Part: part, Crashes: []suspect.CrashID{1}}}})
+			time.Sleep(500 * time.Millisecond) // until it is this host's turn to try the part
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, tc.path, nil)
+			r.Host = "h.example"
+			r.Header.Set("Attempt-Id", "a1")
+			r.Header.Set("Prompt-Prefix", "5c1e07a5:800,e4402b7d:250")
+			recorder := httptest.NewRecorder()
+			s.ServeHTTP(recorder, r)
+			if !strings.HasPrefix(tc.status, strconv.Itoa(recorder.Code)) {
+				t.Errorf("status %d, want %s", recorder.Code, tc.status)
+			}
+			time.Sleep(100 * time.Millisecond)
+			if g, ok := scope.Snapshot().Gauges()["suspected_parts+"]; !ok || g.Value() != 1 {
+				t.Errorf("suspected parts: %v, want 1", g)
+			}
+		})
+	}
+}
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -107,8 +107,10 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body)
-	for _, p := range q.headers.SharedPromptParts {
-		q.parts = append(q.parts, suspect.Part(p))
+	if q.route.HasPrompt {
+		for _, p := range q.headers.SharedPromptParts {
+			q.parts = append(q.parts, suspect.Part(p))
+		}
 	}
 	return nil
 }
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -57,7 +57,7 @@
 		return outcome{response: buffered, health: health.Failed}
 	}
 	q.writeResponse(buffered)
-	return outcome{health: health.Served, finished: true}
+	return outcome{health: health.Served, finished: success}
 }
 
 // brokenOutcome returns the outcome of a send whose response is incomplete or invalid.
--- a/edge/caller/suspect_test.go
+++ b/edge/caller/suspect_test.go
@@ -54,11 +54,16 @@
 // startServer returns a server with one service, one replica of it at the given address,
 // and another host that sends reports.
 func startServer(t *testing.T, address string) (*Server, *control.Loop) {
+	t.Helper()
+	return startServerWithScope(t, address, tally.NoopScope)
+}
+
+func startServerWithScope(t *testing.T, address string, scope tally.Scope) (*Server, *control.Loop) {
 	t.Helper()
 	configuration, err := platform.DecodeConfig([]byte(`{"version":1,"services":[{"name":"app"}],"routes":[
 		{"name":"r","hostname":"h.example","prefix":"/","route_type":"non_idempotent","backend":"app","timeout_ms":10000,"target_latency_ms":1000,"public":true},
 		{"name":"c","hostname":"h.example","prefix":"/resumable/","route_type":"streaming","resumable":true,"max_attempts":3,"backend":"app","timeout_ms":10000,"target_latency_ms":1000,"public":true},
-		{"name":"s","hostname":"h.example","prefix":"/stream/","route_type":"streaming","backend":"app","timeout_ms":10000,"target_latency_ms":1000,"public":true}]}`))
+		{"name":"s","hostname":"h.example","prefix":"/stream/","route_type":"streaming","sticky":true,"backend":"app","timeout_ms":10000,"target_latency_ms":1000,"public":true}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +71,7 @@
 	t.Cleanup(pool.Close)
 	loop := control.New(control.Config{
 		Name: "edge-1", RetryLimits: control.RetryLimits{Share: 0.2, Slack: 10}, PeerTimeout: 2 * time.Second,
-		FullReportInterval: time.Second, Prober: pool, Placement: placement.DefaultPolicy(),
+		FullReportInterval: time.Second, Prober: pool, Placement: placement.DefaultPolicy(), Scope: scope,
 	})
 	go loop.Run(t.Context())
 	if err := loop.ApplySnapshot(t.Context(), []platform.Change{
