edge, http1: check that the shutdown tests meet the moment of the close

Both tests could pass without a request near the moment at which connections are closed, and the one with a process counted a request as not read if its log line had been dropped.

--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,6 +81,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if strings.Contains(string(log), "log lines suppressed") {
+		t.Error("lines are missing from the log, so that read requests may count as not read")
+	}
 	wasRead := map[string]bool{}
 	for _, m := range answeredLine.FindAllStringSubmatch(string(log), -1) {
 		wasRead[m[1]] = true
@@ -96,6 +100,9 @@
 		}
 	}
 	t.Logf("%d requests, %d read by the host, %d not read", len(replies), len(wasRead), unread)
+	if unread == 0 || unread == len(replies) {
+		t.Error("the requests did not arrive around the moment at which connections are closed")
+	}
 	if len(lost) > 0 {
 		t.Errorf("%d requests were read and got no response, the first: %s", len(lost), lost[0])
 	}
--- a/service/http1/retire_test.go
+++ b/service/http1/retire_test.go
@@ -197,6 +197,7 @@
 		connections = 400
 		window      = 30 * time.Millisecond
 	)
+	total := int64(0)
 	for round := range rounds {
 		var mu sync.Mutex
 		handled := map[string]bool{}
@@ -245,6 +246,10 @@
 		}
 		callers.Wait()
 		t.Logf("round %d: %d of %d requests answered", round, answered.Load(), connections)
+		total += answered.Load()
+	}
+	if total == 0 || total == rounds*connections {
+		t.Error("the requests did not arrive around the moment at which connections are closed")
 	}
 }
 
