edge: run the soak with any number of hosts

HOSTS (3 by default) sets the number of processes; logs are also kept if the hosts do not serve again at the end.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 PACKAGES    := $(MODULES:%=./%/...)
 PROGRAMS    := edge:siskin-edge gateway:siskin-gateway sidecar:siskin-sidecar fakes:siskin-fake loadgen:siskin-load siskinctl:siskinctl
 SEED        ?= 1
+HOSTS       ?= 3
 CALLERS     ?= 127.0.0.1:8080
 FUZZTIME    ?= 30s
 DURATION    ?= 2m
@@ -54,7 +55,7 @@
 # the store, replicas and operators are injected at random, and checks every
 # response. It also replays the seeds of earlier failures.
 soak:
-	go test -race -count=1 -timeout 1h ./edge -run '^TestSoak' -v -soak.seed $(SEED) -soak.time $(DURATION) -soak.past
+	go test -race -count=1 -timeout 1h ./edge -run '^TestSoak' -v -soak.seed $(SEED) -soak.time $(DURATION) -soak.hosts $(HOSTS) -soak.past
 
 # model verifies the Promela specifications, and that each of their rules is
 # necessary.
--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -19,9 +19,10 @@
 )
 
 var (
-	soakSeed = flag.Uint64("soak.seed", 1, "seed of the faults")
-	soakTime = flag.Duration("soak.time", 12*time.Second, "length of the soak")
-	soakPast = flag.Bool("soak.past", false, "play the seeds that failed before, too")
+	soakSeed  = flag.Uint64("soak.seed", 1, "seed of the faults")
+	soakTime  = flag.Duration("soak.time", 12*time.Second, "length of the soak")
+	soakHosts = flag.Int("soak.hosts", 3, "number of entry hosts")
+	soakPast  = flag.Bool("soak.past", false, "play the seeds that failed before, too")
 )
 
 // failedSeeds holds the seeds that have failed before, with the cause. Since timing differs
@@ -37,7 +38,6 @@
 }
 
 const (
-	soakHosts   = 3
 	soakWorkers = 8
 	// soakKeptConnections is the number of connections to each host that stay in use.
 	soakKeptConnections = 4
@@ -109,9 +109,9 @@
 		random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		workers.Go(func() { s.sendCalls(ctx, random) })
 	}
-	for i := range soakHosts * soakKeptConnections {
+	for i := range *soakHosts * soakKeptConnections {
 		random := rand.New(rand.NewPCG(seed, uint64(200+i)))
-		workers.Go(func() { s.sendOnKeptConnection(ctx, i%soakHosts, random) })
+		workers.Go(func() { s.sendOnKeptConnection(ctx, i%*soakHosts, random) })
 	}
 	workers.Go(func() { s.balance(ctx) })
 	for end := time.Now().Add(length); time.Now().Before(end); {
@@ -143,12 +143,17 @@
 		s.startReplica("llm", nil)
 		s.startReplica("app", nil)
 	}
-	for i := range soakHosts {
+	for i := range *soakHosts {
 		link := s.newLink(strings.TrimPrefix(server.URL, "http://"))
 		s.storeLinks = append(s.storeLinks, link)
 		s.hosts = append(s.hosts, startEdgeProcess(t, fmt.Sprintf("edge-%d", i), link.Address()))
 		s.rotation = append(s.rotation, i)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			s.saveLogs()
+		}
+	})
 	for _, e := range s.hosts {
 		eventually(t, e.name+" is ready", e.isReady)
 	}
@@ -231,7 +236,10 @@
 			}
 		}
 		if 2*len(in) < len(s.hosts) {
-			in = []int{0, 1, 2}
+			in = in[:0]
+			for i := range s.hosts {
+				in = append(in, i)
+			}
 		}
 		s.mu.Lock()
 		s.rotation = in
@@ -374,7 +382,4 @@
 		}
 	}
 	s.t.Logf("%s; faults: %s", s.history.summary(), strings.Join(s.appliedChanges, "; "))
-	if s.t.Failed() {
-		s.saveLogs()
-	}
 }
