coord/suspect: find the parts that explain a crash by an index

The control loop stood still for a quarter of a second at each change of a part if the tracker was full: Counts compared every part with all others, and each request with suspected parts went through all entries for every crash.

The refused parts are indexed by their crashes, and reports are selected without sorting all entries. TestPartCost bounds the number of entries that each operation looks at; TestPartMergeConverges checks the index at each step.

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -106,7 +106,7 @@
 	if e.refused {
 		return
 	}
-	e.refused = true
+	t.update(p, e, func() { e.refused = true })
 	t.removeExcess(p, true, t.config.MaxRefused)
 }
 
@@ -121,22 +121,24 @@
 // removeExcess removes the least recently changed entry other than kept if more than limit
 // entries are refused or, without refused, not refused.
 func (t *PartTracker) removeExcess(kept Part, refused bool, limit int) {
-	count, oldest, at := 0, Part(0), time.Time{}
+	count := t.refusedCount
+	if !refused {
+		count = len(t.entries) - t.refusedCount
+	}
+	if count <= limit {
+		return
+	}
+	oldest, at := Part(0), time.Time{}
 	for p, e := range t.entries {
-		if e.refused != refused {
-			continue
-		}
-		count++
-		if refused && p == kept {
+		t.visits++
+		if e.refused != refused || refused && p == kept {
 			continue
 		}
 		if at.IsZero() || e.changedAt.Before(at) || e.changedAt.Equal(at) && p < oldest {
 			oldest, at = p, e.changedAt
 		}
 	}
-	if count > limit {
-		delete(t.entries, oldest)
-	}
+	t.remove(oldest)
 }
 
 func (t *PartTracker) expired(now time.Time, e *partEntry) bool {
@@ -145,8 +147,9 @@
 
 func (t *PartTracker) expire(now time.Time) {
 	for p, e := range t.entries {
+		t.visits++
 		if t.expired(now, e) {
-			delete(t.entries, p)
+			t.remove(p)
 		}
 	}
 }
--- a/coord/suspect/part_reports.go
+++ b/coord/suspect/part_reports.go
@@ -27,7 +27,7 @@
 	at := now.Add(-r.Age)
 	e := t.entries[r.Part]
 	if e != nil && t.expired(now, e) {
-		delete(t.entries, r.Part)
+		t.remove(r.Part)
 		e = nil
 	}
 	if e == nil {
@@ -38,7 +38,9 @@
 	}
 	wasRefused, isChanged := e.refused, false
 	if r.Cleared {
-		isChanged = e.clear(r.Crashes)
+		if slices.ContainsFunc(r.Crashes, func(id CrashID) bool { return !slices.Contains(e.cleared, id) }) {
+			t.update(r.Part, e, func() { isChanged = e.clear(r.Crashes) })
+		}
 		if isChanged && at.After(e.clearedAt) {
 			e.clearedAt = at
 		}
@@ -56,8 +58,12 @@
 
 func (t *PartTracker) applyStrikes(now time.Time, r PartReport, e *partEntry, at time.Time) bool {
 	isChanged := false
-	for _, id := range r.Crashes {
-		isChanged = e.addCrash(id, at) || isChanged
+	if slices.ContainsFunc(r.Crashes, func(id CrashID) bool { return !e.knows(id) }) {
+		t.update(r.Part, e, func() {
+			for _, id := range r.Crashes {
+				isChanged = e.addCrash(id, at) || isChanged
+			}
+		})
 	}
 	th := t.threshold(now, r.Part)
 	if len(e.crashes) >= th.refuse && (r.Refused || e.span() >= th.minSpan) {
@@ -83,15 +89,14 @@
 // reports.
 func (t *PartTracker) Reports(now time.Time, limit int) []PartReport {
 	t.expire(now)
-	all := t.reportable(now)
-	slices.SortFunc(all, func(a, b reportKey) int {
-		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.part, b.part))
-	})
-	if len(all) > limit {
-		all = t.selectReports(all, limit)
-	}
-	reports := make([]PartReport, len(all))
-	for i, k := range all {
+	keys := t.reportable(now)
+	if len(keys) > limit {
+		keys = t.selectReports(keys, limit)
+	} else {
+		slices.SortFunc(keys, compareAge)
+	}
+	reports := make([]PartReport, len(keys))
+	for i, k := range keys {
 		e := t.entries[k.part]
 		if k.isCleared {
 			reports[i] = PartReport{Part: k.part, Crashes: slices.Clone(e.cleared), Cleared: true, Age: k.age}
@@ -109,10 +114,11 @@
 	age                  time.Duration
 }
 
-// reportable returns the keys of all reports.
+// reportable returns the keys of all reports. They are valid until the next call.
 func (t *PartTracker) reportable(now time.Time) []reportKey {
-	var all []reportKey
+	all := t.keyBuffer[:0]
 	for p, e := range t.entries {
+		t.visits++
 		if len(e.crashes) > 0 {
 			all = append(all, reportKey{part: p, isRefused: e.refused, age: e.strikeAge(now)})
 		}
@@ -120,43 +126,60 @@
 			all = append(all, reportKey{part: p, isCleared: true, age: now.Sub(e.clearedAt)})
 		}
 	}
+	t.keyBuffer = all
 	return all
 }
 
-// selectReports returns limit of the keys, which are sorted by age.
+func compareAge(a, b reportKey) int {
+	return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.part, b.part))
+}
+
+// selectReports returns limit of the keys, and changes their order.
 func (t *PartTracker) selectReports(all []reportKey, limit int) []reportKey {
 	recent := (limit + 1) / 2
-	var refused, others []reportKey
-	for _, k := range all[recent:] {
+	older := t.moveLowest(all, recent, compareAge)
+	out := slices.Clone(all[:recent])
+	refused := 0
+	for i, k := range older {
 		if k.isRefused {
-			refused = append(refused, k)
-		} else {
-			others = append(others, k)
+			older[refused], older[i] = k, older[refused]
+			refused++
 		}
 	}
-	out := all[:recent:recent]
-	out = append(out, rotate(refused, &t.nextRefused, max((limit-recent+1)/2, limit-recent-len(others)))...)
-	return append(out, rotate(others, &t.nextOther, limit-len(out))...)
+	others := older[refused:]
+	out = append(out, t.rotate(older[:refused], &t.nextRefused, max((limit-recent+1)/2, limit-recent-len(others)))...)
+	return append(out, t.rotate(others, &t.nextOther, limit-len(out))...)
 }
 
 // rotate returns up to limit keys in the order of their parts, beginning after the part at
 // last, and updates that.
-func rotate(keys []reportKey, last *Part, limit int) []reportKey {
-	slices.SortStableFunc(keys, func(a, b reportKey) int { return cmp.Compare(a.part, b.part) })
-	first, _ := slices.BinarySearchFunc(keys, *last, func(k reportKey, p Part) int {
-		if k.part <= p {
-			return -1
+func (t *PartTracker) rotate(keys []reportKey, last *Part, limit int) []reportKey {
+	limit = min(limit, len(keys))
+	after := *last + 1
+	t.moveLowest(keys, limit, func(a, b reportKey) int { return cmp.Compare(a.part-after, b.part-after) })
+	if limit > 0 {
+		*last = keys[limit-1].part
+	}
+	return keys[:limit]
+}
+
+// moveLowest moves the limit keys that compare lowest to the front, in order, and returns
+// the others. It does not sort those, since reports are frequent.
+func (t *PartTracker) moveLowest(keys []reportKey, limit int, compare func(a, b reportKey) int) (others []reportKey) {
+	lowest := keys[:limit]
+	slices.SortFunc(lowest, compare)
+	for i := range keys[limit:] {
+		t.visits++
+		k := keys[limit+i]
+		if limit == 0 || compare(k, lowest[limit-1]) >= 0 {
+			continue
 		}
-		return 1
-	})
-	var out []reportKey
-	for i := range min(limit, len(keys)) {
-		out = append(out, keys[(first+i)%len(keys)])
+		keys[limit+i] = lowest[limit-1]
+		at, _ := slices.BinarySearchFunc(lowest[:limit-1], k, compare)
+		copy(lowest[at+1:], lowest[at:limit-1])
+		lowest[at] = k
 	}
-	if len(out) > 0 {
-		*last = out[len(out)-1].part
-	}
-	return out
+	return keys[limit:]
 }
 
 func (e *partEntry) strikeAge(now time.Time) time.Duration {
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -82,6 +82,13 @@
 	config    PartConfig
 	entries   map[Part]*partEntry
 	knownGood *recentSet[Part]
+	// refusedBy and refusedCount are derived from the refused entries.
+	refusedBy    crashIndex
+	refusedCount int
+	// keyBuffer is the memory of the keys of the last reports.
+	keyBuffer []reportKey
+	// visits counts the entries that were looked at, for tests of the cost.
+	visits int
 	// nextRefused and nextOther are the parts after which Reports continues with older
 	// entries.
 	nextRefused, nextOther Part
@@ -89,7 +96,7 @@
 
 // NewPartTracker returns an empty tracker.
 func NewPartTracker(c PartConfig) *PartTracker {
-	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime)}
+	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime), refusedBy: crashIndex{}}
 }
 
 // RecordCrash records a crash of a replica. The requests, given as their parts, were sent
@@ -134,7 +141,9 @@
 			return false
 		}
 	}
-	if !e.addOwnCrash(crash, now) {
+	isAdded := false
+	t.update(p, e, func() { isAdded = e.addOwnCrash(crash, now) })
+	if !isAdded {
 		return false
 	}
 	e.changedAt = now
@@ -160,7 +169,7 @@
 		if e.refused && wasKnownGood && sentAt.Before(e.crashes[0].at) {
 			continue
 		}
-		e.clear(e.crashIDs())
+		t.update(p, e, func() { e.clear(e.crashIDs()) })
 		e.changedAt, e.clearedAt = now, now
 		changes = append(changes, t.Change(now, p))
 	}
@@ -173,7 +182,7 @@
 	switch {
 	case e == nil || t.expired(now, e):
 		return StatusClear
-	case e.refused && !t.isAmbiguous(p, e):
+	case e.refused && !t.isAmbiguous(now, p, e):
 		return StatusRefuse
 	case e.refused:
 		return StatusIsolate
@@ -184,34 +193,6 @@
 	}
 }
 
-// isAmbiguous reports whether another refused part explains all crashes of a refused part,
-// as happens to a part that came with the other one in each of the requests. A request with
-// one of them shows which one is to blame.
-func (t *PartTracker) isAmbiguous(p Part, e *partEntry) bool {
-	for q, other := range t.entries {
-		if q != p && other.refused && !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !other.counts(c.id) }) {
-			return true
-		}
-	}
-	return false
-}
-
-// isExplained reports whether refused parts explain all crashes of an entry.
-func (t *PartTracker) isExplained(now time.Time, e *partEntry) bool {
-	return !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !t.Explains(now, c.id) })
-}
-
-// Explains reports whether a refused part has caused a crash, so that the crash is no
-// evidence against other requests.
-func (t *PartTracker) Explains(now time.Time, crash CrashID) bool {
-	for _, e := range t.entries {
-		if e.refused && !t.expired(now, e) && e.counts(crash) {
-			return true
-		}
-	}
-	return false
-}
-
 // IsKnownGood reports whether a request with the part was answered lately.
 func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
 
@@ -276,6 +257,7 @@
 // Counts returns the numbers of suspected and of refused parts.
 func (t *PartTracker) Counts(now time.Time) (suspected, refused int) {
 	for p := range t.entries {
+		t.visits++
 		switch t.Status(now, p) {
 		case StatusIsolate:
 			suspected++
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -237,7 +237,11 @@
 			"finish": func(t *rapid.T) { drawTracker(t).RecordAnswer(now, now, []Part{part(t)}) },
 			"merge":  func(*rapid.T) { a.Merge(now, b.Reports(now, 10)) },
 			"wait":   func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "s")) * time.Second) },
-			"":       func(*rapid.T) { now = now.Add(time.Second) },
+			"": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				a.checkIndex(t)
+				b.checkIndex(t)
+			},
 		})
 		now = now.Add(time.Minute) // no part is known good any more
 		for range 3 {
