coord/suspect: keep as many cleared crashes as counted ones

After a rack loss, the clearance of a part with more than 16 crashes neither spread nor lasted: with 17 crashes a peer still isolated the part, with 18 it refused it, and with 24 the host that had cleared it refused it again, until expiry. An entry counted up to 32 crashes and kept 16 cleared ones, so that reports of the others counted again.

TestClearanceOfManyCrashes, 1 to 32 crashes over 20 exchanges, failed before from 17 crashes on ("status at host b = isolate, want clear").

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -24,12 +24,9 @@
 	at time.Time
 }
 
-const (
-	// maxPartCrashes is the maximum number of counted crashes kept for one part.
-	maxPartCrashes = 32
-	// maxClearedPartCrashes is the maximum number of cleared crashes kept for one part.
-	maxClearedPartCrashes = 16
-)
+// maxPartCrashes is the maximum number of counted and of cleared crashes kept for one part.
+// A clearance has to hold as many as count.
+const maxPartCrashes = 32
 
 // knows reports whether a crash is among those that count or have been cleared.
 func (e *partEntry) knows(id CrashID) bool {
@@ -91,7 +88,7 @@
 		e.cleared = append(e.cleared, id)
 		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return c.id == id })
 	}
-	if excess := len(e.cleared) - maxClearedPartCrashes; excess > 0 {
+	if excess := len(e.cleared) - maxPartCrashes; excess > 0 {
 		e.cleared = slices.Delete(e.cleared, 0, excess)
 	}
 	if len(e.crashes) < freshThreshold.refuse {
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -168,6 +168,32 @@
 	}
 }
 
+// Guards against a clearance that neither spreads nor lasts, because it holds fewer crashes
+// than count for the part.
+func TestClearanceOfManyCrashes(t *testing.T) {
+	const part Part = 7
+	for crashes := 1; crashes <= maxPartCrashes; crashes++ {
+		a, b := newPartTracker("a"), newPartTracker("b")
+		for i := range crashes {
+			a.RecordCrash(start.Add(time.Duration(10*i)*time.Millisecond), CrashID(i), [][]Part{{part}})
+		}
+		now := start.Add(time.Second)
+		b.Merge(now, a.Reports(now, 16))
+		a.RecordAnswer(now, now, []Part{part})
+		for range 20 {
+			now = now.Add(100 * time.Millisecond)
+			fromA, fromB := a.Reports(now, 16), b.Reports(now, 16)
+			a.Merge(now, fromB)
+			b.Merge(now, fromA)
+			for name, tracker := range map[string]*PartTracker{"a": a, "b": b} {
+				if got := tracker.Status(now, part); got != StatusClear {
+					t.Fatalf("status at host %s after the clearance of %d crashes = %s, want clear", name, crashes, got)
+				}
+			}
+		}
+	}
+}
+
 // Guards against memory that grows with the number of parts, and against a caller that
 // displaces a refused part by sending others.
 func TestPartBounds(t *testing.T) {
