coord/suspect: try sound requests with several suspected parts

Callers whose requests hold two parts that came together with a crash-causing third one were refused for an hour, even after the third one had crashed a replica by itself: a request with more than one ambiguous part was refused, and so no answer could clear them.

A request is refused now only if it holds all refused parts that explain the crashes of one of its parts. One that lacks some of them is a trial.

TestSeveralPartsWithAnother: six of its checks failed before ("status of parts [1 2] after 50m0s = refuse, want isolate").

--- a/coord/suspect/part_index.go
+++ b/coord/suspect/part_index.go
@@ -91,6 +91,17 @@
 	return false
 }
 
+// hasAllExplainers reports whether a request holds all refused parts that explain the crashes
+// of a refused part, so that one of its parts is to blame.
+func (t *PartTracker) hasAllExplainers(now time.Time, p Part, e *partEntry, request []Part) bool {
+	for q := range t.explainers(now, p, e) {
+		if !slices.Contains(request, q) {
+			return false
+		}
+	}
+	return true
+}
+
 // isExplained reports whether refused parts explain all crashes of an entry.
 func (t *PartTracker) isExplained(now time.Time, e *partEntry) bool {
 	return !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !t.Explains(now, c.id) })
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -209,18 +209,19 @@
 
 // Judge returns how to treat a request with the given parts. Hosts try a suspected part in
 // turns, so that a part that crashes replicas is known everywhere before most of them send
-// it.
+// it. Of refused parts that explain each other, a request with some is tried and one with
+// all is refused.
 func (t *PartTracker) Judge(now time.Time, parts []Part, hosts int) Treatment {
 	r := Treatment{Status: StatusClear}
-	ambiguous := 0
+	cause, holdsCause := Part(0), false
 	for _, p := range parts {
 		switch t.Status(now, p) {
 		case StatusRefuse:
 			return Treatment{Status: StatusRefuse, Part: p}
 		case StatusIsolate:
 			e := t.entries[p]
-			if e.refused {
-				ambiguous++
+			if e.refused && t.hasAllExplainers(now, p, e, parts) {
+				cause, holdsCause = p, true
 			}
 			turnAt := e.changedAt.Add(time.Duration(t.turn(p, hosts)) * t.config.TurnTime)
 			r.Wait = max(r.Wait, turnAt.Sub(now))
@@ -228,8 +229,8 @@
 			r.Suspected = append(r.Suspected, p)
 		}
 	}
-	if ambiguous > 1 {
-		return Treatment{Status: StatusRefuse, Part: r.Part}
+	if holdsCause {
+		return Treatment{Status: StatusRefuse, Part: cause}
 	}
 	if n := len(r.Suspected); n > 1 {
 		last := t.entries[r.Part].changedAt
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -139,6 +139,47 @@
 	})
 }
 
+// Guards against the refusal of sound requests with several parts that came together with
+// the one to blame.
+func TestSeveralPartsWithAnother(t *testing.T) {
+	const first, second, other, deadly Part = 1, 2, 5, 9
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tracker := newPartTracker("a")
+	check := func(after time.Duration, want Status, parts ...Part) {
+		t.Helper()
+		if got := tracker.Judge(at(after), parts, 1).Status; got != want {
+			t.Errorf("status of parts %v after %s = %s, want %s", parts, after, got, want)
+		}
+	}
+	for i := range 4 {
+		tracker.RecordCrash(at(time.Duration(50*i)*time.Millisecond), CrashID(i), [][]Part{{first, second, deadly}})
+	}
+	tracker.RecordAnswer(at(200*time.Millisecond), at(200*time.Millisecond), []Part{other})
+	for _, after := range []time.Duration{300 * time.Millisecond, 5 * time.Second, 50 * time.Minute} {
+		check(after, StatusIsolate, first, second)
+		check(after, StatusIsolate, first)
+		check(after, StatusRefuse, first, second, deadly)
+		check(after, StatusRefuse, other, first, second, deadly)
+	}
+	if wait := tracker.Judge(at(5*time.Second), []Part{first, second}, 1).Wait; wait > 0 {
+		t.Errorf("a trial of two parts waits %s", wait)
+	}
+
+	tracker.RecordCrash(at(time.Minute), 50, [][]Part{{other, deadly}})
+	for _, after := range []time.Duration{61 * time.Second, 2 * time.Minute, 50 * time.Minute} {
+		check(after, StatusIsolate, first, second)
+		check(after, StatusIsolate, second)
+		check(after, StatusRefuse, other, deadly)
+		check(after, StatusRefuse, first, deadly)
+	}
+	if got := tracker.Judge(at(2*time.Minute), []Part{first, second, deadly}, 1); got.Status != StatusRefuse || got.Part != deadly {
+		t.Errorf("a request with all parts: %s because of part %d, want refuse because of part %d", got.Status, got.Part, deadly)
+	}
+	tracker.RecordAnswer(at(2*time.Minute), at(2*time.Minute), []Part{first, second})
+	check(2*time.Minute, StatusClear, first, second)
+	check(2*time.Minute, StatusRefuse, deadly)
+}
+
 // Guards against a host that has just started, to which no part is known good: its
 // refusal of a popular part must not spread.
 func TestRefusalByNewHost(t *testing.T) {
