coord/suspect: blame a known good part whose requests only crash

A known good part that began to crash replicas was not blamed until its last answer was a minute old, if each of its requests held a fresh part as well: only the fresh ones got strikes. At one crash a second, 61 replicas died.

A part in at least 3 crashes over at least a second, with no answer since the first and no refused part that explains them, gets strikes like a fresh one. The evidence for its isolation and refusal stays that of a known good part.

TestKnownGoodPartWithFreshOnes: refused after 5 crashes of one host, after 61 before. TestKnownGoodPartStaysGood: no strikes for a rack loss, crashes with answers in between, and crashes that another part explains. Each host counts the crashes that it sees itself.

--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -85,6 +85,8 @@
 	// refusedBy and refusedCount are derived from the refused entries.
 	refusedBy    crashIndex
 	refusedCount int
+	// unanswered holds the crashes of requests with a known good part since its last answer.
+	unanswered map[Part]*partEntry
 	// keyBuffer is the memory of the keys of the last reports.
 	keyBuffer []reportKey
 	// visits counts the entries that were looked at, for tests of the cost.
@@ -96,14 +98,15 @@
 
 // NewPartTracker returns an empty tracker.
 func NewPartTracker(c PartConfig) *PartTracker {
-	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime), refusedBy: crashIndex{}}
+	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime), refusedBy: crashIndex{}, unanswered: map[Part]*partEntry{}}
 }
 
 // RecordCrash records a crash of a replica. The requests, given as their parts, were sent
 // by this host and had received nothing from the replica. In each, the parts that are not
-// known good get a strike or, if all are known good, all parts.
+// known good, or no longer reliably so, get a strike or, if all are known good, all parts.
 func (t *PartTracker) RecordCrash(now time.Time, crash CrashID, requests [][]Part) []PartChange {
 	t.expire(now)
+	t.recordUnanswered(now, crash, requests)
 	var struck []Part
 	for _, parts := range requests {
 		for _, p := range t.blamed(now, parts) {
@@ -123,7 +126,7 @@
 func (t *PartTracker) blamed(now time.Time, parts []Part) []Part {
 	var fresh []Part
 	for _, p := range parts {
-		if !t.IsKnownGood(now, p) {
+		if !t.IsKnownGood(now, p) || t.isUnanswered(now, p) {
 			fresh = append(fresh, p)
 		}
 	}
@@ -162,6 +165,7 @@
 	for _, p := range parts {
 		wasKnownGood := t.IsKnownGood(now, p)
 		t.knownGood.add(now, p)
+		delete(t.unanswered, p)
 		e := t.entries[p]
 		if e == nil || t.expired(now, e) || len(e.crashes) == 0 {
 			continue
