coord/suspect: forget strikes and clearances when peers no longer accept them

An hour after a strike or a clearance, hosts could treat a part differently for as long as an entry lived on because of something later: one host kept strikes or cleared crashes whose reports the others did not accept or get any more.

Each host forgets them at that time now. TestOldReportsForgotten: both subtests failed before ("status of part 2 = isolate, want refuse" and "want clear"). The refusal of a part ends an hour after its last strike, as the operations page says, and not after its last report.

--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -86,8 +86,8 @@
 		}
 		isChanged = true
 		e.cleared = append(e.cleared, id)
-		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return c.id == id })
 	}
+	e.crashes = slices.DeleteFunc(slices.Clone(e.crashes), func(c partCrash) bool { return slices.Contains(ids, c.id) })
 	if excess := len(e.cleared) - maxPartCrashes; excess > 0 {
 		e.cleared = slices.Delete(e.cleared, 0, excess)
 	}
@@ -147,6 +147,19 @@
 		t.visits++
 		if t.expired(now, e) {
 			t.remove(p)
+		} else {
+			t.expireReports(now, p, e)
 		}
 	}
 }
+
+// expireReports forgets the strikes and the cleared crashes of an entry when the other hosts
+// no longer accept reports of them, so that the hosts agree.
+func (t *PartTracker) expireReports(now time.Time, p Part, e *partEntry) {
+	if len(e.cleared) > 0 && now.Sub(e.clearedAt) >= t.config.Expiry {
+		e.cleared = nil
+	}
+	if len(e.crashes) > 0 && e.strikeAge(now) >= t.config.Expiry {
+		t.update(p, e, func() { e.crashes, e.refused = nil, false })
+	}
+}
--- a/coord/suspect/part_reports.go
+++ b/coord/suspect/part_reports.go
@@ -36,6 +36,7 @@
 			return PartChange{}, false
 		}
 	}
+	t.expireReports(now, r.Part, e)
 	wasRefused, isChanged := e.refused, false
 	if r.Cleared {
 		if slices.ContainsFunc(r.Crashes, func(id CrashID) bool { return !slices.Contains(e.cleared, id) }) {
@@ -122,7 +123,7 @@
 		if len(e.crashes) > 0 {
 			all = append(all, reportKey{part: p, isRefused: e.refused, age: e.strikeAge(now)})
 		}
-		if len(e.cleared) > 0 && now.Sub(e.clearedAt) < t.config.Expiry {
+		if len(e.cleared) > 0 {
 			all = append(all, reportKey{part: p, isCleared: true, age: now.Sub(e.clearedAt)})
 		}
 	}
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -286,6 +286,44 @@
 	}
 }
 
+// Guards against hosts that disagree for up to an hour, because one keeps strikes or cleared
+// crashes that the others no longer accept.
+func TestOldReportsForgotten(t *testing.T) {
+	const part Part = 2
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := map[string]struct {
+		prepare func(a, b *PartTracker)
+		want    Status
+	}{
+		"clearance": {func(a, b *PartTracker) {
+			a.RecordCrash(at(0), 1, [][]Part{{part}})
+			a.RecordAnswer(at(time.Second), at(time.Second), []Part{part})
+			a.RecordCrash(at(10*time.Second), 2, [][]Part{{part}})
+			b.RecordCrash(at(20*time.Second), 1, [][]Part{{part}})
+		}, StatusRefuse},
+		"strike": {func(a, b *PartTracker) {
+			a.RecordCrash(at(0), 1, [][]Part{{part}})
+			b.RecordCrash(at(time.Second), 2, [][]Part{{part}})
+			b.RecordAnswer(at(10*time.Second), at(10*time.Second), []Part{part})
+			a.Merge(at(11*time.Second), b.Reports(at(11*time.Second), 16))
+		}, StatusClear},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := newPartTracker("a"), newPartTracker("b")
+			tc.prepare(a, b)
+			now := at(time.Hour + 5*time.Second)
+			for range 3 {
+				fromA, fromB := a.Reports(now, 16), b.Reports(now, 16)
+				a.Merge(now, fromB)
+				b.Merge(now, fromA)
+			}
+			checkPartStatus(t, a, now, part, tc.want)
+			checkPartStatus(t, b, now, part, tc.want)
+		})
+	}
+}
+
 // Guards against trackers that disagree after they have exchanged all reports, against a
 // tracker that changes when its own reports are merged, and against a clearance that a late
 // report undoes.
