--- a/coord/suspect/part_entries.go
+++ b/coord/suspect/part_entries.go
@@ -24,12 +24,9 @@
 	at time.Time
 }
 
-const (
-	// maxPartCrashes is the maximum number of counted crashes kept for one part.
-	maxPartCrashes = 32
-	// maxClearedPartCrashes is the maximum number of cleared crashes kept for one part.
-	maxClearedPartCrashes = 16
-)
+// maxPartCrashes is the maximum number of counted and of cleared crashes kept for one part.
+// A clearance has to hold as many as count.
+const maxPartCrashes = 32
 
 // knows reports whether a crash is among those that count or have been cleared.
 func (e *partEntry) knows(id CrashID) bool {
@@ -89,9 +86,9 @@
 		}
 		isChanged = true
 		e.cleared = append(e.cleared, id)
-		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return c.id == id })
 	}
-	if excess := len(e.cleared) - maxClearedPartCrashes; excess > 0 {
+	e.crashes = slices.DeleteFunc(slices.Clone(e.crashes), func(c partCrash) bool { return slices.Contains(ids, c.id) })
+	if excess := len(e.cleared) - maxPartCrashes; excess > 0 {
 		e.cleared = slices.Delete(e.cleared, 0, excess)
 	}
 	if len(e.crashes) < freshThreshold.refuse {
@@ -106,7 +103,7 @@
 	if e.refused {
 		return
 	}
-	e.refused = true
+	t.update(p, e, func() { e.refused = true })
 	t.removeExcess(p, true, t.config.MaxRefused)
 }
 
@@ -121,22 +118,24 @@
 // removeExcess removes the least recently changed entry other than kept if more than limit
 // entries are refused or, without refused, not refused.
 func (t *PartTracker) removeExcess(kept Part, refused bool, limit int) {
-	count, oldest, at := 0, Part(0), time.Time{}
+	count := t.refusedCount
+	if !refused {
+		count = len(t.entries) - t.refusedCount
+	}
+	if count <= limit {
+		return
+	}
+	oldest, at := Part(0), time.Time{}
 	for p, e := range t.entries {
-		if e.refused != refused {
-			continue
-		}
-		count++
-		if refused && p == kept {
+		t.visits++
+		if e.refused != refused || refused && p == kept {
 			continue
 		}
 		if at.IsZero() || e.changedAt.Before(at) || e.changedAt.Equal(at) && p < oldest {
 			oldest, at = p, e.changedAt
 		}
 	}
-	if count > limit {
-		delete(t.entries, oldest)
-	}
+	t.remove(oldest)
 }
 
 func (t *PartTracker) expired(now time.Time, e *partEntry) bool {
@@ -145,8 +144,22 @@
 
 func (t *PartTracker) expire(now time.Time) {
 	for p, e := range t.entries {
+		t.visits++
 		if t.expired(now, e) {
-			delete(t.entries, p)
+			t.remove(p)
+		} else {
+			t.expireReports(now, p, e)
 		}
 	}
 }
+
+// expireReports forgets the strikes and the cleared crashes of an entry when the other hosts
+// no longer accept reports of them, so that the hosts agree.
+func (t *PartTracker) expireReports(now time.Time, p Part, e *partEntry) {
+	if len(e.cleared) > 0 && now.Sub(e.clearedAt) >= t.config.Expiry {
+		e.cleared = nil
+	}
+	if len(e.crashes) > 0 && e.strikeAge(now) >= t.config.Expiry {
+		t.update(p, e, func() { e.crashes, e.refused = nil, false })
+	}
+}
--- a/coord/suspect/parts.go
+++ b/coord/suspect/parts.go
@@ -82,6 +82,15 @@
 	config    PartConfig
 	entries   map[Part]*partEntry
 	knownGood *recentSet[Part]
+	// refusedBy and refusedCount are derived from the refused entries.
+	refusedBy    crashIndex
+	refusedCount int
+	// unanswered holds the crashes of requests with a known good part since its last answer.
+	unanswered map[Part]*partEntry
+	// keyBuffer is the memory of the keys of the last reports.
+	keyBuffer []reportKey
+	// visits counts the entries that were looked at, for tests of the cost.
+	visits int
 	// nextRefused and nextOther are the parts after which Reports continues with older
 	// entries.
 	nextRefused, nextOther Part
@@ -89,14 +98,15 @@
 
 // NewPartTracker returns an empty tracker.
 func NewPartTracker(c PartConfig) *PartTracker {
-	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime)}
+	return &PartTracker{config: c, entries: map[Part]*partEntry{}, knownGood: newRecentSet[Part](c.MaxKnownGood, c.KnownGoodTime), refusedBy: crashIndex{}, unanswered: map[Part]*partEntry{}}
 }
 
 // RecordCrash records a crash of a replica. The requests, given as their parts, were sent
 // by this host and had received nothing from the replica. In each, the parts that are not
-// known good get a strike or, if all are known good, all parts.
+// known good, or no longer reliably so, get a strike or, if all are known good, all parts.
 func (t *PartTracker) RecordCrash(now time.Time, crash CrashID, requests [][]Part) []PartChange {
 	t.expire(now)
+	t.recordUnanswered(now, crash, requests)
 	var struck []Part
 	for _, parts := range requests {
 		for _, p := range t.blamed(now, parts) {
@@ -116,7 +126,7 @@
 func (t *PartTracker) blamed(now time.Time, parts []Part) []Part {
 	var fresh []Part
 	for _, p := range parts {
-		if !t.IsKnownGood(now, p) {
+		if !t.IsKnownGood(now, p) || t.isUnanswered(now, p) {
 			fresh = append(fresh, p)
 		}
 	}
@@ -134,7 +144,9 @@
 			return false
 		}
 	}
-	if !e.addOwnCrash(crash, now) {
+	isAdded := false
+	t.update(p, e, func() { isAdded = e.addOwnCrash(crash, now) })
+	if !isAdded {
 		return false
 	}
 	e.changedAt = now
@@ -153,6 +165,7 @@
 	for _, p := range parts {
 		wasKnownGood := t.IsKnownGood(now, p)
 		t.knownGood.add(now, p)
+		delete(t.unanswered, p)
 		e := t.entries[p]
 		if e == nil || t.expired(now, e) || len(e.crashes) == 0 {
 			continue
@@ -160,7 +173,7 @@
 		if e.refused && wasKnownGood && sentAt.Before(e.crashes[0].at) {
 			continue
 		}
-		e.clear(e.crashIDs())
+		t.update(p, e, func() { e.clear(e.crashIDs()) })
 		e.changedAt, e.clearedAt = now, now
 		changes = append(changes, t.Change(now, p))
 	}
@@ -173,7 +186,7 @@
 	switch {
 	case e == nil || t.expired(now, e):
 		return StatusClear
-	case e.refused && !t.isAmbiguous(p, e):
+	case e.refused && !t.isAmbiguous(now, p, e):
 		return StatusRefuse
 	case e.refused:
 		return StatusIsolate
@@ -184,34 +197,6 @@
 	}
 }
 
-// isAmbiguous reports whether another refused part explains all crashes of a refused part,
-// as happens to a part that came with the other one in each of the requests. A request with
-// one of them shows which one is to blame.
-func (t *PartTracker) isAmbiguous(p Part, e *partEntry) bool {
-	for q, other := range t.entries {
-		if q != p && other.refused && !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !other.counts(c.id) }) {
-			return true
-		}
-	}
-	return false
-}
-
-// isExplained reports whether refused parts explain all crashes of an entry.
-func (t *PartTracker) isExplained(now time.Time, e *partEntry) bool {
-	return !slices.ContainsFunc(e.crashes, func(c partCrash) bool { return !t.Explains(now, c.id) })
-}
-
-// Explains reports whether a refused part has caused a crash, so that the crash is no
-// evidence against other requests.
-func (t *PartTracker) Explains(now time.Time, crash CrashID) bool {
-	for _, e := range t.entries {
-		if e.refused && !t.expired(now, e) && e.counts(crash) {
-			return true
-		}
-	}
-	return false
-}
-
 // IsKnownGood reports whether a request with the part was answered lately.
 func (t *PartTracker) IsKnownGood(now time.Time, p Part) bool { return t.knownGood.contains(now, p) }
 
@@ -228,18 +213,19 @@
 
 // Judge returns how to treat a request with the given parts. Hosts try a suspected part in
 // turns, so that a part that crashes replicas is known everywhere before most of them send
-// it.
+// it. Of refused parts that explain each other, a request with some is tried and one with
+// all is refused.
 func (t *PartTracker) Judge(now time.Time, parts []Part, hosts int) Treatment {
 	r := Treatment{Status: StatusClear}
-	ambiguous := 0
+	cause, holdsCause := Part(0), false
 	for _, p := range parts {
 		switch t.Status(now, p) {
 		case StatusRefuse:
 			return Treatment{Status: StatusRefuse, Part: p}
 		case StatusIsolate:
 			e := t.entries[p]
-			if e.refused {
-				ambiguous++
+			if e.refused && t.hasAllExplainers(now, p, e, parts) {
+				cause, holdsCause = p, true
 			}
 			turnAt := e.changedAt.Add(time.Duration(t.turn(p, hosts)) * t.config.TurnTime)
 			r.Wait = max(r.Wait, turnAt.Sub(now))
@@ -247,8 +233,8 @@
 			r.Suspected = append(r.Suspected, p)
 		}
 	}
-	if ambiguous > 1 {
-		return Treatment{Status: StatusRefuse, Part: r.Part}
+	if holdsCause {
+		return Treatment{Status: StatusRefuse, Part: cause}
 	}
 	if n := len(r.Suspected); n > 1 {
 		last := t.entries[r.Part].changedAt
@@ -276,6 +262,7 @@
 // Counts returns the numbers of suspected and of refused parts.
 func (t *PartTracker) Counts(now time.Time) (suspected, refused int) {
 	for p := range t.entries {
+		t.visits++
 		switch t.Status(now, p) {
 		case StatusIsolate:
 			suspected++
--- a/coord/suspect/parts_test.go
+++ b/coord/suspect/parts_test.go
@@ -139,6 +139,47 @@
 	})
 }
 
+// Guards against the refusal of sound requests with several parts that came together with
+// the one to blame.
+func TestSeveralPartsWithAnother(t *testing.T) {
+	const first, second, other, deadly Part = 1, 2, 5, 9
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tracker := newPartTracker("a")
+	check := func(after time.Duration, want Status, parts ...Part) {
+		t.Helper()
+		if got := tracker.Judge(at(after), parts, 1).Status; got != want {
+			t.Errorf("status of parts %v after %s = %s, want %s", parts, after, got, want)
+		}
+	}
+	for i := range 4 {
+		tracker.RecordCrash(at(time.Duration(50*i)*time.Millisecond), CrashID(i), [][]Part{{first, second, deadly}})
+	}
+	tracker.RecordAnswer(at(200*time.Millisecond), at(200*time.Millisecond), []Part{other})
+	for _, after := range []time.Duration{300 * time.Millisecond, 5 * time.Second, 50 * time.Minute} {
+		check(after, StatusIsolate, first, second)
+		check(after, StatusIsolate, first)
+		check(after, StatusRefuse, first, second, deadly)
+		check(after, StatusRefuse, other, first, second, deadly)
+	}
+	if wait := tracker.Judge(at(5*time.Second), []Part{first, second}, 1).Wait; wait > 0 {
+		t.Errorf("a trial of two parts waits %s", wait)
+	}
+
+	tracker.RecordCrash(at(time.Minute), 50, [][]Part{{other, deadly}})
+	for _, after := range []time.Duration{61 * time.Second, 2 * time.Minute, 50 * time.Minute} {
+		check(after, StatusIsolate, first, second)
+		check(after, StatusIsolate, second)
+		check(after, StatusRefuse, other, deadly)
+		check(after, StatusRefuse, first, deadly)
+	}
+	if got := tracker.Judge(at(2*time.Minute), []Part{first, second, deadly}, 1); got.Status != StatusRefuse || got.Part != deadly {
+		t.Errorf("a request with all parts: %s because of part %d, want refuse because of part %d", got.Status, got.Part, deadly)
+	}
+	tracker.RecordAnswer(at(2*time.Minute), at(2*time.Minute), []Part{first, second})
+	check(2*time.Minute, StatusClear, first, second)
+	check(2*time.Minute, StatusRefuse, deadly)
+}
+
 // Guards against a host that has just started, to which no part is known good: its
 // refusal of a popular part must not spread.
 func TestRefusalByNewHost(t *testing.T) {
@@ -168,6 +209,32 @@
 	}
 }
 
+// Guards against a clearance that neither spreads nor lasts, because it holds fewer crashes
+// than count for the part.
+func TestClearanceOfManyCrashes(t *testing.T) {
+	const part Part = 7
+	for crashes := 1; crashes <= maxPartCrashes; crashes++ {
+		a, b := newPartTracker("a"), newPartTracker("b")
+		for i := range crashes {
+			a.RecordCrash(start.Add(time.Duration(10*i)*time.Millisecond), CrashID(i), [][]Part{{part}})
+		}
+		now := start.Add(time.Second)
+		b.Merge(now, a.Reports(now, 16))
+		a.RecordAnswer(now, now, []Part{part})
+		for range 20 {
+			now = now.Add(100 * time.Millisecond)
+			fromA, fromB := a.Reports(now, 16), b.Reports(now, 16)
+			a.Merge(now, fromB)
+			b.Merge(now, fromA)
+			for name, tracker := range map[string]*PartTracker{"a": a, "b": b} {
+				if got := tracker.Status(now, part); got != StatusClear {
+					t.Fatalf("status at host %s after the clearance of %d crashes = %s, want clear", name, crashes, got)
+				}
+			}
+		}
+	}
+}
+
 // Guards against memory that grows with the number of parts, and against a caller that
 // displaces a refused part by sending others.
 func TestPartBounds(t *testing.T) {
@@ -219,6 +286,44 @@
 	}
 }
 
+// Guards against hosts that disagree for up to an hour, because one keeps strikes or cleared
+// crashes that the others no longer accept.
+func TestOldReportsForgotten(t *testing.T) {
+	const part Part = 2
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := map[string]struct {
+		prepare func(a, b *PartTracker)
+		want    Status
+	}{
+		"clearance": {func(a, b *PartTracker) {
+			a.RecordCrash(at(0), 1, [][]Part{{part}})
+			a.RecordAnswer(at(time.Second), at(time.Second), []Part{part})
+			a.RecordCrash(at(10*time.Second), 2, [][]Part{{part}})
+			b.RecordCrash(at(20*time.Second), 1, [][]Part{{part}})
+		}, StatusRefuse},
+		"strike": {func(a, b *PartTracker) {
+			a.RecordCrash(at(0), 1, [][]Part{{part}})
+			b.RecordCrash(at(time.Second), 2, [][]Part{{part}})
+			b.RecordAnswer(at(10*time.Second), at(10*time.Second), []Part{part})
+			a.Merge(at(11*time.Second), b.Reports(at(11*time.Second), 16))
+		}, StatusClear},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := newPartTracker("a"), newPartTracker("b")
+			tc.prepare(a, b)
+			now := at(time.Hour + 5*time.Second)
+			for range 3 {
+				fromA, fromB := a.Reports(now, 16), b.Reports(now, 16)
+				a.Merge(now, fromB)
+				b.Merge(now, fromA)
+			}
+			checkPartStatus(t, a, now, part, tc.want)
+			checkPartStatus(t, b, now, part, tc.want)
+		})
+	}
+}
+
 // Guards against trackers that disagree after they have exchanged all reports, against a
 // tracker that changes when its own reports are merged, and against a clearance that a late
 // report undoes.
@@ -237,7 +342,11 @@
 			"finish": func(t *rapid.T) { drawTracker(t).RecordAnswer(now, now, []Part{part(t)}) },
 			"merge":  func(*rapid.T) { a.Merge(now, b.Reports(now, 10)) },
 			"wait":   func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "s")) * time.Second) },
-			"":       func(*rapid.T) { now = now.Add(time.Second) },
+			"": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				a.checkIndex(t)
+				b.checkIndex(t)
+			},
 		})
 		now = now.Add(time.Minute) // no part is known good any more
 		for range 3 {
