edge/control: store ambiguous parts

After all hosts had been killed, the hosts that started knew neither of two refused parts that had come together in all crashes, and replicas crashed again: only the part that was refused outright was stored, and neither was. Refused parts of which a host has seen a crash are now stored after each crash and each clearance, ambiguous ones too, so that a started host refuses requests with both and tries each alone. A part is not stored while another refused part has all its crashes and further ones, because an entry keeps the crashes of its first write. An answer withdraws an ambiguous part as well, also before its host has read the entry. What other hosts refuse is still not written again.

TestPublishedAmbiguousParts (crashes within 120 ms and 1 s, and a later fourth one) and TestWithdrawnAmbiguousPart failed before: nothing was published. TestPublishedAfterClearance required that neither of two ambiguous parts is stored. It now guards the same clearance for a part whose crashes another one with a further crash explains, and checks the withdrawn entry as well.

--- a/edge/control/part_store.go
+++ b/edge/control/part_store.go
@@ -48,45 +48,80 @@
 	}
 }
 
-// publishIfRefused stores a part that is refused because of a crash that this host has seen.
-// The other hosts leave it to the ones that have, so that few write the same entry.
-func (l *Loop) publishIfRefused(now time.Duration, c suspect.PartChange) {
-	if c.Status != suspect.StatusRefuse || l.config.PartStore == nil {
+// publishRefused stores the refused parts that are not in the store yet, ambiguous ones
+// included: a host that starts later refuses requests with both of two parts that came
+// together in all crashes, and tries requests with one of them.
+func (l *Loop) publishRefused(now time.Duration) {
+	if l.config.PartStore == nil {
 		return
 	}
 	refused := l.parts.Refused(partTime(now))
-	i := slices.IndexFunc(refused, func(r suspect.PartReport) bool { return r.Part == c.Part })
-	if i < 0 || !slices.ContainsFunc(refused[i].Crashes, func(id suspect.CrashID) bool { return slices.Contains(l.storedParts.ownCrashes, id) }) {
+	for _, r := range refused {
+		if _, isStored := l.storedParts.entries[r.Part]; !isStored {
+			l.publish(r, refused)
+		}
+	}
+}
+
+// publishPart stores a part if it is refused.
+func (l *Loop) publishPart(now time.Duration, p suspect.Part) {
+	if l.config.PartStore == nil {
 		return
 	}
-	entry := platform.CrashPart{Part: uint64(c.Part), RefusedAt: time.Now().Add(-refused[i].Age).UnixMilli()}
-	for _, id := range refused[i].Crashes {
+	refused := l.parts.Refused(partTime(now))
+	if i := slices.IndexFunc(refused, func(r suspect.PartReport) bool { return r.Part == p }); i >= 0 {
+		l.publish(refused[i], refused)
+	}
+}
+
+// publish stores a refused part of which this host has seen a crash. The other hosts leave it
+// to the ones that have, so that few write the same entry. A part is not stored while another
+// one is the more likely cause: without its later crashes, the entry of the other one would
+// no longer explain the ones of the part.
+func (l *Loop) publish(r suspect.PartReport, refused []suspect.PartReport) {
+	isOwn := func(id suspect.CrashID) bool { return slices.Contains(l.storedParts.ownCrashes, id) }
+	if !slices.ContainsFunc(r.Crashes, isOwn) || hasMoreLikelyCause(r, refused) {
+		return
+	}
+	entry := platform.CrashPart{Part: uint64(r.Part), RefusedAt: time.Now().Add(-r.Age).UnixMilli()}
+	for _, id := range r.Crashes {
 		entry.Crashes = append(entry.Crashes, uint64(id))
 	}
 	l.config.PartStore.Publish(entry)
 }
 
-// publishSettled stores the parts that are refused since another part was cleared, which had
-// come together with them in all crashes.
-func (l *Loop) publishSettled(now time.Duration) {
-	for _, r := range l.parts.Refused(partTime(now)) {
-		if _, isStored := l.storedParts.entries[r.Part]; !isStored {
-			l.publishIfRefused(now, l.parts.Change(partTime(now), r.Part))
-		}
-	}
+// hasMoreLikelyCause reports whether another refused part explains all crashes of a part and
+// has further ones.
+func hasMoreLikelyCause(r suspect.PartReport, refused []suspect.PartReport) bool {
+	return slices.ContainsFunc(refused, func(o suspect.PartReport) bool {
+		return len(o.Crashes) > len(r.Crashes) &&
+			!slices.ContainsFunc(r.Crashes, func(id suspect.CrashID) bool { return !slices.Contains(o.Crashes, id) })
+	})
 }
 
-// partsToWithdraw returns those of the parts that are refused here or in the store.
+// partsToWithdraw returns those of the parts that are in the store or that hosts may be about
+// to store.
 func (l *Loop) partsToWithdraw(now time.Duration, parts []suspect.Part) []suspect.Part {
 	var list []suspect.Part
 	for _, p := range parts {
-		if _, isStored := l.storedParts.entries[p]; isStored || l.parts.Status(partTime(now), p) == suspect.StatusRefuse {
+		if _, isStored := l.storedParts.entries[p]; isStored || l.isRefusedOrAmbiguous(now, p) {
 			list = append(list, p)
 		}
 	}
 	return list
 }
 
+func (l *Loop) isRefusedOrAmbiguous(now time.Duration, p suspect.Part) bool {
+	switch l.parts.Status(partTime(now), p) {
+	case suspect.StatusRefuse:
+		return true
+	case suspect.StatusIsolate:
+		return slices.ContainsFunc(l.parts.Refused(partTime(now)), func(r suspect.PartReport) bool { return r.Part == p })
+	default:
+		return false
+	}
+}
+
 // withdrawParts removes the entries of parts that a finished request has cleared.
 func (l *Loop) withdrawParts(parts []suspect.Part, changes []suspect.PartChange) {
 	if l.config.PartStore == nil {
--- a/edge/control/part_store_test.go
+++ b/edge/control/part_store_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,11 +34,43 @@
 
 // crashOf makes the loop see a crash of a replica by a request with the test part.
 func (l *Loop) crashOf(now time.Duration, id string, crash suspect.CrashID) {
+	l.crashWith(now, id, crash, testPart)
+}
+
+// crashWith makes the loop see a crash of a replica by a request with the given parts.
+func (l *Loop) crashWith(now time.Duration, id string, crash suspect.CrashID, parts ...suspect.Part) {
 	l.recordPartCrash(now, id, crash, []sendEnded{{
-		target: Target{ID: id}, result: SendResult{MayHaveCrashed: true, Outcome: health.Broken}, parts: []suspect.Part{testPart},
+		target: Target{ID: id}, result: SendResult{MayHaveCrashed: true, Outcome: health.Broken}, parts: parts,
 	}})
 }
 
+// entries returns what a store holds after the calls, which keeps the first entry of a part.
+func (f *fakePartStore) entries() map[suspect.Part]platform.CrashPart {
+	kept := map[suspect.Part]platform.CrashPart{}
+	for _, e := range f.published {
+		if _, exists := kept[suspect.Part(e.Part)]; !exists && !slices.Contains(f.withdrawn, e.Part) {
+			kept[suspect.Part(e.Part)] = e
+		}
+	}
+	return kept
+}
+
+// readStore makes the loop read the entries of the store.
+func (l *Loop) readStore(now time.Duration, f *fakePartStore) {
+	var list []platform.Change
+	for _, e := range f.entries() {
+		list = append(list, platform.Change{Kind: platform.ChangeCrashPart, CrashPart: e})
+	}
+	l.handle(now, storeUpdate{list: list})
+}
+
+func checkStored(t *testing.T, f *fakePartStore, want ...suspect.Part) {
+	t.Helper()
+	if diff := cmp.Diff(want, slices.Sorted(maps.Keys(f.entries()))); diff != "" {
+		t.Errorf("stored parts (-want +got):\n%s", diff)
+	}
+}
+
 func entryOf(age time.Duration) platform.Change {
 	return platform.Change{Kind: platform.ChangeCrashPart, CrashPart: platform.CrashPart{
 		Part: uint64(testPart), Crashes: []uint64{1, 2}, RefusedAt: time.Now().Add(-age).UnixMilli(),
@@ -168,33 +202,95 @@
 	})
 }
 
-// Guards against a refused part that is never stored, because it was one of two that came
-// together in all crashes until an answer, here or at another host, cleared the other one.
+// Guards against a refused part that is never stored, because another one, which had further
+// crashes, explained its crashes until an answer, here or at another host, cleared it.
 func TestPublishedAfterClearance(t *testing.T) {
 	const sound suspect.Part = 0xcd
-	tests := map[string]func(l *Loop, now time.Duration){
-		"answered here": func(l *Loop, now time.Duration) {
+	tests := map[string]struct {
+		clearSound func(l *Loop, now time.Duration)
+		withdrawn  []uint64
+	}{
+		"answered here": {func(l *Loop, now time.Duration) {
 			l.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now})
-		},
-		"answered at another host": func(l *Loop, now time.Duration) {
-			l.mergePartReports(now, "edge-2", []suspect.PartReport{{Part: sound, Crashes: []suspect.CrashID{1, 2}, Cleared: true}})
-		},
+		}, []uint64{uint64(sound)}},
+		// The other host withdraws the entry.
+		"answered at another host": {func(l *Loop, now time.Duration) {
+			l.mergePartReports(now, "edge-2", []suspect.PartReport{{Part: sound, Crashes: []suspect.CrashID{1, 2, 3}, Cleared: true}})
+		}, nil},
 	}
-	for name, clearSound := range tests {
+	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			l, f := partLoop(t)
-			for i, id := range []string{"i-1", "i-2"} {
-				l.recordPartCrash(time.Minute+time.Duration(i)*time.Second, id, suspect.CrashID(i+1), []sendEnded{{
-					target: Target{ID: id}, result: SendResult{MayHaveCrashed: true, Outcome: health.Broken}, parts: []suspect.Part{sound, testPart},
-				}})
-			}
-			checkStoreCalls(t, f, 0, 0)
-			clearSound(l, time.Minute+2*time.Second)
-			l.checkRefused(t, time.Minute+2*time.Second, true)
+			const now = time.Minute
+			l.crashWith(now, "i-1", 1, sound)
+			l.crashWith(now+time.Second, "i-2", 2, sound, testPart)
+			l.readStore(now+time.Second, f)
+			l.crashWith(now+2*time.Second, "i-1", 3, sound, testPart)
+			checkStored(t, f, sound)
 			checkStoreCalls(t, f, 1, 0)
-			if len(f.published) == 1 && f.published[0].Part != uint64(testPart) {
-				t.Errorf("published part %x, want %x", f.published[0].Part, testPart)
+			tc.clearSound(l, now+3*time.Second)
+			l.checkRefused(t, now+3*time.Second, true)
+			checkStoreCalls(t, f, 2, len(tc.withdrawn))
+			if diff := cmp.Diff(tc.withdrawn, f.withdrawn); diff != "" {
+				t.Errorf("withdrawn parts (-want +got):\n%s", diff)
+			}
+			if last := f.published[len(f.published)-1].Part; last != uint64(testPart) {
+				t.Errorf("last published part %x, want %x", last, testPart)
 			}
 		})
 	}
 }
+
+// Guards against two parts that came together in all crashes of which a host that starts
+// later knows none, or only the sound one: it would run requests with the other one, or
+// refuse those with the sound one until the entry expires.
+func TestPublishedAmbiguousParts(t *testing.T) {
+	const sound suspect.Part = 0xcd
+	for name, last := range map[string]time.Duration{
+		"120 ms": 120 * time.Millisecond, "1 s": time.Second, "later crash": 2 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, f := partLoop(t)
+			for i := range 3 {
+				at := time.Minute + time.Duration(i)*min(last, time.Second)/2
+				l.crashWith(at, []string{"i-1", "i-2"}[i%2], suspect.CrashID(i+1), sound, testPart)
+			}
+			if last > time.Second {
+				l.readStore(time.Minute+time.Second, f)
+				l.crashWith(time.Minute+last, "i-2", 4, sound, testPart)
+			}
+			checkStored(t, f, testPart, sound)
+
+			started, store := partLoop(t)
+			now := 2 * time.Minute
+			started.readStore(now, f)
+			started.checkTreatment(t, now, suspect.StatusIsolate, sound)
+			started.checkTreatment(t, now, suspect.StatusRefuse, sound, testPart)
+			now += time.Second
+			started.recordPartAnswer(now, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now})
+			started.checkTreatment(t, now, suspect.StatusClear, sound)
+			started.checkTreatment(t, now, suspect.StatusRefuse, testPart)
+			checkStoreCalls(t, store, 0, 1)
+		})
+	}
+}
+
+// Guards against the entry of an ambiguous part that stays because an answer cleared the part
+// before this host had read the entry.
+func TestWithdrawnAmbiguousPart(t *testing.T) {
+	const sound suspect.Part = 0xcd
+	l, f := partLoop(t)
+	now := time.Minute
+	l.crashWith(now, "i-1", 1, sound, testPart)
+	l.crashWith(now+time.Second, "i-2", 2, sound, testPart)
+	checkStored(t, f, testPart, sound)
+	l.recordPartAnswer(now+2*time.Second, "i-1", partSend{parts: []suspect.Part{sound}, sentAt: now + 2*time.Second})
+	checkStored(t, f, testPart)
+}
+
+func (l *Loop) checkTreatment(t *testing.T, now time.Duration, want suspect.Status, parts ...suspect.Part) {
+	t.Helper()
+	if got := l.parts.Judge(partTime(now), parts, 1).Status; got != want {
+		t.Errorf("treatment of parts %v = %s, want %s", parts, got, want)
+	}
+}
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -157,8 +157,8 @@
 	}
 	for _, c := range l.parts.RecordCrash(partTime(now), crash, requests) {
 		klog.V(1).InfoS("prompt part suspected", "part", formatPart(c.Part), "replica", id, "crash", uint64(crash), "strikes", c.Strikes, "status", c.Status)
-		l.publishIfRefused(now, c)
 	}
+	l.publishRefused(now)
 	l.updatePartGauges(now)
 }
 
@@ -178,7 +178,7 @@
 		klog.V(1).InfoS("prompt part cleared", "part", formatPart(c.Part), "replica", replicaID, "status", c.Status)
 	}
 	if len(changes) > 0 {
-		l.publishSettled(now)
+		l.publishRefused(now)
 		l.scheduleReport(reportNow)
 		l.updatePartGauges(now)
 	}
@@ -197,11 +197,11 @@
 		c := l.parts.Change(partTime(now), r.Part)
 		klog.V(1).InfoS("prompt part received", "part", formatPart(c.Part), "peer", peer, "cleared", r.Cleared, "strikes", c.Strikes, "status", c.Status)
 		if !r.Refused {
-			l.publishIfRefused(now, c)
+			l.publishPart(now, c.Part)
 		}
 	}
 	if slices.ContainsFunc(changed, func(r suspect.PartReport) bool { return r.Cleared }) {
-		l.publishSettled(now)
+		l.publishRefused(now)
 	}
 	if len(changed) > 0 {
 		l.updatePartGauges(now)
