edge/storewatch: remember the write that a second one replaces

The store could keep the entry of a part that had been cleared: after a write without a response, a second Publish of the part replaced the pending call and forgot the first one, so that Withdraw saw nothing to remove and did not wait for a late entry. New hosts would then refuse requests with the part for up to an hour. The replacing call keeps the number of calls made and the time of their entry.

TestWithdraw/published_twice_and_written_late: one entry left in the store before, none now; go test -race ok. The subtest shares the steps of written_late, which are unchanged.

--- a/edge/storewatch/parts.go
+++ b/edge/storewatch/parts.go
@@ -73,7 +73,7 @@
 	entry  platform.CrashPart
 	// revision is the revision that the key must have, or 0 if it must not exist.
 	revision int64
-	// tries is the number of calls made.
+	// tries is the number of calls made, including those with an earlier entry of the part.
 	tries int
 }
 
@@ -98,7 +98,12 @@
 		klog.InfoS("crash part not stored, the store has too many", "part", formatPart(entry.Part), "stored", len(p.stored))
 		return
 	}
-	p.add(&partCall{action: actionPublish, entry: entry, revision: known.revision})
+	call := &partCall{action: actionPublish, entry: entry, revision: known.revision}
+	if old != nil && old.action == actionPublish && old.tries > 0 {
+		// The store may still execute a call already made, whose entry has this RefusedAt.
+		call.entry.RefusedAt, call.tries = old.entry.RefusedAt, old.tries
+	}
+	p.add(call)
 }
 
 // Withdraw removes the entry of a part that this host no longer refuses.
--- a/edge/storewatch/parts_test.go
+++ b/edge/storewatch/parts_test.go
@@ -168,30 +168,37 @@
 		checkDone(t, p)
 		checkKeys(t, store, 1)
 	})
-	t.Run("written late", func(t *testing.T) {
-		// Guards against a write without a response that the store executes after the part
-		// has been withdrawn.
-		w, store, _ := newTestWatcher(t, Config{})
-		p := w.config.Parts
-		store.SetFault(fake.FaultReset)
-		p.Publish(refusedPart(1))
-		c, _ := p.next()
-		if err := p.execute(t.Context(), c); err == nil {
-			t.Fatal("the write had a response")
-		}
-		p.Withdraw(1)
-		store.SetFault(fake.FaultNone)
-		runParts(t, w)
-		checkDone(t, p)
-		if err := w.config.Store.WriteCrashPart(t.Context(), c.entry, 0); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := w.readAll(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		checkDone(t, p)
-		checkKeys(t, store, 0)
-	})
+	for name, publishAgain := range map[string]bool{"written late": false, "published twice and written late": true} {
+		t.Run(name, func(t *testing.T) {
+			// Guards against a write without a response that the store executes after the part
+			// has been withdrawn.
+			w, store, _ := newTestWatcher(t, Config{})
+			p := w.config.Parts
+			store.SetFault(fake.FaultReset)
+			p.Publish(refusedPart(1))
+			c, _ := p.next()
+			if err := p.execute(t.Context(), c); err == nil {
+				t.Fatal("the write had a response")
+			}
+			if publishAgain {
+				again := refusedPart(1)
+				again.RefusedAt++
+				p.Publish(again)
+			}
+			p.Withdraw(1)
+			store.SetFault(fake.FaultNone)
+			runParts(t, w)
+			checkDone(t, p)
+			if err := w.config.Store.WriteCrashPart(t.Context(), c.entry, 0); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := w.readAll(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			checkDone(t, p)
+			checkKeys(t, store, 0)
+		})
+	}
 	t.Run("not written yet", func(t *testing.T) {
 		// Guards against calls that are not needed.
 		w, store, _ := newTestWatcher(t, Config{})
