--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -73,3 +73,35 @@
 	}
 	return nil
 }
+
+// Channel is a channel that a client keeps open for many requests.
+type Channel struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// OpenChannel opens a channel to a daemon.
+func OpenChannel(address string) (*Channel, error) {
+	n, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Channel{n, bufio.NewReader(n)}, nil
+}
+
+// Send sends a call on the channel and waits for the answer.
+func (c *Channel) Send(call Call) Reply {
+	_ = c.conn.SetDeadline(time.Now().Add(call.Deadline + 500*time.Millisecond))
+	if err := WriteCall(c.conn, call); err != nil {
+		return Reply{Err: err}
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+	if err != nil {
+		return Reply{Err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Err: err}
+}
+
+// Close closes the channel.
+func (c *Channel) Close() { _ = c.conn.Close() }
