--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -91,12 +91,13 @@
 }
 
 // Crash ends the replica's process at once: its listener and its channels are reset. Its
-// entry stays until three status reports are missing.
-func (r *Replica) Crash() {
+// entry stays until three status reports are missing. It returns false if the process has
+// ended before.
+func (r *Replica) Crash() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isUp {
-		return
+		return false
 	}
 	r.isUp = false
 	_ = r.listener.Close()
@@ -114,6 +115,7 @@
 			r.Config.Store.Remove("servers/" + r.Config.ID)
 		}
 	}()
+	return true
 }
 
 func (r *Replica) accept(l net.Listener) {
