--- a/review/3/main.go
+++ b/review/3/main.go
@@ -18,10 +18,13 @@
 	// cutTime is how long one host is partitioned from the store.
 	cutTime = 4 * time.Second
 	// leaveAfter is the time from the cut to the removal of a replica's entry.
-	leaveAfter = 50 * time.Millisecond
-	callsPerS  = 30 // at each host
+	leaveAfter = 20 * time.Millisecond
+	// callsPerS is the rate at each host: 40 a second in all, times a burst of 2.8.
+	callsPerS = 37
 	// otherReplicas are those of another service, whose status reports change the store.
 	otherReplicas = 14
+	// rounds is how often each host is cut off.
+	rounds = 2
 )
 
 // arrival is the arrival of a request at a replica.
@@ -49,7 +52,7 @@
 func main() {
 	site := standin.NewSite(standin.PlainConfig(7, false))
 	a := &arrivals{at: map[string][]arrival{}}
-	site.AddReplicas("desk", 5, 6, a.handle)
+	site.AddReplicas("desk", 2, 6, a.handle)
 	for range otherReplicas {
 		site.AddReplicas("loom", 1, 16, a.handle)
 		time.Sleep(1200 * time.Millisecond / otherReplicas)
@@ -78,10 +81,17 @@
 		})
 	}
 	time.Sleep(contactTime)
+	desk := site.Replicas[0]
 	late := map[string]int{}
 	total := 0
-	for i, cut := range site.Edges {
-		leaving := site.Replicas[i]
+	for trial := range rounds * len(site.Edges) {
+		i := trial % len(site.Edges)
+		cut := site.Edges[i]
+		// A new replica replaces the one that is to leave.
+		leaving := desk
+		site.AddReplicas("desk", 1, 6, a.handle)
+		desk = site.Replicas[len(site.Replicas)-1]
+		time.Sleep(time.Second)
 		if standin.HasTrouble() {
 			site.Record.Line("%s is partitioned from the store (channel resets)", cut.Config.Name)
 			site.Paths[i].Cut()
@@ -92,7 +102,7 @@
 		site.Record.Line("the store confirms that the entry of replica %s is removed; the replica goes on serving", leaving.Config.ID)
 		time.Sleep(cutTime - leaveAfter)
 		site.Paths[i].Heal()
-		time.Sleep(contactTime + 5*time.Second)
+		time.Sleep(contactTime + 4*time.Second)
 		last := map[string]time.Duration{}
 		a.mu.Lock()
 		for _, r := range a.at[leaving.Config.ID] {
