--- a/review/standin/edge.go
+++ b/review/standin/edge.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -34,14 +35,33 @@
 	done chan struct{}
 }
 
-// FreeAddress returns a free loopback address.
+// Ports of the stand-ins and hosts are below the range from which systems usually take the
+// ports of outgoing connections, so that a process can be started again at its address.
+const (
+	firstPort = 20000
+	portCount = 11000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = os.Getpid() * 97 % portCount
+)
+
+// FreeAddress returns a free loopback address, another one at each call.
 func FreeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		nextPort = (nextPort + 1) % portCount
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	panic("no free port")
 }
 
 // NewEdge chooses the addresses of a host.
@@ -126,6 +146,16 @@
 // Signal sends a signal to the process.
 func (e *Edge) Signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) }
 
+// Terminate stops the process as the platform does: SIGTERM, and SIGKILL after 8 s.
+func (e *Edge) Terminate() {
+	e.Signal(syscall.SIGTERM)
+	select {
+	case <-e.done:
+	case <-time.After(8 * time.Second):
+		e.Kill()
+	}
+}
+
 // Kill ends the process and waits for its end.
 func (e *Edge) Kill() {
 	if e.cmd == nil {
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -30,6 +30,8 @@
 	Point  CrashPoint
 	// BackAfter is the time after which the replica is back.
 	BackAfter time.Duration
+	// Work is the time that other requests take; 20 ms by default.
+	Work time.Duration
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -47,7 +49,7 @@
 	body := fmt.Sprintf(`{"for":%q,"text":%q}`, x.ID, strings.Repeat("registry ", 400))
 	answer := x.Answer(http.StatusOK, x.Replica.Stamp(), body)
 	if !IsPoison(x.Request) {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(max(p.Work, 20*time.Millisecond))
 		return x.Write(answer)
 	}
 	p.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -334,7 +334,7 @@
 
 // NewPath opens a path to the store at a free loopback port.
 func (s *Store) NewPath() (*Path, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", FreeAddress())
 	if err != nil {
 		return nil, err
 	}
