review: put the scripted cases into test files

A test of the project allows the platform's names outside platform/ in test files only, and found them in the cases' sources.

--- a/review/1/main.go
+++ b/review/cases/case1_test.go
@@ -1,6 +1,7 @@
-// Command case1 checks rule MIXED where a replica's second answer to one request arrives
+// Case 1 checks rule MIXED where a replica's second answer to one request arrives
 // late, at a point where the answer to a long request is expected.
-package main
+
+package cases
 
 import (
 	"bytes"
@@ -9,12 +10,10 @@
 	"strings"
 	"sync"
 	"time"
-
-	"siskinreview.example/standin"
 )
 
 const (
-	rounds = 24
+	garbleRounds = 24
 	// smallRequests is the number of short requests before each long one. One answer of them
 	// at most gets a second answer: x = 1/40 of the answers (limit 0.03).
 	smallRequests = 39
@@ -23,7 +22,6 @@
 	// garblingReplica is the faulty one of the two replicas (limit: a share of 0.6).
 	garblingReplica = "i-1"
 	longBody        = 3_900_000 // bytes; the config allows 4,194,304
-	host            = "desk.example"
 )
 
 // pending is a second answer that has not left yet.
@@ -33,7 +31,7 @@
 type garbler struct {
 	mu     sync.Mutex
 	isDue  bool
-	record *standin.Record
+	record *Record
 	late   int
 	early  int
 	total  int
@@ -41,7 +39,7 @@
 
 // handle answers short requests at once. A long request is rejected as by a full replica
 // that answers before it has read the body; the channel then ends.
-func (g *garbler) handle(x *standin.Exchange) bool {
+func (g *garbler) handle(x *Exchange) bool {
 	g.mu.Lock()
 	g.total++
 	g.mu.Unlock()
@@ -71,16 +69,16 @@
 	return x.Write(answer)
 }
 
-var seen = map[string]bool{}
+var rejectedOnce = map[string]bool{}
 
 // isFirst reports whether a long request comes for the first time.
 func (g *garbler) isFirst(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if seen[id] {
+	if rejectedOnce[id] {
 		return false
 	}
-	seen[id] = true
+	rejectedOnce[id] = true
 	g.early++
 	return true
 }
@@ -99,10 +97,10 @@
 	return due
 }
 
-func config() map[string]any {
+func twoRouteConfig() map[string]any {
 	route := func(name, prefix string) map[string]any {
 		return map[string]any{
-			"name": name, "hostname": host, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 10000, "target_latency_ms": 1500,
+			"name": name, "hostname": deskHost, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 10000, "target_latency_ms": 1500,
 			"priority": 1, "backend": "desk", "max_attempts": 2, "public": false, "sticky": false, "resumable": false,
 		}
 	}
@@ -117,23 +115,23 @@
 	}
 }
 
-func main() {
-	record := standin.NewRecord()
-	dir := standin.TempDir()
-	store := standin.NewStore()
+func case1() {
+	record := NewRecord()
+	dir := TempDir()
+	store := NewStore()
 	path, err := store.NewPath()
 	if err != nil {
 		record.Finish(dir, 2, "can't run: %v", err)
 	}
-	store.Put("op/config", config())
+	store.Put("op/config", twoRouteConfig())
 	g := &garbler{record: record}
 	for _, id := range []string{"i-1", "i-2"} {
-		r := standin.NewReplica(standin.ReplicaConfig{ID: id, Service: "desk", Zone: "z1", Slots: 6, Store: store, Handle: g.handle})
+		r := NewReplica(ReplicaConfig{ID: id, Service: "desk", Zone: "z1", Slots: 6, Store: store, Handle: g.handle})
 		if err := r.Start(); err != nil {
 			record.Finish(dir, 2, "can't run: %v", err)
 		}
 	}
-	edge := standin.NewEdge(standin.EdgeConfig{Name: "edge-z1-1", Zone: "z1", Zones: "z1=r1", StoreAddress: path.Address, Dir: dir})
+	edge := NewEdge(EdgeConfig{Name: "edge-z1-1", Zone: "z1", Zones: "z1=r1", StoreAddress: path.Address, Dir: dir})
 	if err := edge.Start(); err != nil {
 		record.Finish(dir, 2, "can't run: %v", err)
 	}
@@ -146,11 +144,11 @@
 	foreign, served, failed := 0, 0, 0
 	started := time.Now()
 	document := bytes.Repeat([]byte("registry "), longBody/9)
-	for round := range rounds {
+	for round := range garbleRounds {
 		for i := range smallRequests {
-			g.setDue(standin.HasTrouble() && i == smallRequests-1 && time.Since(started) < garbleTime)
+			g.setDue(HasTrouble() && i == smallRequests-1 && time.Since(started) < garbleTime)
 			id := fmt.Sprintf("vet-%02d-%02d", round, i)
-			reply := standin.Send(edge.Callers, standin.Call{Method: http.MethodGet, Path: "/status/" + id, Host: host, ID: id, Key: "key-of-the-vet", Deadline: 5 * time.Second})
+			reply := Send(edge.Callers, Call{Method: http.MethodGet, Path: "/status/" + id, Host: deskHost, ID: id, Key: "key-of-the-vet", Deadline: 5 * time.Second})
 			if reply.Err != nil || reply.Status != http.StatusOK || reply.Header.Get("Attempt-Id") != id {
 				record.Line("short request %s of tenant vet gets %s", id, reply)
 			}
@@ -158,7 +156,7 @@
 		}
 		id := fmt.Sprintf("shelter-%02d", round)
 		record.Line("long request %s of tenant shelter is sent, %d bytes", id, len(document))
-		reply := standin.Send(edge.Callers, standin.Call{Method: http.MethodPost, Path: "/document/" + id, Host: host, ID: id, Key: "key-of-the-shelter", Deadline: 10 * time.Second, Body: document})
+		reply := Send(edge.Callers, Call{Method: http.MethodPost, Path: "/document/" + id, Host: deskHost, ID: id, Key: "key-of-the-shelter", Deadline: 10 * time.Second, Body: document})
 		record.Line("long request %s of tenant shelter gets %s", id, reply)
 		switch {
 		case reply.Err != nil || reply.Status != http.StatusOK:
--- a/review/2/main.go
+++ b/review/cases/case2_test.go
@@ -1,6 +1,7 @@
-// Command case2 checks rule CONFIG at a host that the store has turned away while the
+// Case 2 checks rule CONFIG at a host that the store has turned away while the
 // operator changed the config in quick succession.
-package main
+
+package cases
 
 import (
 	"fmt"
@@ -8,40 +9,36 @@
 	"strings"
 	"sync"
 	"time"
-
-	"siskinreview.example/standin"
 )
 
 const (
-	host = "desk.example"
 	// addedRoutes is two times big_config (350 routes each).
 	addedRoutes = 700
 	// stormTime and stormGap are those of two storms, one after the other: the limits of
 	// config_storm are 2 s with a change each 0.08 s.
 	stormTime = 4 * time.Second
 	stormGap  = 80 * time.Millisecond
-	// cutTime is the limit of platform_down for some machines.
-	cutTime = 8 * time.Second
+	// turnedAwayTime is the limit of platform_down for some machines.
+	turnedAwayTime = 8 * time.Second
 
-	contactTime = 3 * time.Second
 	configTime  = 2 * time.Second
 	stretchTime = 5 * time.Second
 	// watchedTime is how long requests are sent after the store serves the host again.
 	watchedTime = 11 * time.Second
 )
 
-func route(name, prefix, service string) map[string]any {
+func statusRoute(name, prefix, service string) map[string]any {
 	return map[string]any{
-		"name": name, "hostname": host, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 150,
+		"name": name, "hostname": deskHost, "prefix": prefix, "route_type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 150,
 		"priority": 1, "backend": service, "max_attempts": 2, "public": true, "sticky": false, "resumable": false, "target_gap_ms": 200,
 	}
 }
 
-// config returns a version of the config, in which service answers the status route.
-func config(version int, service string) map[string]any {
-	routes := []any{route("r-status", "/status/", service)}
+// grownConfig returns a version of the config, in which service answers the status route.
+func grownConfig(version int, service string) map[string]any {
+	routes := []any{statusRoute("r-status", "/status/", service)}
 	for i := range addedRoutes {
-		routes = append(routes, route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/added%04d/", i), "desk-old"))
+		routes = append(routes, statusRoute(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/added%04d/", i), "desk-old"))
 	}
 	plain := func(name string) map[string]any {
 		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 110, "cold_s": 0.0, "cold_per_s": 0.0}
@@ -53,29 +50,29 @@
 	}
 }
 
-func handle(x *standin.Exchange) bool {
+func answerWithService(x *Exchange) bool {
 	if _, err := x.ReadBody(); err != nil {
 		return false
 	}
 	return x.Write(x.Answer(http.StatusOK, x.Replica.Stamp(), fmt.Sprintf(`{"for":%q,"service":%q}`, x.ID, x.Replica.Config.Service)))
 }
 
-// result counts the requests of one host after the bound.
-type result struct{ old, current, other int }
+// boundedCount counts the requests of one host after the bound.
+type boundedCount struct{ old, current, other int }
 
-func main() {
-	record := standin.NewRecord()
-	dir := standin.TempDir()
-	store := standin.NewStore()
-	store.Put("op/config", config(7, "desk-old"))
+func case2() {
+	record := NewRecord()
+	dir := TempDir()
+	store := NewStore()
+	store.Put("op/config", grownConfig(7, "desk-old"))
 	for i, service := range []string{"desk-old", "desk-new"} {
-		r := standin.NewReplica(standin.ReplicaConfig{ID: fmt.Sprintf("i-%d", i+1), Service: service, Zone: "z1", Slots: 6, Store: store, Handle: handle})
+		r := NewReplica(ReplicaConfig{ID: fmt.Sprintf("i-%d", i+1), Service: service, Zone: "z1", Slots: 6, Store: store, Handle: answerWithService})
 		if err := r.Start(); err != nil {
 			record.Finish(dir, 2, "can't run: %v", err)
 		}
 	}
-	var edges []*standin.Edge
-	var paths []*standin.Path
+	var edges []*Edge
+	var paths []*Path
 	end := func(code int, format string, args ...any) {
 		for _, e := range edges {
 			e.Kill()
@@ -88,7 +85,7 @@
 			end(2, "can't run: %v", err)
 		}
 		zone := fmt.Sprintf("z%d", i+1)
-		e := standin.NewEdge(standin.EdgeConfig{Name: "edge-" + zone + "-1", Zone: zone, Zones: "z1=r1 z2=r1 z3=r1", StoreAddress: p.Address, Dir: dir})
+		e := NewEdge(EdgeConfig{Name: "edge-" + zone + "-1", Zone: zone, Zones: "z1=r1 z2=r1 z3=r1", StoreAddress: p.Address, Dir: dir})
 		if err := e.Start(); err != nil {
 			end(2, "can't run: %v", err)
 		}
@@ -104,11 +101,11 @@
 	// Each host has a client with a kept channel.
 	var mu sync.Mutex
 	var movedAt, servedAgainAt time.Time
-	results := make([]result, len(edges))
+	boundedCounts := make([]boundedCount, len(edges))
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for i, e := range edges {
-		channel, err := standin.OpenChannel(e.Callers)
+		channel, err := OpenChannel(e.Callers)
 		if err != nil {
 			end(2, "can't run: %v", err)
 		}
@@ -122,7 +119,7 @@
 				}
 				id := fmt.Sprintf("%s-%03d", e.Config.Name, n)
 				sentAt := time.Now()
-				reply := channel.Send(standin.Call{Method: http.MethodGet, Path: "/status/" + id, Host: host, ID: id, Deadline: 2 * time.Second})
+				reply := channel.Send(Call{Method: http.MethodGet, Path: "/status/" + id, Host: deskHost, ID: id, Deadline: 2 * time.Second})
 				mu.Lock()
 				moved, again := movedAt, servedAgainAt
 				mu.Unlock()
@@ -142,7 +139,7 @@
 				}
 				if reply.Err != nil {
 					channel.Close()
-					if channel, err = standin.OpenChannel(e.Callers); err != nil {
+					if channel, err = OpenChannel(e.Callers); err != nil {
 						record.Line("%s: no new channel: %v", e.Config.Name, err)
 						return
 					}
@@ -153,11 +150,11 @@
 				mu.Lock()
 				switch service {
 				case "desk-old":
-					results[i].old++
+					boundedCounts[i].old++
 				case "desk-new":
-					results[i].current++
+					boundedCounts[i].current++
 				default:
-					results[i].other++
+					boundedCounts[i].other++
 				}
 				mu.Unlock()
 			}
@@ -166,22 +163,22 @@
 
 	time.Sleep(time.Second)
 	cutAt := time.Now()
-	if standin.HasTrouble() {
+	if HasTrouble() {
 		record.Line("the store turns %s away (channel resets) and serves the others", edges[0].Config.Name)
 		paths[0].Cut()
 	}
 	time.Sleep(time.Second)
 	version := 8
 	for begun := time.Now(); time.Since(begun) < stormTime; time.Sleep(stormGap) {
-		store.Put("op/config", config(version, "desk-old"))
+		store.Put("op/config", grownConfig(version, "desk-old"))
 		version++
 	}
-	store.Put("op/config", config(version, "desk-new"))
+	store.Put("op/config", grownConfig(version, "desk-new"))
 	mu.Lock()
 	movedAt = time.Now()
 	mu.Unlock()
 	record.Line("%d versions written since; version %d, the last one, moves the status route to desk-new and is confirmed", version-7, version)
-	time.Sleep(time.Until(cutAt.Add(cutTime)))
+	time.Sleep(time.Until(cutAt.Add(turnedAwayTime)))
 	paths[0].Heal()
 	mu.Lock()
 	servedAgainAt = time.Now()
@@ -194,15 +191,15 @@
 		record.Line("log of %s: %.300s", edges[0].Config.Name, line)
 	}
 	code, old := 0, 0
-	for i, r := range results {
+	for i, r := range boundedCounts {
 		record.Line("%s: requests sent after the bound: %d run by the new service, %d by the old one, %d neither", edges[i].Config.Name, r.current, r.old, r.other)
 		old += r.old
 	}
 	if old > 0 {
 		code = 1
 	}
-	if results[0].current+results[0].old == 0 || results[1].current == 0 {
+	if boundedCounts[0].current+boundedCounts[0].old == 0 || boundedCounts[1].current == 0 {
 		code = 2
 	}
-	end(code, "requests run by the old service though sent after the bound of CONFIG: %d of %d at %s, %d at the others", results[0].old, results[0].old+results[0].current, edges[0].Config.Name, results[1].old+results[2].old)
+	end(code, "requests run by the old service though sent after the bound of CONFIG: %d of %d at %s, %d at the others", boundedCounts[0].old, boundedCounts[0].old+boundedCounts[0].current, edges[0].Config.Name, boundedCounts[1].old+boundedCounts[2].old)
 }
--- a/review/3/main.go
+++ b/review/cases/case3_test.go
@@ -1,6 +1,7 @@
-// Command case3 checks rule DRAIN at a host that learns changes from another host of its
+// Case 3 checks rule DRAIN at a host that learns changes from another host of its
 // zone, while that other host is partitioned from the store.
-package main
+
+package cases
 
 import (
 	"fmt"
@@ -8,50 +9,47 @@
 	"strings"
 	"sync"
 	"time"
-
-	"siskinreview.example/standin"
 )
 
 const (
-	drainTime   = 2 * time.Second
-	contactTime = 3 * time.Second
-	// cutTime is how long one host is partitioned from the store.
-	cutTime = 4 * time.Second
+	drainTime = 2 * time.Second
+	// partitionTime is how long one host is partitioned from the store.
+	partitionTime = 4 * time.Second
 	// leaveAfter is the time from the cut to the removal of a replica's entry.
 	leaveAfter = 20 * time.Millisecond
-	// callsPerS is the rate at each host: 40 a second in all, times a burst of 2.8.
-	callsPerS = 37
+	// drainCallsPerS is the rate at each host: 40 a second in all, times a burst of 2.8.
+	drainCallsPerS = 37
 	// otherReplicas are those of another service, whose status reports change the store.
 	otherReplicas = 14
-	// rounds is how often each host is cut off.
-	rounds = 2
+	// cutRounds is how often each host is cut off.
+	cutRounds = 2
 )
 
-// arrival is the arrival of a request at a replica.
-type arrival struct {
+// hostArrival is the arrival of a request at a replica.
+type hostArrival struct {
 	id string
 	at time.Time
 }
 
-type arrivals struct {
+type replicaArrivals struct {
 	mu sync.Mutex
-	at map[string][]arrival
+	at map[string][]hostArrival
 }
 
-func (a *arrivals) handle(x *standin.Exchange) bool {
+func (a *replicaArrivals) handle(x *Exchange) bool {
 	if _, err := x.ReadBody(); err != nil {
 		return false
 	}
 	a.mu.Lock()
-	a.at[x.Replica.Config.ID] = append(a.at[x.Replica.Config.ID], arrival{x.ID, time.Now()})
+	a.at[x.Replica.Config.ID] = append(a.at[x.Replica.Config.ID], hostArrival{x.ID, time.Now()})
 	a.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
 	return x.Write(x.Answer(http.StatusOK, x.Replica.Stamp(), fmt.Sprintf(`{"for":%q}`, x.ID)))
 }
 
-func main() {
-	site := standin.NewSite(standin.PlainConfig(7, false))
-	a := &arrivals{at: map[string][]arrival{}}
+func case3() {
+	site := NewSite(PlainConfig(7, false))
+	a := &replicaArrivals{at: map[string][]hostArrival{}}
 	site.AddReplicas("desk", 2, 6, a.handle)
 	for range otherReplicas {
 		site.AddReplicas("loom", 1, 16, a.handle)
@@ -62,7 +60,7 @@
 	var clients sync.WaitGroup
 	for _, e := range site.Edges {
 		clients.Go(func() {
-			ticker := time.NewTicker(time.Second / callsPerS)
+			ticker := time.NewTicker(time.Second / drainCallsPerS)
 			defer ticker.Stop()
 			for n := 0; ; n++ {
 				select {
@@ -72,7 +70,7 @@
 				}
 				clients.Go(func() {
 					id := fmt.Sprintf("%s/%05d", e.Config.Name, n)
-					reply := standin.Send(e.Callers, standin.Call{Method: http.MethodGet, Path: "/status/" + id, Host: "desk.example", ID: id, Key: "key-of-the-vet", Deadline: 1500 * time.Millisecond})
+					reply := Send(e.Callers, Call{Method: http.MethodGet, Path: "/status/" + id, Host: "desk.example", ID: id, Key: "key-of-the-vet", Deadline: 1500 * time.Millisecond})
 					if reply.Status != http.StatusOK {
 						site.Record.Line("%s gets %s", id, reply)
 					}
@@ -84,7 +82,7 @@
 	desk := site.Replicas[0]
 	late := map[string]int{}
 	total := 0
-	for trial := range rounds * len(site.Edges) {
+	for trial := range cutRounds * len(site.Edges) {
 		i := trial % len(site.Edges)
 		cut := site.Edges[i]
 		// A new replica replaces the one that is to leave.
@@ -92,7 +90,7 @@
 		site.AddReplicas("desk", 1, 6, a.handle)
 		desk = site.Replicas[len(site.Replicas)-1]
 		time.Sleep(time.Second)
-		if standin.HasTrouble() {
+		if HasTrouble() {
 			site.Record.Line("%s is partitioned from the store (channel resets)", cut.Config.Name)
 			site.Paths[i].Cut()
 		}
@@ -100,7 +98,7 @@
 		leaving.Leave()
 		leftAt := time.Now()
 		site.Record.Line("the store confirms that the entry of replica %s is removed; the replica goes on serving", leaving.Config.ID)
-		time.Sleep(cutTime - leaveAfter)
+		time.Sleep(partitionTime - leaveAfter)
 		site.Paths[i].Heal()
 		time.Sleep(contactTime + 4*time.Second)
 		last := map[string]time.Duration{}
@@ -110,7 +108,7 @@
 			since := r.at.Sub(leftAt)
 			last[host] = max(last[host], since)
 			// The host that was cut off is not in touch.
-			if since > drainTime && (!standin.HasTrouble() || host != cut.Config.Name) {
+			if since > drainTime && (!HasTrouble() || host != cut.Config.Name) {
 				site.Record.Line("DRAIN: %s reaches replica %s %.3f s after the confirmation", r.id, leaving.Config.ID, since.Seconds())
 				late[host]++
 				total++
--- a/review/4/main.go
+++ b/review/cases/case4_test.go
@@ -1,30 +1,28 @@
-// Command case4 checks rule BUDGET for a request that crashes replicas in the middle of
+// Case 4 checks rule BUDGET for a request that crashes replicas in the middle of
 // their answer.
-package main
+
+package cases
 
 import (
 	"fmt"
 	"time"
-
-	"siskinreview.example/standin"
 )
 
 const (
-	contactTime = 3 * time.Second
-	backAfter   = 3 * time.Second
-	repeatEvery = 2500 * time.Millisecond
-	attempts    = 8
+	midAnswerBackAfter = 3 * time.Second
+	repeatEvery        = 2500 * time.Millisecond
+	poisonAttempts     = 8
 )
 
-func main() {
-	site := standin.NewSite(standin.PlainConfig(7, false))
-	poison := &standin.Poison{Record: site.Record, Point: standin.CrashMidAnswer, BackAfter: backAfter}
-	if !standin.HasTrouble() {
-		poison.Point = standin.CrashNever
+func case4() {
+	site := NewSite(PlainConfig(7, false))
+	poison := &Poison{Record: site.Record, Point: CrashMidAnswer, BackAfter: midAnswerBackAfter}
+	if !HasTrouble() {
+		poison.Point = CrashNever
 	}
 	site.AddReplicas("desk", 9, 6, poison.Handle)
 	site.StartEdges(3)
-	for n := range attempts {
+	for n := range poisonAttempts {
 		site.SendPoison(site.Edges[n%len(site.Edges)], fmt.Sprintf("poison-%d", n+1))
 		time.Sleep(repeatEvery)
 	}
--- a/review/5/main.go
+++ b/review/cases/case5_test.go
@@ -1,6 +1,7 @@
-// Command case5 checks rule BUDGET for a request that crashes replicas, while the entry
+// Case 5 checks rule BUDGET for a request that crashes replicas, while the entry
 // hosts are stopped and started in turn.
-package main
+
+package cases
 
 import (
 	"fmt"
@@ -8,23 +9,20 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"siskinreview.example/standin"
 )
 
 const (
-	contactTime = 3 * time.Second
-	backAfter   = 3 * time.Second
-	// callsPerS is the rate of other requests at each host, workTime the time that they take.
-	callsPerS = 22
-	workTime  = time.Second
+	rollBackAfter = 3 * time.Second
+	// rollCallsPerS is the rate of other requests at each host, workTime the time that they take.
+	rollCallsPerS = 22
+	workTime      = time.Second
 )
 
-func main() {
-	config := standin.PlainConfig(7, false)
+func case5() {
+	config := PlainConfig(7, false)
 	config["routes"].([]any)[0].(map[string]any)["timeout_ms"] = 10000
-	site := standin.NewSite(config)
-	poison := &standin.Poison{Record: site.Record, Point: standin.CrashBeforeAnswer, BackAfter: backAfter, Work: workTime}
+	site := NewSite(config)
+	poison := &Poison{Record: site.Record, Point: CrashBeforeAnswer, BackAfter: rollBackAfter, Work: workTime}
 	site.AddReplicas("desk", 14, 16, poison.Handle)
 	site.StartEdges(5)
 	// Each host has other clients, of another account.
@@ -33,7 +31,7 @@
 	var others sync.WaitGroup
 	for _, e := range site.Edges {
 		others.Go(func() {
-			ticker := time.NewTicker(time.Second / callsPerS)
+			ticker := time.NewTicker(time.Second / rollCallsPerS)
 			defer ticker.Stop()
 			for n := 0; ; n++ {
 				select {
@@ -43,7 +41,7 @@
 				}
 				others.Go(func() {
 					id := fmt.Sprintf("%s-%05d", e.Config.Name, n)
-					reply := standin.Send(e.Callers, standin.Call{Method: http.MethodGet, Path: "/status/" + id, Host: "desk.example", ID: id, Key: "key-of-the-shelter", Deadline: 10 * time.Second})
+					reply := Send(e.Callers, Call{Method: http.MethodGet, Path: "/status/" + id, Host: "desk.example", ID: id, Key: "key-of-the-shelter", Deadline: 10 * time.Second})
 					if reply.Status == http.StatusOK {
 						served.Add(1)
 					} else {
@@ -63,12 +61,12 @@
 	}
 	time.Sleep(2 * time.Second)
 	send(1)
-	time.Sleep(backAfter + contactTime)
+	time.Sleep(rollBackAfter + contactTime)
 	if _, crashes, _ := poison.Counts(contactTime); crashes < 3 {
 		site.End(2, "can't run: only %d crashes", crashes)
 	}
 	send(2)
-	if standin.HasTrouble() {
+	if HasTrouble() {
 		for _, e := range site.Edges {
 			site.Record.Line("%s gets SIGTERM", e.Config.Name)
 			e.Terminate()
--- a/review/standin/record.go
+++ b/review/cases/record_test.go
@@ -1,4 +1,4 @@
-package standin
+package cases
 
 import (
 	"fmt"
--- a/review/standin/replica.go
+++ b/review/cases/replica_test.go
@@ -1,12 +1,15 @@
-package standin
+package cases
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -52,9 +55,30 @@
 	return &Replica{Config: c, Address: FreeAddress(), conns: map[net.Conn]bool{}}
 }
 
+const (
+	// segmentBytes is the segment size of an Ethernet network.
+	segmentBytes = 1460
+	// windowBytes is the receive buffer of a channel. The platform's links have small
+	// windows, so that a peer that does not read blocks the writer.
+	windowBytes = 64 << 10
+)
+
+// useSmallWindow gives the channels of a listener the segments and windows of a network
+// between machines in place of those of the loopback device.
+func useSmallWindow(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes); err != nil {
+			return
+		}
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Start starts the replica's process anew: it listens and registers.
 func (r *Replica) Start() error {
-	l, err := net.Listen("tcp4", r.Address)
+	l, err := (&net.ListenConfig{Control: useSmallWindow}).Listen(context.Background(), "tcp4", r.Address)
 	if err != nil {
 		return err
 	}
--- a/review/standin/site.go
+++ b/review/cases/site_test.go
@@ -1,10 +1,17 @@
-package standin
+package cases
 
 import (
 	"fmt"
 	"time"
 )
 
+const (
+	// deskHost is the host of the routes.
+	deskHost = "desk.example"
+	// contactTime is contact_ms of the site.
+	contactTime = 3 * time.Second
+)
+
 // Site is a small deployment: a store, replicas and entry hosts, one in each zone.
 type Site struct {
 	Record   *Record
--- a/review/standin/store.go
+++ b/review/cases/store_test.go
@@ -1,6 +1,6 @@
-// Package standin holds small stand-ins for the platform of the users: its store, its
+// Package cases holds the scripted cases of the review, each in a file of its own, and small stand-ins for the platform of the users: its store, its
 // replicas and its clients, and what is needed to run the daemon under review.
-package standin
+package cases
 
 import (
 	"encoding/json"
