replica: match the response after a failed write to its request

A replica that is full may reject a long request before it has read the body, and close; writing the request then fails. exchange read one response and returned it without comparing its attempt ID, so that a late second answer to the request before on the same connection was taken for the answer. A late rejection was taken as well, so that a request could be called not run on the word of another one.

Both paths now read the response in readOwnHead, which skips responses with another attempt ID. Each wait after a failed write is limited by earlyResponseTimeout. A line "response belongs to another request" names both IDs.

--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform"
 )
@@ -100,8 +102,8 @@
 
 var errUnmatchedResponse = errors.New("response does not belong to this request")
 
-// exchange writes a request and reads the header of the response to it, skipping late
-// responses to earlier requests.
+// exchange writes a request and reads the header of the response to it. A replica may respond
+// and close the connection before it has read a long body, so that writing it fails.
 func exchange(c *conn, r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	var wire bytes.Buffer
@@ -117,28 +119,37 @@
 	wire.WriteString("\r\n")
 	wire.Write(r.Body)
 	if _, err := c.Write(wire.Bytes()); err != nil {
-		_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout)) // a closed connection fails the read below
-		resp, readErr := c.readHead(req)
+		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
 		if readErr != nil {
-			return nil, err
+			return nil, fmt.Errorf("write request: %w (no early response: %v)", err, readErr)
 		}
 		resp.Close = true
 		return resp, nil
 	}
+	return readOwnHead(c, req, r.AttemptID, time.Time{})
+}
+
+// readOwnHead reads the header of the response to the request with the given attempt ID. It
+// skips interim responses and late responses to earlier requests. The deadline, if it is not
+// zero, limits the wait for the header.
+func readOwnHead(c *conn, req *http.Request, attemptID string, deadline time.Time) (*http.Response, error) {
 	for range maxUnmatchedResponses + 1 {
-		resp, err := c.readHead(req)
+		resp, err := c.readHead(req, deadline)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := platform.ParseResponseHeaders(resp.StatusCode, resp.Header).AttemptID; id == r.AttemptID || id == "" {
+		info := platform.ParseResponseHeaders(resp.StatusCode, resp.Header)
+		if info.AttemptID == attemptID || info.AttemptID == "" {
 			return resp, nil
 		}
+		klog.V(1).InfoS("response belongs to another request", "request_id", attemptID, "response_id", info.AttemptID, "status", resp.StatusCode, "not_run", info.NotRun, "address", c.address, "reused", c.reused)
 		if !c.reused {
 			return nil, errUnmatchedResponse // there was no earlier request on this connection
 		}
+		_ = c.SetReadDeadline(deadline) // a closed connection fails the read below
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
 		if err != nil || n == maxDiscardBytes || resp.Close {
 			return nil, errUnmatchedResponse
--- a/edge/replica/head.go
+++ b/edge/replica/head.go
@@ -44,12 +44,13 @@
 	return n, err
 }
 
-// readHead waits for the head of a response and reads it.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+// readHead waits for the head of a response and reads it. The deadline, if it is not zero,
+// limits the wait for its first byte.
+func (c *conn) readHead(req *http.Request, deadline time.Time) (*http.Response, error) {
+	_ = c.SetReadDeadline(deadline) // fails only for a closed connection, whose next read fails too
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
-	// Fails only for a closed connection, whose next read fails too.
 	_ = c.SetReadDeadline(time.Now().Add(headTimeout))
 	c.budget.isLimited, c.budget.remaining = true, maxHeadBytes
 	resp, err := http.ReadResponse(c.reader, req)
