coord/directory: count the grace period of a missing replica from its last proof

Requests reached a replica up to 2.4 s after the store had removed its entry (DRAIN, 2 s), sent by a host that follows another one. The followed host was cut off from the store, and two delays added up: its follower relied on it until the proof was 1.0 s old, and then took the failed calls of that host for an outage of the store, so that it kept the missing replica for 1.5 s more, counted from when it learned of the removal.

A failed call does not prove that leases have expired: it may concern one host while replicas leave as usual. The entry existed at the last proof, so a replica is now used until 7/8 of the drain time after that proof. Only if no response has come for longer than that, the 1.5 s count from now, as leases expire after 3.6 s of silence. Both delays together stay below the drain time however late the removal is learned.

The drain time is a setting, [bounds] drain_time, and also limits the age up to which a follower relies on another host's proof. The line "replica entry deleted" has the age of the proof and for how long the replica is kept.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -37,11 +37,25 @@
 	// OutageWindow is the time after an outage during which a missing entry is
 	// attributed to an expired lease.
 	OutageWindow time.Duration
+	// RemovalLimit is how long a replica stays in use after the store has removed its entry,
+	// unless the store did not respond for longer than that.
+	RemovalLimit time.Duration
 }
 
-// DefaultPolicy returns the production settings.
+// DefaultPolicy returns the production settings, for a drain time of 2 s.
 func DefaultPolicy() Policy {
-	return Policy{OutageGracePeriod: 1500 * time.Millisecond, OutageWindow: 5 * time.Second}
+	return Policy{OutageGracePeriod: 1500 * time.Millisecond, OutageWindow: 5 * time.Second, RemovalLimit: 1750 * time.Millisecond}
+}
+
+// removalShare is the share of the drain time after which a replica whose entry was removed is
+// no longer used. The rest is for requests on their way.
+const removalShare = 0.875
+
+// WithDrainTime returns the policy for a platform whose replicas get no new requests later than
+// the given time after they have left.
+func (p Policy) WithDrainTime(d time.Duration) Policy {
+	p.RemovalLimit = time.Duration(removalShare * float64(d))
+	return p
 }
 
 type entry struct {
@@ -95,32 +109,51 @@
 	return !ok || old.replica.StartUnixMs != r.StartUnixMs || old.replica.Address != r.Address
 }
 
-// Remove removes a replica whose entry is gone, or keeps it for OutageGracePeriod
-// if the store had a recent outage.
-func (t *Table) Remove(now time.Duration, id string) {
+// Remove removes a replica whose entry is gone, or keeps it in use for a while if the store
+// had a recent outage. The entry still existed at lastSeen. Remove returns how long the
+// replica stays in use.
+func (t *Table) Remove(now, lastSeen time.Duration, id string) time.Duration {
 	r, ok := t.entries[id]
 	if !ok || r.missing {
-		return
+		return 0
 	}
 	t.invalidate()
-	if !t.hadOutage || now-t.lastOutage > t.policy.OutageWindow {
+	keep := t.gracePeriod(now, lastSeen)
+	if keep <= 0 {
 		delete(t.entries, id)
-		return
+		return 0
 	}
-	r.missing, r.keepUntil = true, now+t.policy.OutageGracePeriod
+	r.missing, r.keepUntil = true, now+keep
 	t.entries[id] = r
+	return keep
+}
+
+// gracePeriod returns how long a replica stays in use whose entry existed at lastSeen and is
+// gone now. A failed call does not prove an outage of the store: it may concern only one host,
+// while the other replicas leave as usual. So the period counts from lastSeen, unless more
+// time than RemovalLimit has passed without a response of the store.
+func (t *Table) gracePeriod(now, lastSeen time.Duration) time.Duration {
+	if !t.hadOutage || now-t.lastOutage > t.policy.OutageWindow {
+		return 0
+	}
+	gap := now - lastSeen
+	if gap >= t.policy.RemovalLimit {
+		return t.policy.OutageGracePeriod
+	}
+	return min(t.policy.OutageGracePeriod, t.policy.RemovalLimit-gap)
 }
 
 // RetainOnly calls Remove for every replica that is not in ids.
-func (t *Table) RetainOnly(now time.Duration, ids map[string]bool) {
+func (t *Table) RetainOnly(now, lastSeen time.Duration, ids map[string]bool) {
 	for id := range t.entries {
 		if !ids[id] {
-			t.Remove(now, id)
+			t.Remove(now, lastSeen, id)
 		}
 	}
 }
 
-// RecordOutage records that the store did not respond.
+// RecordOutage records that a call to the store failed, at this host or at the one that it
+// learns changes from.
 func (t *Table) RecordOutage(now time.Duration) { t.hadOutage, t.lastOutage = true, now }
 
 // SetEvacuated sets or clears the evacuation of a zone.
@@ -143,8 +176,8 @@
 	return zones
 }
 
-// Get returns the replica with the given ID, unless its entry has been missing
-// for OutageGracePeriod.
+// Get returns the replica with the given ID, unless its entry is missing and the time for
+// which Remove keeps it in use is over.
 func (t *Table) Get(now time.Duration, id string) (Replica, bool) {
 	r, ok := t.entries[id]
 	if !ok || r.missing && now >= r.keepUntil {
@@ -169,9 +202,8 @@
 
 // Usable returns the replicas of a service that may receive new requests,
 // sorted by ID. Of several replicas with the same address only the latest
-// process counts, even if it may not receive requests itself. Entries that have
-// been missing for OutageGracePeriod are deleted. The caller must not modify the
-// result.
+// process counts, even if it may not receive requests itself. Missing entries are deleted
+// when their time is over. The caller must not modify the result.
 func (t *Table) Usable(now time.Duration, service string) []Replica {
 	t.Version(now) // discards lists that have expired
 	if list, ok := t.usable[service]; ok {
--- a/coord/directory/directory_test.go
+++ b/coord/directory/directory_test.go
@@ -46,7 +46,7 @@
 		// Guards against requests to a replica that left without a draining
 		// report.
 		table := newTable()
-		table.Remove(time.Second, "a")
+		table.Remove(time.Second, time.Second, "a")
 		checkUsable(t, table, time.Second, "b")
 	})
 	t.Run("back under another id", func(t *testing.T) {
@@ -65,7 +65,7 @@
 		// forever.
 		table := newTable()
 		table.RecordOutage(10 * time.Second)
-		table.RetainOnly(11*time.Second, map[string]bool{})
+		table.RetainOnly(11*time.Second, 5*time.Second, map[string]bool{})
 		checkUsable(t, table, 12*time.Second, "a", "b")
 		table.Put(Replica{ID: "a", Service: "m", Zone: "z1"})
 		checkUsable(t, table, 12600*time.Millisecond, "a")
@@ -91,6 +91,33 @@
 	}
 }
 
+// Guards against a replica that stays in use for longer than the drain time after its entry
+// was removed, because a failed call at one host counts as an outage of the store.
+func TestGracePeriodCountsFromLastSeen(t *testing.T) {
+	for name, tc := range map[string]struct {
+		gap, want time.Duration
+	}{
+		"removed just now":          {0, 1500 * time.Millisecond},
+		"followed host was cut off": {1050 * time.Millisecond, 700 * time.Millisecond},
+		"almost too late":           {1700 * time.Millisecond, 50 * time.Millisecond},
+		"store was out":             {4 * time.Second, 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable()
+			now := 10 * time.Second
+			table.RecordOutage(now - 100*time.Millisecond)
+			if got := table.Remove(now, now-tc.gap, "a"); got != tc.want {
+				t.Errorf("replica kept for %v, want %v", got, tc.want)
+			}
+			checkUsable(t, table, now+tc.want-1, "a", "b")
+			checkUsable(t, table, now+tc.want, "b")
+		})
+	}
+	if got := DefaultPolicy().WithDrainTime(4 * time.Second).RemovalLimit; got != 3500*time.Millisecond {
+		t.Errorf("removal limit with a drain time of 4s = %v, want 3.5s", got)
+	}
+}
+
 // Guards against a cached list that outlives a change of the table or the expiry of a
 // missing entry.
 func TestUsableFollowsChanges(t *testing.T) {
@@ -102,7 +129,7 @@
 	checkUsable(t, table, 0, "b")
 	table.SetEvacuated("z1", false)
 	table.RecordOutage(time.Second)
-	table.Remove(time.Second, "d")
+	table.Remove(time.Second, time.Second, "d")
 	checkUsable(t, table, 2*time.Second, "a", "b", "d")
 	checkUsable(t, table, 2500*time.Millisecond, "a", "b")
 }
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -16,11 +16,12 @@
 	if l.View().StoreUnavailable {
 		klog.InfoS("store available again", "lost_ms", (now - l.storeUnavailableSince).Milliseconds())
 	}
+	lastSeen := l.lastProof(now)
 	if m.full {
-		l.removeMissing(now, m.list)
+		l.removeMissing(now, lastSeen, m.list)
 	}
 	for _, c := range m.list {
-		l.applyChange(now, c)
+		l.applyChange(now, lastSeen, c)
 	}
 	l.forgetRemovedReplicas(now)
 	l.updateForwarding()
@@ -39,9 +40,19 @@
 	}
 }
 
+// lastProof returns the time at which the control state was last known to be the newest.
+func (l *Loop) lastProof(now time.Duration) time.Duration {
+	age, ok := l.View().Proof.Age(now)
+	if !ok {
+		return now
+	}
+	return now - age
+}
+
 // removeMissing removes replicas, evacuations, refused parts and peers that are missing from a
-// complete list. After a store outage, the directory keeps the replicas for a while.
-func (l *Loop) removeMissing(now time.Duration, list []platform.Change) {
+// complete list. They existed at lastSeen. After a store outage, the directory keeps the
+// replicas for a while.
+func (l *Loop) removeMissing(now, lastSeen time.Duration, list []platform.Change) {
 	replicas, zones, peers := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, c := range list {
 		switch c.Kind {
@@ -54,7 +65,7 @@
 		}
 	}
 	l.removeMissingParts(now, list)
-	l.directory.RetainOnly(now, replicas)
+	l.directory.RetainOnly(now, lastSeen, replicas)
 	for _, z := range l.directory.EvacuatedZones() {
 		if !zones[z] {
 			l.directory.SetEvacuated(z, false)
@@ -83,7 +94,7 @@
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
 
-func (l *Loop) applyChange(now time.Duration, c platform.Change) {
+func (l *Loop) applyChange(now, lastSeen time.Duration, c platform.Change) {
 	switch c.Kind {
 	case platform.ChangeConfig:
 		l.applyConfig(c)
@@ -91,7 +102,7 @@
 		klog.V(1).InfoS("zone evacuation changed", "zone", c.Name, "evacuated", !c.Deleted, "store_revision", c.Revision)
 		l.directory.SetEvacuated(c.Name, !c.Deleted)
 	case platform.ChangeReplica:
-		l.applyReplica(now, c)
+		l.applyReplica(now, lastSeen, c)
 	case platform.ChangeCrashPart:
 		l.applyCrashPart(now, c)
 	case platform.ChangePeer:
@@ -132,11 +143,11 @@
 	l.updateView(func(v *View) { v.Catalog = c.Config })
 }
 
-func (l *Loop) applyReplica(now time.Duration, c platform.Change) {
+func (l *Loop) applyReplica(now, lastSeen time.Duration, c platform.Change) {
 	if c.Deleted {
-		l.directory.Remove(now, c.Name)
+		keep := l.directory.Remove(now, lastSeen, c.Name)
 		l.ledger.RemoveReplica(c.Name)
-		klog.V(1).InfoS("replica entry deleted", "replica", c.Name, "store_revision", c.Revision)
+		klog.V(1).InfoS("replica entry deleted", "replica", c.Name, "store_revision", c.Revision, "proof_age_ms", (now - lastSeen).Milliseconds(), "kept_ms", keep.Milliseconds())
 		return
 	}
 	r := c.Replica
@@ -162,7 +173,8 @@
 	l.ledger.RemovePeer(name)
 }
 
-// markStoreUnavailable records that a read or watch of the store failed.
+// markStoreUnavailable records that a read or watch of the store failed, at this host or at
+// the one that it follows.
 func (l *Loop) markStoreUnavailable(now time.Duration, err error) {
 	l.directory.RecordOutage(now)
 	if l.View().StoreUnavailable {
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -84,7 +84,9 @@
 	// DrainQueueTime is how long requests may still wait for a replica after draining has
 	// started. A request that waits longer might not finish before the shutdown.
 	DrainQueueTime time.Duration
-	ReportSender   ReportSender
+	// Directory limits for how long a replica is used whose entry has disappeared.
+	Directory    directory.Policy
+	ReportSender ReportSender
 	// PartStore keeps the prompt parts that this host begins to refuse; nil for none.
 	PartStore PartStore
 	Prober    Prober
@@ -152,7 +154,7 @@
 func New(c Config) *Loop {
 	l := &Loop{
 		config: c, messages: make(chan message, messageQueueSize), configured: make(chan struct{}),
-		directory: directory.New(directory.DefaultPolicy()), health: health.New(health.DefaultPolicy()),
+		directory: directory.New(c.Directory), health: health.New(health.DefaultPolicy()),
 		ledger: placement.NewLedger(c.PeerTimeout), suspects: suspect.New(suspect.DefaultConfig()),
 		parts: suspect.NewPartTracker(suspect.DefaultPartConfig(c.Name)), partSends: newPartSends(), storedParts: newStoredParts(),
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
--- a/edge/control/loop_test.go
+++ b/edge/control/loop_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"siskinstand.example/coord/catalog"
+	"siskinstand.example/coord/directory"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/platform"
@@ -32,7 +33,7 @@
 	}
 	l := New(Config{
 		Name: "edge-1", Regions: map[string]string{"z1": "r1", "z2": "r2"}, RetryLimits: RetryLimits{Share: 0.2, Slack: 10},
-		PeerTimeout: 2 * time.Second, FullReportInterval: time.Second, Prober: alwaysReachable{}, Placement: placement.DefaultPolicy(),
+		PeerTimeout: 2 * time.Second, FullReportInterval: time.Second, Prober: alwaysReachable{}, Placement: placement.DefaultPolicy(), Directory: directory.DefaultPolicy(),
 	})
 	l.ctx = context.Background()
 	list := []platform.Change{{Kind: platform.ChangeConfig, Config: c}}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/directory"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/caller"
@@ -51,9 +52,9 @@
 	// followTimeout is the time limit to connect to a host that watches the store, and for
 	// its responses in addition to their waiting time.
 	followTimeout = 300 * time.Millisecond
-	// followShare is the share of the time to apply a change after which a host no longer
-	// relies on the proofs of the host that it follows. The rest is for reading the store
-	// itself.
+	// followShare is the share of the time to apply a change, or of the drain time, after
+	// which a host no longer relies on the proofs of the host that it follows. The rest is for
+	// reading the store itself.
 	followShare = 0.5
 	// proofShare is the share of the maximum age of the proof of configuration that this
 	// host tries not to exceed. It is less than the share from which package caller reports the host
@@ -121,8 +122,8 @@
 		Name: s.Process.ID, Zone: s.Process.Zone, Regions: regions,
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
-		DrainQueueTime: drainAcceptTime,
-		ReportSender:   d.socket, PartStore: d.parts, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
+		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
+		ReportSender: d.socket, PartStore: d.parts, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
@@ -161,7 +162,7 @@
 		MaxProofAge: time.Duration(proofShare * float64(s.Bounds.KeyAge)),
 		Parts:       d.parts,
 		Following: storewatch.Following{
-			Log: d.changes, Client: d.following, Watchers: s.Store.Watchers, MaxProofAge: time.Duration(followShare * float64(s.Bounds.ApplyTime)),
+			Log: d.changes, Client: d.following, Watchers: s.Store.Watchers, MaxProofAge: time.Duration(followShare * float64(min(s.Bounds.ApplyTime, s.Bounds.DrainTime))),
 		},
 	})
 	var g rungroup.Group
