edge/storewatch: limit the wait for watching hosts by the age of the proof

A host that follows others asked each of its zone's two watching hosts for up to half of apply_time plus 0.3 s, however old its proof was by then.

The wait now ends 0.3 s after the proof has reached half of apply_time, and a second host has 0.3 s to respond: 1.6 s in all.

--- a/edge/relay/client.go
+++ b/edge/relay/client.go
@@ -57,6 +57,9 @@
 	}}
 }
 
+// Timeout returns the time limit to connect and for a response.
+func (c *Client) Timeout() time.Duration { return c.config.Timeout }
+
 // Watch waits for changes after a revision, or for a newer proof that there are none. The
 // watching host responds when its proof is maxAge old at the latest.
 func (c *Client) Watch(ctx context.Context, address string, after int64, maxAge time.Duration) (Changes, error) {
--- a/edge/storewatch/follow.go
+++ b/edge/storewatch/follow.go
@@ -131,7 +131,7 @@
 func (w *Watcher) follow(ctx context.Context, host followedHost, after int64) int64 {
 	w.log.SetWatching(false)
 	maxAge := w.config.Following.MaxProofAge
-	changes, err := w.config.Following.Client.Watch(ctx, host.address, after, maxAge)
+	changes, err := w.askHost(ctx, host, after)
 	if err == nil {
 		err = w.applyFollowed(ctx, changes)
 	}
@@ -150,6 +150,17 @@
 	return max(after, changes.Revision)
 }
 
+// askHost asks a watching host for changes after a revision. It waits until this host's own
+// proof is MaxProofAge old, and for the response: a host that is suspended does not respond,
+// and the time that two of them take must not add up.
+func (w *Watcher) askHost(ctx context.Context, host followedHost, after int64) (relay.Changes, error) {
+	f := w.config.Following
+	wait := max(0, f.MaxProofAge-(bootclock.Now()-w.proofAt)) + f.Client.Timeout()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return f.Client.Watch(ctx, host.address, after, f.MaxProofAge)
+}
+
 // applyFollowed applies the response of a watching host.
 func (w *Watcher) applyFollowed(ctx context.Context, c relay.Changes) error {
 	isRecent := bootclock.Now()-c.StoreFailedAt < w.config.Following.MaxProofAge
--- a/edge/storewatch/follow_test.go
+++ b/edge/storewatch/follow_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,9 +29,30 @@
 	sink   *countingSink
 	server *httptest.Server
 	stop   context.CancelFunc
+	// isSuspended makes the host hold all questions without an answer.
+	isSuspended atomic.Bool
 }
 
-const followMaxAge = 800 * time.Millisecond
+// suspendableWriter writes nothing while the host is suspended.
+type suspendableWriter struct {
+	http.ResponseWriter
+	host *zoneHost
+	ctx  context.Context
+}
+
+func (w suspendableWriter) Write(p []byte) (int, error) {
+	if w.host.isSuspended.Load() {
+		<-w.ctx.Done()
+		return 0, w.ctx.Err()
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+const (
+	followMaxAge  = 800 * time.Millisecond
+	followTimeout = 200 * time.Millisecond
+	testWatchWait = 2 * time.Second
+)
 
 // startZone starts n hosts, of which two watch the store. The first two have the most cores.
 func startZone(t *testing.T, n int) *zoneHosts {
@@ -55,16 +78,20 @@
 func (z *zoneHosts) start(t *testing.T, i int) *zoneHost {
 	t.Helper()
 	log := relay.NewLog()
-	h := &zoneHost{sink: &countingSink{}, server: httptest.NewServer(relay.NewHandler(log))}
+	h := &zoneHost{sink: &countingSink{}}
+	handler := relay.NewHandler(log)
+	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(suspendableWriter{w, h, r.Context()}, r)
+	}))
 	t.Cleanup(h.server.Close)
-	client := relay.NewClient(relay.ClientConfig{Timeout: 200 * time.Millisecond})
+	client := relay.NewClient(relay.ClientConfig{Timeout: followTimeout})
 	store := platform.NewStore(platform.StoreConfig{Address: z.address, Timeout: time.Second})
 	cores := 0.1
 	if i < 2 {
 		cores = 0.8
 	}
 	h.Watcher = New(Config{
-		Store: store, Sink: h.sink, MaxWatchWait: 2 * time.Second, Name: fmt.Sprintf("edge-%d", i), LeaseTime: 10 * time.Second,
+		Store: store, Sink: h.sink, MaxWatchWait: testWatchWait, Name: fmt.Sprintf("edge-%d", i), LeaseTime: 10 * time.Second,
 		Peer:      platform.Peer{Address: strings.TrimPrefix(h.server.URL, "http://"), Zone: "z1", Cores: cores},
 		Following: Following{Log: log, Client: client, Watchers: 2, MaxProofAge: followMaxAge},
 		Parts:     NewPartStore(PartStoreConfig{Store: store, Expiry: z.partExpiry}),
@@ -128,6 +155,18 @@
 	z.waitForChange(t, time.Second, z.hosts[2:])
 }
 
+// Guards against a follower that waits for two suspended hosts in turn, each time for as long as
+// if its proof were new: its change was 2.5 s late with a limit of 2 s.
+func TestWatchingHostsSuspended(t *testing.T) {
+	z := startZone(t, 3)
+	time.Sleep(startupPeriod + testWatchWait) // the first watch of the store has ended
+	for _, h := range z.hosts[:2] {
+		h.isSuspended.Store(true)
+	}
+	const limit = followMaxAge + 2*followTimeout + 200*time.Millisecond
+	z.waitForChange(t, limit, z.hosts[2:])
+}
+
 // Guards against a proof that gets older than MaxProofAge because the response to a watch came
 // late in its wait: a watch of 2.4 s with a change after 2.3 s, 0.25 s of delay and another
 // full wait made a proof of 4.95 s, and requests with a key were refused from 4.75 s.
