replica: don't take a repeated refusal for the response to a later request

Callers were told "not run" for requests that a replica had run (REFUSED), and such a request could run at a second replica (TWICE). A faulty replica that writes an earlier refusal once more on a kept connection was believed in two cases: if the refusal has no attempt ID, and if the later request has the same attempt ID as the refused one.

A response without an attempt ID is now accepted only as the first one on its connection; on a reused one the request may have run. A connection remembers the attempt IDs of its last 32 requests and carries none of them again. Late responses are not skipped around HEAD requests, where the length of their bodies is unknown.

--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -177,7 +177,7 @@
 func acquireBeforeLateDeadline(p *Pool, address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := p.acquire(lateContext{ctx, time.Now().Add(20 * time.Millisecond)}, address, false)
+	_, err := p.acquire(lateContext{ctx, time.Now().Add(20 * time.Millisecond)}, Request{Address: address})
 	return err
 }
 
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -73,7 +73,7 @@
 // the context ends. The error is a *verdict.Error that states whether the request may
 // have run.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.Address, r.AtMostOnce)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnectionLost, "no connection to replica at %s", r.Address).WithCause(err)
 	}
@@ -100,7 +100,10 @@
 
 var errChunkOverhead = errors.New("the chunks of the body are too small")
 
-var errUnmatchedResponse = errors.New("response does not belong to this request")
+var (
+	errUnmatchedResponse = errors.New("response does not belong to this request")
+	errAnonymousResponse = errors.New("response without an attempt ID on a reused connection")
+)
 
 // exchange writes a request and reads the header of the response to it. A replica may respond
 // and close the connection before it has read a long body, so that writing it fails.
@@ -118,6 +121,7 @@
 	}
 	wire.WriteString("\r\n")
 	wire.Write(r.Body)
+	c.recordSent(r)
 	if _, err := c.Write(wire.Bytes()); err != nil {
 		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
 		if readErr != nil {
@@ -130,8 +134,10 @@
 }
 
 // readOwnHead reads the header of the response to the request with the given attempt ID. It
-// skips interim responses and late responses to earlier requests. The deadline, if it is not
-// zero, limits the wait for the header.
+// skips interim responses and late responses to earlier requests, unless the length of their
+// body is unknown because of a HEAD request. A response without an attempt ID is accepted only
+// on a connection without an earlier request: otherwise it may be a repeated response to that
+// one. The deadline, if it is not zero, limits the wait for the header.
 func readOwnHead(c *conn, req *http.Request, attemptID string, deadline time.Time) (*http.Response, error) {
 	for range maxUnmatchedResponses + 1 {
 		resp, err := c.readHead(req, deadline)
@@ -142,12 +148,15 @@
 			continue
 		}
 		info := platform.ParseResponseHeaders(resp.StatusCode, resp.Header)
-		if info.AttemptID == attemptID || info.AttemptID == "" {
+		if info.AttemptID == attemptID || info.AttemptID == "" && !c.reused {
 			return resp, nil
 		}
 		klog.V(1).InfoS("response belongs to another request", "request_id", attemptID, "response_id", info.AttemptID, "status", resp.StatusCode, "not_run", info.NotRun, "address", c.address, "reused", c.reused)
-		if !c.reused {
-			return nil, errUnmatchedResponse // there was no earlier request on this connection
+		if info.AttemptID == "" {
+			return nil, errAnonymousResponse
+		}
+		if !c.reused || c.carriesHead {
+			return nil, errUnmatchedResponse
 		}
 		_ = c.SetReadDeadline(deadline) // a closed connection fails the read below
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,20 +60,41 @@
 	budget  *budgetReader
 	address string
 	reused  bool
+	// sent holds the attempt IDs of the latest requests on the connection, and sentCount the
+	// number of all of them.
+	sent      [maxSentIDs]string
+	sentCount int
+	// carriesHead is set once a HEAD request was sent.
+	carriesHead bool
 	// idleSince is the time since which an idle connection has been idle, usableUntil the
 	// time after which it is not reused.
 	idleSince, usableUntil time.Duration
 }
 
+// maxSentIDs is the number of requests for which a connection remembers the attempt IDs.
+const maxSentIDs = 32
+
+func (c *conn) recordSent(r Request) {
+	c.sent[c.sentCount%maxSentIDs] = r.AttemptID
+	c.sentCount++
+	c.carriesHead = c.carriesHead || r.Method == http.MethodHead
+}
+
+// hasSent reports whether a request with the attempt ID was sent on the connection. A repeated
+// response to it could not be told from the response to another request with that ID.
+func (c *conn) hasSent(attemptID string) bool {
+	return attemptID != "" && slices.Contains(c.sent[:], attemptID)
+}
+
 // maxIdleAtMostOnce is how long a connection may have been idle to be reused for a
 // request that must run at most once. A replica can drop an idle connection unnoticed,
 // and it is then unknown whether a request sent on it has run.
 const maxIdleAtMostOnce = 300 * time.Millisecond
 
-// acquire returns a reusable idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
+// acquire returns a reusable idle connection for a request or opens a new one.
+func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
 	for {
-		c := p.takeIdle(address, atMostOnce)
+		c := p.takeIdle(r)
 		if c == nil {
 			break
 		}
@@ -82,12 +105,12 @@
 		}
 		c.Close()
 	}
-	n, err := p.dial(ctx, address)
+	n, err := p.dial(ctx, r.Address)
 	if err != nil {
 		return nil, err
 	}
 	budget := &budgetReader{source: n}
-	c := &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: address}
+	c := &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: r.Address}
 	p.addActive(c)
 	return c, nil
 }
@@ -110,27 +133,34 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection from the pool and returns it, or
-// nil. It closes connections that have been idle for too long.
-func (p *Pool) takeIdle(address string, atMostOnce bool) *conn {
+// takeIdle removes the most recently used idle connection that can carry the request from the
+// pool and returns it, or nil. It closes connections that have been idle for too long.
+func (p *Pool) takeIdle(r Request) *conn {
 	now := bootclock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[address] = list
-		if now >= c.usableUntil || atMostOnce && now-c.idleSince > maxIdleAtMostOnce {
-			c.Close()
+	for i, c := range slices.Backward(p.idle[r.Address]) {
+		isExpired := now >= c.usableUntil || r.AtMostOnce && now-c.idleSince > maxIdleAtMostOnce
+		if !isExpired && c.hasSent(r.AttemptID) {
 			continue
 		}
-		return c
+		p.removeIdle(r.Address, i)
+		if !isExpired {
+			return c
+		}
+		c.Close()
 	}
-	delete(p.idle, address)
 	return nil
 }
 
+// removeIdle removes the connection with the given index from the pool.
+func (p *Pool) removeIdle(address string, i int) {
+	p.idle[address] = slices.Delete(p.idle[address], i, i+1)
+	if len(p.idle[address]) == 0 {
+		delete(p.idle, address)
+	}
+}
+
 // putIdle returns a connection to the pool after a complete response, or closes it if the
 // pool is full. serverTimeout is the timeout that the replica announced, or 0.
 func (p *Pool) putIdle(c *conn, serverTimeout time.Duration) {
--- a/edge/replica/unmatched_test.go
+++ b/edge/replica/unmatched_test.go
@@ -89,3 +89,96 @@
 		t.Errorf("response %d to %q, want the rejection of \"own\"", resp.Status, resp.Info.AttemptID)
 	}
 }
+
+// refusal is the response of a replica that has not run a request. The attempt ID is omitted if
+// it is empty.
+func refusal(attempt string) string {
+	line := ""
+	if attempt != "" {
+		line = "Attempt-Id: " + attempt + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + line + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against an earlier refusal that a replica writes once more on a kept connection and
+// that is taken for the response to a later request, which the replica runs: callers were told
+// that it had not run, and it could run at a second replica.
+func TestRepeatedRefusal(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// later is the attempt ID of the second request, and repeated the one in the refusal
+		// that is written once more.
+		later, repeated string
+		want            verdict.Verdict
+	}{
+		"with its attempt ID":                    {later: "second", repeated: "first", want: verdict.Ran},
+		"without an attempt ID":                  {later: "second", repeated: "", want: verdict.MayHaveRun},
+		"of a request with the same ID":          {later: "first", repeated: "first", want: verdict.Ran},
+		"of a request with the same ID, without": {later: "first", repeated: "", want: verdict.Ran},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveRaw(t, func(s *rawServer, c net.Conn, r *bufio.Reader) {
+				attempt, ok := s.readRequest(r)
+				if !ok {
+					return
+				}
+				if s.connections.Load() > 1 {
+					fmt.Fprint(c, responseText(attempt, "ran"))
+					return
+				}
+				fmt.Fprint(c, refusal(attempt))
+				if attempt, ok = s.readRequest(r); ok {
+					fmt.Fprint(c, refusal(tc.repeated)+responseText(attempt, "ran"))
+				}
+			})
+			p := testPool(t)
+			resp, err := send(p, s.address, "first", "")
+			if err != nil || !resp.Info.NotRun {
+				t.Fatalf("first response %+v, %v, want the refusal", resp, err)
+			}
+			if _, err := io.ReadAll(resp); err != nil {
+				t.Fatal(err)
+			}
+			resp.Close()
+			resp, err = send(p, s.address, tc.later, "")
+			got := verdict.FromError(err)
+			if err == nil {
+				defer resp.Close()
+				got = verdict.Ran
+				if resp.Info.NotRun {
+					got = verdict.NotRun
+				}
+			}
+			if got != tc.want {
+				t.Errorf("second request: verdict %s, %v, want %s", got, err, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a late response to a GET request whose body is taken for the response to a
+// HEAD request, and against the bytes of a response that are skipped as the body of a late
+// response to a HEAD request.
+func TestLateResponseAroundHead(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nAttempt-Id: own\r\nReplica-Stamp: s\r\nContent-Length: 3\r\n\r\n"
+	for name, tc := range map[string]struct{ earlierMethod, method, received string }{
+		"before": {"HEAD", "GET", "HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nContent-Length: 100\r\n\r\n" + own + "own" + strings.Repeat("x", 100)},
+		"after":  {"GET", "HEAD", fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nContent-Length: %d\r\n\r\n", len(own)) + own},
+	} {
+		t.Run(name, func(t *testing.T) {
+			budget := &budgetReader{source: strings.NewReader(tc.received)}
+			c := &conn{Conn: openConn{}, budget: budget, reader: bufio.NewReader(budget), reused: true}
+			c.recordSent(Request{Method: tc.earlierMethod, AttemptID: "earlier"})
+			resp, err := exchange(c, Request{Method: tc.method, Target: "/", Host: "h", AttemptID: "own"})
+			if err == nil {
+				resp.Body.Close()
+				t.Errorf("response %d accepted, want an error", resp.StatusCode)
+			}
+		})
+	}
+}
+
+// openConn accepts all bytes.
+type openConn struct{ net.Conn }
+
+func (openConn) Write(p []byte) (int, error)     { return len(p), nil }
+func (openConn) SetReadDeadline(time.Time) error { return nil }
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -175,6 +175,9 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
+	if id := q.Header.Get("Attempt-Id"); id != "" {
+		w.Header().Set("Attempt-Id", id)
+	}
 	if expected := q.Header.Get("Expect-Replica"); expected != "" && expected != r.config.ID {
 		w.Header().Set("Replica-Id", r.config.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -223,7 +226,6 @@
 // respond writes the response and reports whether it is complete.
 func (r *Replica) respond(w http.ResponseWriter, q *http.Request, mode ResponseMode) bool {
 	h := w.Header()
-	h.Set("Attempt-Id", q.Header.Get("Attempt-Id"))
 	h.Set("Replica-Stamp", "stamp."+r.config.ID)
 	switch mode {
 	case ResponseAborted:
