caller: take no event without an ID for the continuation of a stream

A stream had begun and broke off, and the next replica answered its continuation with status 200 and the text of an error as an event. The check that a continuation begins after the last event sent looked at the first ID anywhere in the bytes received, and accepted events without one.

The first event of a continuation, other than a comment, must now have an ID that comes after the last one. Responses with another status, without the type of a stream, without a whole event, with an old ID and no response at all were handled before: the stream ends without its end marker.

--- a/edge/caller/continue_test.go
+++ b/edge/caller/continue_test.go
@@ -17,6 +17,18 @@
 
 // serveOnce answers each request with the text and closes the connection.
 func serveOnce(t *testing.T, text string) string {
+	t.Helper()
+	return serveEach(t, func() string { return text })
+}
+
+// serveInTurn answers each request with the next text and closes the connection.
+func serveInTurn(t *testing.T, texts <-chan string) string {
+	t.Helper()
+	return serveEach(t, func() string { return <-texts })
+}
+
+// serveEach answers each request with the result of next and closes the connection.
+func serveEach(t *testing.T, next func() string) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -32,7 +44,7 @@
 			go func() {
 				defer c.Close()
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, text) // the host may have closed the connection
+					_, _ = io.WriteString(c, next()) // the host may have closed the connection
 				}
 			}()
 		}
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -54,10 +54,12 @@
 				q.server.config.Loop.RecordAnswerBegun(assignment)
 			}
 			began = true
-			if continued && !continuesAfter(pending[:end], lastEventID) {
-				return q.brokenStreamOutcome(ctx, began, errBadContinuation)
+			if first, ok := firstEvent(pending[:end]); ok && continued {
+				if !continuesAfter(first, lastEventID) {
+					return q.brokenStreamOutcome(ctx, began, errBadContinuation)
+				}
+				continued = false
 			}
-			continued = false
 			if _, ok := eventID(pending[:end]); ok {
 				unidentified = 0
 			} else if unidentified += end; unidentified > maxUnidentifiedBytes {
@@ -101,13 +103,29 @@
 
 var errBadContinuation = errors.New("first event of the continuation does not follow the last event sent")
 
-// continuesAfter reports whether the first event with an ID comes after the event with
-// the ID lastID, or no event has an ID. IDs that are not numbers must only differ.
-func continuesAfter(events []byte, lastID string) bool {
-	first, ok := eventID(events)
-	if !ok {
+// firstEvent returns the first event that does not consist of comments only.
+func firstEvent(events []byte) ([]byte, bool) {
+	for block := range bytes.SplitSeq(events, eventEnd) {
+		for line := range bytes.SplitSeq(block, []byte("\n")) {
+			if len(line) > 0 && line[0] != ':' {
+				return block, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// continuesAfter reports whether an event comes after the event with the ID lastID. IDs that
+// are not numbers must only differ. An event without an ID, such as the text of an error, comes
+// after none; if lastID is empty, the caller has no event yet.
+func continuesAfter(event []byte, lastID string) bool {
+	if lastID == "" {
 		return true
 	}
+	first, ok := eventID(event)
+	if !ok {
+		return false
+	}
 	a, errA := strconv.ParseInt(first, 10, 64)
 	b, errB := strconv.ParseInt(lastID, 10, 64)
 	if errA != nil || errB != nil {
