http1: reset the connection of an incomplete response to an HTTP/1.0 caller

http1.Abort marks such a connection, and its Close resets it. siskin-edge ends started responses with it, siskin-gateway those of plain services. Connections over TLS are handled by net/http and are closed as before.

--- a/edge/caller/error_response.go
+++ b/edge/caller/error_response.go
@@ -6,6 +6,7 @@
 
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform"
+	"siskinstand.example/service/http1"
 )
 
 var reasonStatuses = map[verdict.Reason]int{
@@ -39,8 +40,7 @@
 		q.detail += ": " + e.Err.Error()
 	}
 	if q.responseStarted {
-		// Without a proper end, the caller sees that the response is incomplete.
-		panic(http.ErrAbortHandler)
+		http1.Abort(q.httpRequest)
 	}
 	q.status = statusCode(e)
 	h := q.writer.Header()
--- a/edge/caller/stream_error_test.go
+++ b/edge/caller/stream_error_test.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"siskinstand.example/service/http1"
 )
 
 // brokenStream is a response that breaks off in its third event.
@@ -20,7 +21,7 @@
 
 // sendRaw sends a request for a resumable stream and returns all bytes received until the
 // connection ends, and the error that ended it, other than io.EOF.
-func sendRaw(t *testing.T, address string) (string, error) {
+func sendRaw(t *testing.T, address, version string) (string, error) {
 	t.Helper()
 	c, err := net.Dial("tcp4", address)
 	if err != nil {
@@ -30,7 +31,7 @@
 	if err := c.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(c, "POST /resumable/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 6\r\n\r\nprompt")
+	fmt.Fprintf(c, "POST /resumable/ HTTP/%s\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 3000\r\nConnection: close\r\nContent-Length: 6\r\n\r\nprompt", version)
 	data, err := io.ReadAll(c)
 	return string(data), err
 }
@@ -53,26 +54,49 @@
 		"head inside the body":              secondAnswer("200 OK", "text/event-stream", "", "HTTP/1.1 500 Internal Server Error\nContent-Type: text/plain\n\nno memory left\n\n"),
 		"no response":                       "",
 	} {
-		t.Run(name, func(t *testing.T) {
-			answers := make(chan string, 2)
-			answers <- brokenStream
-			answers <- second
-			s, loop := startServer(t, serveInTurn(t, answers))
-			addReplica(t, loop, "i-2", serveInTurn(t, answers))
-			front := httptest.NewServer(s)
-			t.Cleanup(front.Close)
-			got, err := sendRaw(t, front.Listener.Addr().String())
-			head, body, _ := strings.Cut(got, "\r\n\r\n")
-			if strings.Contains(body, "memory") || strings.Contains(body, "HTTP/1") {
-				t.Errorf("the error is part of the stream: %q", body)
-			}
-			if !strings.Contains(body, "data: two") || len(answers) > 0 {
-				t.Errorf("%d replicas not asked, stream %q, want two events", len(answers), body)
-			}
-			isChunked := strings.Contains(head, "chunked")
-			if isChunked && strings.HasSuffix(body, "0\r\n\r\n") || !isChunked && err == nil {
-				t.Errorf("the stream looks complete after %q", body)
-			}
-		})
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(name+", HTTP "+version, func(t *testing.T) {
+				answers := make(chan string, 2)
+				answers <- brokenStream
+				answers <- second
+				s, loop := startServer(t, serveInTurn(t, answers))
+				addReplica(t, loop, "i-2", serveInTurn(t, answers))
+				checkBrokenStream(t, serveCallers(t, s), version)
+				if len(answers) > 0 {
+					t.Errorf("%d replicas not asked", len(answers))
+				}
+			})
+		}
+	}
+}
+
+// serveCallers starts the listener for callers and returns its address.
+func serveCallers(t *testing.T, s *Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := http1.New(http1.Config{Handler: s, MaxHeaderBytes: 1 << 14, Timeouts: func() http1.Timeouts { return http1.Timeouts{Header: time.Second, Idle: time.Second} }})
+	t.Cleanup(func() { server.Close() })
+	go func() { _ = server.Serve(l) }() // returns when the server is closed
+	return l.Addr().String()
+}
+
+// checkBrokenStream sends a request and checks that the response has the events of
+// brokenStream and no end.
+func checkBrokenStream(t *testing.T, address, version string) {
+	t.Helper()
+	got, err := sendRaw(t, address, version)
+	head, body, _ := strings.Cut(got, "\r\n\r\n")
+	if strings.Contains(body, "memory") || strings.Contains(body, "HTTP/1") {
+		t.Errorf("the error is part of the stream: %q", body)
+	}
+	if !strings.Contains(body, "data: two") {
+		t.Errorf("stream %q, want two events", body)
+	}
+	isChunked := strings.Contains(head, "chunked")
+	if isChunked && strings.HasSuffix(body, "0\r\n\r\n") || !isChunked && err == nil {
+		t.Errorf("the stream looks complete after %q", body)
 	}
 }
--- a/gateway/httpapi/service.go
+++ b/gateway/httpapi/service.go
@@ -11,6 +11,7 @@
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/dispatch"
 	pb "siskinstand.example/peerpb"
+	"siskinstand.example/service/http1"
 )
 
 // maxBufferedBytes is how much of a plain service's response is buffered before
@@ -55,7 +56,7 @@
 		PromptTokens: max(int64(float64(len(data))/initialBytesPerToken), 1),
 		Deadline:     c.deadlineFor(route), IdempotencyKey: c.idempotencyKey,
 	}
-	sink := &plainSink{w: w, timeout: s.config.Limits.WriteTimeout, deadline: request.Deadline}
+	sink := &plainSink{w: w, request: r, timeout: s.config.Limits.WriteTimeout, deadline: request.Deadline}
 	if _, err := s.config.Dispatcher.Run(r.Context(), request, sink); err != nil {
 		return sink.fail(err)
 	}
@@ -91,6 +92,7 @@
 // plainSink writes the response of a plain service.
 type plainSink struct {
 	w       http.ResponseWriter
+	request *http.Request
 	timeout time.Duration
 	// deadline is the deadline of the request.
 	deadline time.Time
@@ -168,7 +170,7 @@
 // other way to mark a response as incomplete.
 func (s *plainSink) fail(err error) error {
 	if s.started {
-		panic(http.ErrAbortHandler)
+		http1.Abort(s.request)
 	}
 	return err
 }
--- a/service/http1/conn.go
+++ b/service/http1/conn.go
@@ -30,6 +30,8 @@
 	isDraining atomic.Bool
 	// isClosed is true once the server has called Close.
 	isClosed atomic.Bool
+	// isReset is true if Close resets the connection.
+	isReset atomic.Bool
 	// receivedBytes counts the bytes of the awaited request, and methodBytes those of
 	// its method.
 	receivedBytes    int
--- a/service/http1/reject.go
+++ b/service/http1/reject.go
@@ -119,6 +119,9 @@
 	if c.isDraining.Load() {
 		return nil
 	}
+	if socket, ok := c.Conn.(interface{ SetLinger(int) error }); ok && c.isReset.Load() {
+		_ = socket.SetLinger(0) // fails only for a closed connection
+	}
 	return c.Conn.Close()
 }
 
--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -108,6 +108,16 @@
 	return ok && c.isClosed.Load()
 }
 
+// Abort ends a response that has started so that the caller can tell that it is incomplete. It
+// does not return; net/http closes the connection. A body in chunks lacks its last chunk. A
+// caller of HTTP/1.0 gets no chunks, and its body ends with the connection, which is reset.
+func Abort(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !r.ProtoAtLeast(1, 1) {
+		c.isReset.Store(true)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Serve accepts connections until Shutdown or Close is called, and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
