caller: don't send to a replica that left while memory was reserved

If the replica's entry was removed or drained meanwhile, the request reached it all the same: another delay that adds to the time until the host knows (DRAIN).

The control loop is now asked once more after the reservation.

--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -217,6 +217,15 @@
 			return o
 		}
 		defer reservation.Release()
+		usable, err := loop.IsUsable(ctx, q.service.Name, assignment.Target)
+		switch {
+		case err != nil:
+			o = outcome{err: q.contextError(ctx), health: health.Served}
+			return o
+		case !usable:
+			o = outcome{err: verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "the replica left while memory was reserved").WithRetryAfter(q.route.Objective), health: health.Served}
+			return o
+		}
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -196,6 +197,21 @@
 	}
 }
 
+// IsUsable reports whether a replica that was assigned to a request may still get new
+// requests: its entry exists, does not drain and is in no evacuated zone.
+func (l *Loop) IsUsable(ctx context.Context, service string, t Target) (bool, error) {
+	reply := make(chan bool, 1)
+	if err := l.post(ctx, usableQuestion{service, t, reply}); err != nil {
+		return false, err
+	}
+	select {
+	case usable := <-reply:
+		return usable, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
 func (l *Loop) post(ctx context.Context, m message) error {
 	select {
 	case l.messages <- m:
@@ -275,6 +291,8 @@
 	switch m := m.(type) {
 	case placementMessage:
 		l.placeOrQueue(now, m)
+	case usableQuestion:
+		m.reply <- slices.ContainsFunc(l.directory.Usable(now, m.service), func(r directory.Replica) bool { return target(r) == m.target })
 	case responseStarted:
 		// Without helpers, the load that other hosts know of does not change.
 		if l.ledger.MarkPrefillDone(m.assignmentID) {
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -74,6 +74,13 @@
 	placeableSince time.Duration
 }
 
+// usableQuestion asks whether a replica may still get new requests.
+type usableQuestion struct {
+	service string
+	target  Target
+	reply   chan<- bool
+}
+
 // decision is the result of a placement: an assignment or a refusal.
 type decision struct {
 	assignment Assignment
@@ -173,6 +180,7 @@
 type retryLimitsUpdate struct{ limits RetryLimits }
 
 func (placementMessage) isMessage()  {}
+func (usableQuestion) isMessage()    {}
 func (responseStarted) isMessage()   {}
 func (answerBegun) isMessage()       {}
 func (sendEnded) isMessage()         {}
--- a/edge/serving_test.go
+++ b/edge/serving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -205,6 +206,32 @@
 	})
 }
 
+// Guards against a request that reaches a replica after it has left: the replica was chosen
+// before, and reserving memory at the helpers took a while.
+func TestReplicaLeavesDuringReservation(t *testing.T) {
+	s := newTestSite(t)
+	ids := []string{"i-1", "i-2", "i-3"}
+	for _, id := range ids {
+		s.addReplica(id, "llm", "z1", 3).SetReservationDelay(600 * time.Millisecond)
+	}
+	c := streamCall()
+	c.Header["Token-Counts"] = "500000,100"
+	done := make(chan platform.Reply, 1)
+	go func() { done <- s.send(c) }()
+	s.eventually("memory is being reserved", func() bool {
+		return slices.ContainsFunc(ids, func(id string) bool { return len(s.replicas[id].Orders()) > 0 })
+	})
+	for _, id := range ids {
+		s.store.Delete(platform.ReplicaPrefix + id)
+	}
+	s.checkVerdict(<-done, http.StatusServiceUnavailable, "not_run")
+	for _, id := range ids {
+		if n := s.runCount(id); n > 0 {
+			t.Errorf("replica %s ran %d requests after it had left", id, n)
+		}
+	}
+}
+
 func TestBadContinuation(t *testing.T) {
 	// Guards against continuing a stream with a response that is not a stream or that starts from the beginning: its
 	// bytes would be appended to the first events.
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -81,6 +81,7 @@
 	reservations       map[string]int
 	orders             []string
 	longestReservation time.Duration
+	reservationDelay   time.Duration
 	crashed            bool
 	// advertised is the address in the replica's entry in the store.
 	advertised string
@@ -157,6 +158,13 @@
 	return r.longestReservation
 }
 
+// SetReservationDelay delays the responses to orders that reserve memory.
+func (r *Replica) SetReservationDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reservationDelay = d
+}
+
 // Orders returns the operations of all orders received so far.
 func (r *Replica) Orders() []string {
 	r.mu.Lock()
@@ -326,6 +334,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.orders = append(r.orders, body.Op)
+	if delay := r.reservationDelay; delay > 0 && body.Op == "reserve" {
+		r.mu.Unlock()
+		time.Sleep(delay)
+		r.mu.Lock()
+	}
 	switch body.Op {
 	case "reserve":
 		if r.mode == ResponseAtCapacity {
