edge/storewatch: derive the delay between watches from the watching hosts

The delay from a response with changes to the next watch grows with the number of hosts, so that their watches stay below a quarter of the store's rate. Since two hosts of each zone watch for the others, it counted hosts that make no calls: with 378 hosts, each change was known 0.75 s later than needed, another delay on the way from a replica's leaving to the last request to it.

The delay of a watching host now counts the watching hosts. A host that has to watch because it can follow no one counts all, as before.

TestWatchDelayWithFollowers: 756 ms before, 250 ms after.

--- a/edge/storewatch/follow.go
+++ b/edge/storewatch/follow.go
@@ -105,6 +105,23 @@
 	return len(watching) > n && slices.Contains(watching[:n], w.config.Name)
 }
 
+// watcherCount returns the number of hosts whose watches share the rate of the store: those
+// that watch it for their zones, or all if this host is not one of them and yet has to watch.
+func (w *Watcher) watcherCount() int {
+	n := w.config.Following.Watchers
+	if n <= 0 || w.config.Peer.Zone == "" || !slices.Contains(w.watchingHosts(n), w.config.Name) {
+		return len(w.hosts)
+	}
+	zones := map[string]int{}
+	count := 0
+	for _, peer := range w.hosts {
+		if zones[peer.Zone]++; peer.Zone == "" || zones[peer.Zone] <= n {
+			count++
+		}
+	}
+	return count
+}
+
 // watchingHosts returns the names of up to n hosts of this zone, those with the most
 // processor time first.
 func (w *Watcher) watchingHosts(n int) []string {
--- a/edge/storewatch/watcher.go
+++ b/edge/storewatch/watcher.go
@@ -212,7 +212,7 @@
 	if w.config.ReadsPerSecond <= 0 {
 		return minDelay
 	}
-	return max(minDelay, time.Duration(float64(len(w.hosts))/(watchRateShare*w.config.ReadsPerSecond)*float64(time.Second)))
+	return max(minDelay, time.Duration(float64(w.watcherCount())/(watchRateShare*w.config.ReadsPerSecond)*float64(time.Second)))
 }
 
 // watchWait returns how long the store may wait for changes, so that its response comes
--- a/edge/storewatch/watcher_test.go
+++ b/edge/storewatch/watcher_test.go
@@ -118,3 +118,26 @@
 		})
 	}
 }
+
+func TestWatchDelayWithFollowers(t *testing.T) {
+	// Guards against a delay that grows with hosts that do not watch the store: with 378 hosts, a replica that left was
+	// known 0.75 s later, beside the time for which its entry may be missing.
+	for name, tc := range map[string]struct {
+		cores float64
+		want  time.Duration
+	}{
+		"watches for its zone":          {8, 250 * time.Millisecond},
+		"has lost the hosts it follows": {0.1, 756 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := New(Config{ReadsPerSecond: 2000, Name: "0", Peer: platform.Peer{Zone: "z0", Cores: tc.cores}, Following: Following{Watchers: 2}})
+			for i := range 378 {
+				w.hosts[fmt.Sprint(i)] = platform.Peer{Zone: fmt.Sprintf("z%d", i%10), Cores: 1}
+			}
+			w.hosts["0"] = w.config.Peer
+			if got := w.watchDelay(time.Minute); got != tc.want {
+				t.Errorf("watchDelay = %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
