edge: play malformed entries, repeated refusals and cut hosts in the soak

New faults: a replica that repeats a refusal before the response to the next request on its connection, and malformed entries among those of the replicas. After each planned-change phase, a host is cut off from the store while a replica leaves, and the other hosts must not use it later than the drain time.

--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -56,11 +56,14 @@
 	keyAge = time.Second
 	// plannedChangeBound is the time within which a drain or an evacuation must take effect.
 	plannedChangeBound = time.Second
+	// drainTime is the default of the setting drain_time.
+	drainTime = 2 * time.Second
 )
 
 // soak sends requests to entry hosts, each of which is a separate process. In a fault phase,
 // it injects faults of all kinds. In a planned-change phase, it makes only changes that
-// operators make in normal operation, and no request may be lost.
+// operators make in normal operation, and no request may be lost. After that, a host is cut off
+// from the store while a replica leaves.
 type soak struct {
 	t      *testing.T
 	random *rand.Rand
@@ -122,6 +125,7 @@
 		s.runPhase(plannedPhaseLength, s.plannedChange)
 		s.clearFaults()
 		s.history.endPlannedPhase(time.Now())
+		s.cutFromStore()
 	}
 	cancel()
 	workers.Wait()
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -44,6 +44,9 @@
 	ResponseRestartedStream ResponseMode = "again"
 	// ResponseNotFound responds with status 404.
 	ResponseNotFound ResponseMode = "reject"
+	// ResponseRepeatedRefusal rejects a request without running it, and writes the rejection
+	// once more before the response to the next request on the connection.
+	ResponseRepeatedRefusal ResponseMode = "refusal again"
 	// ResponseMalformed sends bytes that are not an HTTP response.
 	ResponseMalformed ResponseMode = "garbage"
 )
@@ -82,7 +85,9 @@
 	orders             []string
 	longestReservation time.Duration
 	reservationDelay   time.Duration
-	crashed            bool
+	// refusals counts the connections of ResponseRepeatedRefusal.
+	refusals int
+	crashed  bool
 	// advertised is the address in the replica's entry in the store.
 	advertised string
 }
@@ -207,6 +212,10 @@
 	if err != nil {
 		return
 	}
+	if mode == ResponseRepeatedRefusal {
+		r.repeatRefusal(w, q)
+		return
+	}
 	run := r.recordRun(q, string(body))
 	complete := false
 	defer func() {
@@ -319,6 +328,59 @@
 	return true
 }
 
+// maxRefusalWait limits the wait for the request after a refusal.
+const maxRefusalWait = 3 * time.Second
+
+// repeatRefusal rejects a request and runs the next one on its connection. Before the response
+// to that one, it repeats the rejection, for every second connection without an attempt ID.
+func (r *Replica) repeatRefusal(w http.ResponseWriter, q *http.Request) {
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(maxRefusalWait)) // a closed connection fails the read below
+	const rejection = "HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	id := fmt.Sprintf("Attempt-Id: %s\r\n", q.Header.Get("Attempt-Id"))
+	fmt.Fprintf(c, rejection, id)
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil || next.URL.Path == "/siskinstand/order" {
+		return
+	}
+	body, err := io.ReadAll(next.Body)
+	if err != nil {
+		return
+	}
+	run := r.recordRun(next, string(body))
+	r.mu.Lock()
+	r.refusals++
+	if r.refusals%2 == 0 {
+		id = ""
+	}
+	run.Ended, run.Completed = true, true
+	r.mu.Unlock()
+	contentType, text := "text/plain", "answer of "+r.config.ID
+	if r.config.StreamEvents > 0 {
+		contentType, text = "text/event-stream", streamText(next, r.config.StreamEvents)
+	}
+	fmt.Fprintf(c, rejection, id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Stamp: stamp.%s\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		next.Header.Get("Attempt-Id"), r.config.ID, contentType, len(text), text)
+}
+
+// streamText returns the events of a stream that come after Last-Event-Id.
+func streamText(q *http.Request, events int) string {
+	first := 0
+	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	var text strings.Builder
+	for i := first; i < events; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return text.String()
+}
+
 // orderHandler makes or releases a reservation.
 func (r *Replica) orderHandler(w http.ResponseWriter, q *http.Request) {
 	var body struct {
