caller: let a request whose response breaks off become a crash suspect

TestCrashCausingRequest, with a replica of fakes/ that crashes midway: the subtest of a call failed in 3 of 3 runs before, all pass in 3 of 3 after.

--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -51,7 +51,9 @@
 			q.mayHaveRun = true
 			return outcome{err: q.contextError(ctx), health: health.Served}
 		}
-		return brokenOutcome("the answer broke off", err)
+		o := brokenOutcome("the answer broke off", err)
+		o.mayHaveCrashed, o.began = true, true
+		return o
 	}
 	if resp.Status >= 500 {
 		return outcome{response: buffered, health: health.Failed}
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -29,9 +29,10 @@
 	response *bufferedResponse
 	health   health.Outcome
 	// mayHaveCrashed is set if the replica may have crashed while it ran the request: it sent
-	// no response, or a stream that did not end properly.
+	// no response, or one that did not end properly.
 	mayHaveCrashed bool
-	// began is set if a complete event of a stream has arrived.
+	// began is set if a complete event of a stream, or the head of another response, has
+	// arrived.
 	began bool
 	// finished is set if the replica has run the request to its end without an error.
 	finished bool
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -10,12 +10,32 @@
 )
 
 func TestCrashCausingRequest(t *testing.T) {
-	// Guards against a request that crashes one replica after the other through retries.
+	t.Run("stream", func(t *testing.T) {
+		// Guards against a request that crashes one replica after the other through retries.
+		checkCrashCausingRequest(t, "llm", streamCall(), platform.ResponseCrash, platform.StreamBody(4))
+	})
+	t.Run("call, in the middle of the response", func(t *testing.T) {
+		// Guards against a request that crashes replicas without end, because its response has begun.
+		checkCrashCausingRequest(t, "app", platform.PlainCall("idempotent"), platform.ResponseCrashMidway, "")
+	})
+	t.Run("stream, in the middle of the response", func(t *testing.T) {
+		checkCrashCausingRequest(t, "llm", streamCall(), platform.ResponseCrashMidway, platform.StreamBody(4))
+	})
+}
+
+// checkCrashCausingRequest sends a request that crashes replicas until it is refused. At most
+// two of four replicas may crash, and another request must be served then.
+func checkCrashCausingRequest(t *testing.T, service string, crash platform.Call, mode platform.ResponseMode, body string) {
+	t.Helper()
 	s := newTestSite(t)
-	crash := streamCall()
+	other := crash
 	crash.Body = "crash"
+	events := 0
+	if service == "llm" {
+		events = 4
+	}
 	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
-		s.addReplica(id, "llm", "z1", 4).SetResponseMode(platform.ResponseCrash)
+		s.addReplica(id, service, "z1", events).SetResponseMode(mode)
 	}
 	alive := func() int {
 		n := 0
@@ -33,7 +53,7 @@
 	for _, r := range s.replicas {
 		r.SetResponseMode(platform.ResponseComplete)
 	}
-	s.checkReply(s.send(streamCall()), http.StatusOK, platform.StreamBody(4))
+	s.checkReply(s.send(other), http.StatusOK, body)
 }
 
 func TestConnectionResetsAreNotCrashes(t *testing.T) {
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -31,6 +31,8 @@
 	ResponseAborted ResponseMode = "reset"
 	// ResponseCrash stops the replica without a response.
 	ResponseCrash ResponseMode = "die"
+	// ResponseCrashMidway stops the replica in the middle of the response.
+	ResponseCrashMidway ResponseMode = "die midway"
 	// ResponseHang never responds.
 	ResponseHang ResponseMode = "mute"
 	// ResponseUnstamped omits the Replica-Stamp header.
@@ -248,11 +250,17 @@
 	case ResponseAborted:
 		panic(http.ErrAbortHandler)
 	case ResponseCrash:
-		r.mu.Lock()
-		r.crashed = true
-		r.mu.Unlock()
-		r.Close()
-		panic(http.ErrAbortHandler)
+		r.crash()
+	case ResponseCrashMidway:
+		if r.config.StreamEvents > 0 {
+			h.Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 0\ndata: token 0\n\n")
+		} else {
+			h.Set("Content-Length", "100")
+			fmt.Fprint(w, "half")
+		}
+		_ = http.NewResponseController(w).Flush() // the connection is closed next
+		r.crash()
 	case ResponseHang:
 		<-q.Context().Done()
 		return false
@@ -283,6 +291,15 @@
 	return true
 }
 
+// crash closes the listener and all connections.
+func (r *Replica) crash() {
+	r.mu.Lock()
+	r.crashed = true
+	r.mu.Unlock()
+	r.Close()
+	panic(http.ErrAbortHandler)
+}
+
 // streamEvents writes a stream, starting after Last-Event-Id, and reports whether
 // it is complete.
 func (r *Replica) streamEvents(w http.ResponseWriter, q *http.Request, mode ResponseMode) bool {
