edge/storewatch: read everything if a watch has more changes than it can read

A host that the store had turned away during a storm of configurations ran requests by the old service long after it was served again (CONFIG), and learned nothing of replicas, zones and keys. The answer to its watch exceeded 8 MB; it was cut off, taken for a failure of the store, and asked for again until the store had dropped its history.

--- a/edge/storewatch/watcher.go
+++ b/edge/storewatch/watcher.go
@@ -29,7 +29,7 @@
 	// ApplyChanges receives the changes that a watch has returned; list may be empty.
 	ApplyChanges(ctx context.Context, list []platform.Change, asOf time.Duration) error
 	// RecordStoreFailure is called after each failed full read or watch, unless the store
-	// has only compacted its history.
+	// has compacted its history or has more changes than one response can hold.
 	RecordStoreFailure(ctx context.Context, err error) error
 }
 
@@ -145,6 +145,12 @@
 			revision = 0
 			continue
 		}
+		if revision > 0 && errors.Is(err, platform.ErrResponseTooLong) {
+			// A full read has pages, and only the latest value of each key.
+			klog.InfoS("store has too many changes to read at once, reading everything again", "after_revision", revision, "err", err)
+			revision = 0
+			continue
+		}
 		if ctx.Err() != nil || w.config.Sink.RecordStoreFailure(ctx, err) != nil {
 			return
 		}
--- a/edge/storewatch/watcher_test.go
+++ b/edge/storewatch/watcher_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+func TestWatchOutgrowsLimit(t *testing.T) {
+	// Guards against a host that asks for the same changes again and again after it has missed more of them than it can
+	// read: it used an old configuration until the store had dropped its history.
+	w, store, sink := newTestWatcher(t, Config{MaxWatchWait: 100 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	if !waitUntil(time.Second, func() bool { snapshots, _, _ := sink.counts(); return snapshots == 1 }) {
+		t.Fatal("no full read")
+	}
+	store.SetFault(fake.FaultReset)
+	for range 9 {
+		store.Put("op/other", make([]byte, 1<<20))
+	}
+	_, before, _ := sink.counts()
+	store.SetFault(fake.FaultNone)
+	if !waitUntil(2*time.Second, func() bool { _, changes, _ := sink.counts(); return changes > before }) {
+		t.Error("9 changes of 1 MB are not known after 2s")
+	}
+}
+
 func TestWatchDelayGrowsWithHosts(t *testing.T) {
 	// Guards against a number of watch calls that grows with the square of the number of hosts, since each change of
 	// one host's entry completes the watches of all hosts.
