edge: keep refused requests in the store

Suspects of whole requests lived in the hosts' memory and in the 8 latest rows of their reports; each crash makes suspects of all requests at the replica, so the one that crashes replicas soon dropped out.

A refused request now has an entry in the store, siskin/request/<fingerprint>. The code that keeps refused prompt parts there writes, repeats, expires and removes it: by hosts that have seen one of its crashes, at most 64 entries, for one hour. Requests whose crashes a refused part explains get none.

--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -133,6 +133,18 @@
 	return e.status()
 }
 
+// Refused returns the requests to refuse of which at least RefuseStrikes crashes are known, in
+// no particular order.
+func (t *Tracker) Refused(now time.Time) []Report {
+	var list []Report
+	for f, e := range t.entries {
+		if !t.expired(now, e) && len(e.crashes) >= RefuseStrikes {
+			list = append(list, Report{Fingerprint: f, Crashes: slices.Clone(e.crashes), Strikes: RefuseStrikes, Age: now.Sub(e.changedAt)})
+		}
+	}
+	return list
+}
+
 // HasCrash reports whether any crash among a request's strikes matches.
 func (t *Tracker) HasCrash(now time.Time, f Fingerprint, matches func(CrashID) bool) bool {
 	e := t.entries[f]
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -105,6 +105,8 @@
 		l.applyReplica(now, lastSeen, c)
 	case platform.ChangeCrashPart:
 		l.applyCrashPart(now, c)
+	case platform.ChangeCrashRequest:
+		l.applyCrashRequest(now, c)
 	case platform.ChangePeer:
 		if c.Deleted {
 			l.removePeer(c.Name)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -90,8 +90,10 @@
 	ReportSender ReportSender
 	// PartStore keeps the prompt parts that this host begins to refuse; nil for none.
 	PartStore PartStore
-	Prober    Prober
-	Placement placement.Policy
+	// RequestStore keeps the requests that this host begins to refuse; nil for none.
+	RequestStore RequestStore
+	Prober       Prober
+	Placement    placement.Policy
 	// Scope receives the gauges of suspected and refused prompt parts; nil for none.
 	Scope tally.Scope
 }
@@ -117,8 +119,9 @@
 	parts    *suspect.PartTracker
 	// partSends holds the prompt parts of the requests that are at a replica and have received
 	// no event.
-	partSends   partSends
-	storedParts storedParts
+	partSends      partSends
+	storedParts    storedParts
+	storedRequests storedRequests
 	// budgets holds the retry budgets, models the placement models, by service name.
 	budgets map[string]retry.Budget
 	models  map[string]placement.Model
@@ -159,7 +162,7 @@
 		ledger: placement.NewLedger(c.PeerTimeout), suspects: suspect.New(suspect.DefaultConfig()),
 		parts: suspect.NewPartTracker(suspect.DefaultPartConfig(c.Name)), partSends: newPartSends(), storedParts: newStoredParts(),
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
-		peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
+		storedRequests: newStoredRequests(), peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
 	l.view.Store(&View{})
 	return l
@@ -339,6 +342,7 @@
 	l.checkReportedReplicas(now, m)
 	if n := l.suspects.Merge(time.Now(), m.suspects); n > 0 {
 		klog.V(1).InfoS("crash suspects received", "peer", m.name, "changed", n)
+		l.publishRefusedRequests(now)
 	}
 	l.mergePartReports(now, m.name, m.parts)
 }
--- a/edge/control/suspects.go
+++ b/edge/control/suspects.go
@@ -38,9 +38,11 @@
 		status := l.suspects.AddStrike(time.Now(), m.fingerprint, crash)
 		klog.V(1).InfoS("crash suspect", "fingerprint", uint64(m.fingerprint), "replica", id, "status", status)
 	}
+	l.storedRequests.recordOwnCrash(list[0].crashID())
 	if errors.Is(probeErr, syscall.ECONNREFUSED) {
 		l.recordPartCrash(now, id, list[0].crashID(), list)
 	}
+	l.publishRefusedRequests(now)
 	l.scheduleReport(reportNow)
 }
 
@@ -48,8 +50,12 @@
 // they ran it. Crashes that a refused prompt part explains do not count: requests with the
 // part are refused anyway.
 func (l *Loop) isCrashSuspect(now time.Duration, f suspect.Fingerprint) bool {
-	return l.suspects.Status(time.Now(), f) == suspect.StatusRefuse &&
-		l.suspects.HasCrash(time.Now(), f, func(c suspect.CrashID) bool { return !l.parts.Explains(partTime(now), c) })
+	return l.suspects.Status(time.Now(), f) == suspect.StatusRefuse && !l.isExplainedByPart(now, f)
+}
+
+// isExplainedByPart reports whether a refused prompt part explains all crashes of a request.
+func (l *Loop) isExplainedByPart(now time.Duration, f suspect.Fingerprint) bool {
+	return !l.suspects.HasCrash(time.Now(), f, func(c suspect.CrashID) bool { return !l.parts.Explains(partTime(now), c) })
 }
 
 // crashID returns the ID of the crash of the replica's process. It is the same on all hosts.
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -73,3 +73,29 @@
 	time.Sleep(500 * time.Millisecond)
 	s.checkReply(s.send(streamCall()), http.StatusOK, platform.StreamBody(4))
 }
+
+func TestRefusedRequestAfterRestart(t *testing.T) {
+	// Guards against a request that crashes replicas again after all hosts have been restarted, also if the store was
+	// down when it was refused.
+	for _, fault := range []platform.Fault{platform.FaultNone, platform.FaultUnavailable, platform.FaultLostAnswer} {
+		t.Run("store "+string(fault), func(t *testing.T) {
+			s := newTestSite(t)
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+				s.addReplica(id, "app", "z1", 0).SetResponseMode(platform.ResponseCrash)
+			}
+			crash := platform.PlainCall("idempotent")
+			crash.Body = "crash"
+			s.store.SetFault(fault)
+			s.eventually("the request is refused", func() bool { return strings.Contains(s.send(crash).Body, "crash_suspect") })
+			s.store.SetFault(platform.FaultNone)
+			s.eventually("the request is stored", func() bool { return len(s.store.Keys("siskin/request/")) == 1 })
+			s.restart()
+			if r := s.send(crash); !strings.Contains(r.Body, "crash_suspect") {
+				t.Errorf("response %d %q after the restart, want a refusal", r.Status, r.Body)
+			}
+			if keys := s.store.Keys("siskin/part/"); len(keys) > 0 {
+				t.Errorf("parts %v stored for a request without a prompt", keys)
+			}
+		})
+	}
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -72,6 +72,7 @@
 	socket      *peer.Socket
 	store       *platform.Store
 	parts       *storewatch.PartStore
+	requests    *storewatch.PartStore
 	changes     *relay.Log
 	following   *relay.Client
 	server      *caller.Server
@@ -115,7 +116,8 @@
 	}
 	d.changes, d.following = relay.NewLog(), relay.NewClient(relay.ClientConfig{Timeout: followTimeout})
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout})
-	d.parts = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Expiry: suspect.DefaultPartConfig(s.Process.ID).Expiry})
+	d.requests = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Kind: platform.ChangeCrashRequest, Expiry: suspect.DefaultConfig().Expiry})
+	d.parts = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Kind: platform.ChangeCrashPart, Expiry: suspect.DefaultPartConfig(s.Process.ID).Expiry})
 	d.pool = replica.NewPool(replica.Config{ConnectTimeout: s.Replicas.ConnectTimeout, IdleTimeout: s.Replicas.IdleTimeout, MaxIdle: s.Replicas.MaxIdle, MaxReservationTTL: s.Bounds.HoldMax})
 	drainAcceptTime := min(maxDrainAcceptTime, s.Bounds.Shutdown/drainAcceptDivisor)
 	d.loop = control.New(control.Config{
@@ -123,7 +125,7 @@
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
-		ReportSender: d.socket, PartStore: d.parts, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
+		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
@@ -160,7 +162,7 @@
 		Store: d.store, Sink: d.loop, MaxWatchWait: s.Store.WatchWait, ReadsPerSecond: s.Store.ReadsPerSecond, Name: s.Process.ID, LeaseTime: s.Store.LeaseTime,
 		Peer:        platform.Peer{Address: s.Peers.Address, Incarnation: d.incarnation, Zone: s.Process.Zone, Cores: s.Process.Cores},
 		MaxProofAge: time.Duration(proofShare * float64(s.Bounds.KeyAge)),
-		Parts:       d.parts,
+		Parts:       d.parts, Requests: d.requests,
 		Following: storewatch.Following{
 			Log: d.changes, Client: d.following, Watchers: s.Store.Watchers, MaxProofAge: time.Duration(followShare * float64(min(s.Bounds.ApplyTime, s.Bounds.DrainTime))),
 		},
--- a/edge/storewatch/follow_test.go
+++ b/edge/storewatch/follow_test.go
@@ -94,7 +94,7 @@
 		Store: store, Sink: h.sink, MaxWatchWait: testWatchWait, Name: fmt.Sprintf("edge-%d", i), LeaseTime: 10 * time.Second,
 		Peer:      platform.Peer{Address: strings.TrimPrefix(h.server.URL, "http://"), Zone: "z1", Cores: cores},
 		Following: Following{Log: log, Client: client, Watchers: 2, MaxProofAge: followMaxAge},
-		Parts:     NewPartStore(PartStoreConfig{Store: store, Expiry: z.partExpiry}),
+		Parts:     NewPartStore(PartStoreConfig{Store: store, Kind: platform.ChangeCrashPart, Expiry: z.partExpiry}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/edge/storewatch/parts.go
+++ b/edge/storewatch/parts.go
@@ -32,11 +32,14 @@
 // PartStoreConfig configures a PartStore.
 type PartStoreConfig struct {
 	Store *platform.Store
+	// Kind is ChangeCrashPart, or ChangeCrashRequest for the store of refused requests.
+	Kind platform.ChangeKind
 	// Expiry is the time after the refusal of a part at which its entry no longer counts.
 	Expiry time.Duration
 }
 
-// PartStore keeps the refused parts of prompts in the store. Publish and Withdraw don't wait
+// PartStore keeps the refused parts of prompts, or refused requests by their fingerprints, in
+// the store. Publish and Withdraw don't wait
 // for the store, and failed calls are repeated. It is safe for concurrent use.
 type PartStore struct {
 	config PartStoreConfig
@@ -95,7 +98,7 @@
 		return
 	}
 	if !exists && len(p.stored) >= maxStoredParts {
-		klog.InfoS("crash part not stored, the store has too many", "part", formatPart(entry.Part), "stored", len(p.stored))
+		klog.InfoS("crash part not stored, the store has too many", "kind", p.config.Kind, "part", formatPart(entry.Part), "stored", len(p.stored))
 		return
 	}
 	call := &partCall{action: actionPublish, entry: entry, revision: known.revision}
@@ -254,26 +257,26 @@
 func (p *PartStore) execute(ctx context.Context, c partCall) error {
 	var err error
 	if c.action == actionPublish {
-		err = p.config.Store.WriteCrashPart(ctx, c.entry, c.revision)
+		err = p.config.Store.WriteCrashPart(ctx, p.config.Kind, c.entry, c.revision)
 	} else {
-		err = p.config.Store.RemoveCrashPart(ctx, c.entry.Part, c.revision)
+		err = p.config.Store.RemoveCrashPart(ctx, p.config.Kind, c.entry.Part, c.revision)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var status *platform.StatusError
 	switch {
 	case err == nil:
-		klog.V(1).InfoS("crash part stored or removed", "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
+		klog.V(1).InfoS("crash part stored or removed", "kind", p.config.Kind, "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
 		p.finish(c)
 	case errors.As(err, &status) && status.Conflict():
 		if p.resolveConflict(c, status) {
 			return err
 		}
 	case errors.As(err, &status) && isPermanent(status):
-		klog.ErrorS(err, "crash part refused by the store", "part", formatPart(c.entry.Part), "action", c.action)
+		klog.ErrorS(err, "crash part refused by the store", "kind", p.config.Kind, "part", formatPart(c.entry.Part), "action", c.action)
 		p.finish(c)
 	default:
-		klog.V(1).InfoS("crash part not yet stored or removed", "err", err, "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
+		klog.V(1).InfoS("crash part not yet stored or removed", "err", err, "kind", p.config.Kind, "part", formatPart(c.entry.Part), "action", c.action, "tries", c.tries)
 		return err
 	}
 	return nil
@@ -308,7 +311,7 @@
 		}
 		return true
 	}
-	klog.V(1).InfoS("entry of crash part written or removed by another host", "part", formatPart(c.entry.Part), "action", c.action, "store_revision", revision)
+	klog.V(1).InfoS("entry of crash part written or removed by another host", "kind", p.config.Kind, "part", formatPart(c.entry.Part), "action", c.action, "store_revision", revision)
 	p.finish(c)
 	return false
 }
@@ -318,7 +321,7 @@
 func (p *PartStore) currentEntry(part uint64, status *platform.StatusError) (int64, bool) {
 	for _, i := range status.Current {
 		change, err := platform.DecodeItem(i)
-		if change.Kind != platform.ChangeCrashPart || change.Deleted || i.Revision == 0 {
+		if change.Kind != p.config.Kind || change.Deleted || i.Revision == 0 {
 			continue
 		}
 		return i.Revision, err == nil && change.CrashPart.Part == part && p.timeLeft(change.CrashPart) > 0
--- a/edge/storewatch/parts_test.go
+++ b/edge/storewatch/parts_test.go
@@ -189,7 +189,7 @@
 			store.SetFault(fake.FaultNone)
 			runParts(t, w)
 			checkDone(t, p)
-			if err := w.config.Store.WriteCrashPart(t.Context(), c.entry, 0); err != nil {
+			if err := w.config.Store.WriteCrashPart(t.Context(), platform.ChangeCrashPart, c.entry, 0); err != nil {
 				t.Fatal(err)
 			}
 			if _, err := w.readAll(t.Context()); err != nil {
@@ -215,7 +215,7 @@
 	// Guards against calls that are not needed, and against an expired entry that hides a new
 	// refusal.
 	for age, want := range map[time.Duration]int{0: 0, time.Minute: 0, 2 * time.Hour: 1} {
-		p := NewPartStore(PartStoreConfig{Expiry: time.Hour})
+		p := NewPartStore(PartStoreConfig{Kind: platform.ChangeCrashPart, Expiry: time.Hour})
 		p.Publish(refusedPart(1))
 		old := refusedPart(1)
 		old.RefusedAt -= age.Milliseconds()
@@ -292,7 +292,7 @@
 	t.Run("clock set forward", func(t *testing.T) {
 		// Guards against a step of the system clock that makes a running host remove entries:
 		// the expiry of a known entry depends only on the boot clock.
-		p := NewPartStore(PartStoreConfig{Expiry: time.Hour})
+		p := NewPartStore(PartStoreConfig{Kind: platform.ChangeCrashPart, Expiry: time.Hour})
 		p.observe(platform.Change{CrashPart: refusedPart(1), Revision: 1})
 		known := p.stored[1]
 		if left := known.removeAt - known.expiresAt; left < 0 || left > time.Minute {
--- a/edge/storewatch/watcher.go
+++ b/edge/storewatch/watcher.go
@@ -52,8 +52,9 @@
 	MaxProofAge time.Duration
 	// Following configures how this host learns changes from other hosts.
 	Following Following
-	// Parts keeps refused prompt parts in the store. If it is nil, this host publishes none.
-	Parts *PartStore
+	// Parts keeps refused prompt parts in the store, Requests refused requests. If one is nil,
+	// this host publishes none of them.
+	Parts, Requests *PartStore
 }
 
 const (
@@ -96,18 +97,22 @@
 // New returns a watcher; Run starts it.
 func New(c Config) *Watcher {
 	if c.Parts == nil {
-		c.Parts = NewPartStore(PartStoreConfig{Store: c.Store, Expiry: suspect.DefaultPartConfig(c.Name).Expiry})
+		c.Parts = NewPartStore(PartStoreConfig{Store: c.Store, Kind: platform.ChangeCrashPart, Expiry: suspect.DefaultPartConfig(c.Name).Expiry})
+	}
+	if c.Requests == nil {
+		c.Requests = NewPartStore(PartStoreConfig{Store: c.Store, Kind: platform.ChangeCrashRequest, Expiry: suspect.DefaultConfig().Expiry})
 	}
 	return &Watcher{config: c, hosts: map[string]platform.Peer{}, follower: newFollower(c)}
 }
 
-// Run watches the store and maintains this host's entry and those of refused parts until the
-// context ends.
+// Run watches the store and maintains this host's entry and those of refused parts and requests
+// until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { w.watchLoop(ctx); return nil })
 	g.Go(func() error { w.maintainEntry(ctx); return nil })
 	g.Go(func() error { w.config.Parts.run(ctx); return nil })
+	g.Go(func() error { w.config.Requests.run(ctx); return nil })
 	return g.Wait()
 }
 
@@ -164,6 +169,7 @@
 	sent := bootclock.Now()
 	clear(w.hosts)
 	w.config.Parts.reset()
+	w.config.Requests.reset()
 	var list []platform.Change
 	var items []platform.Item
 	var firstRevision int64
@@ -239,6 +245,7 @@
 func (w *Watcher) watch(ctx context.Context, after int64) (int64, error) {
 	sent := bootclock.Now()
 	w.config.Parts.removeExpired(sent)
+	w.config.Requests.removeExpired(sent)
 	wait := w.watchWait(sent)
 	page, err := w.config.Store.Watch(ctx, platform.WatchPrefix, after, wait)
 	if err != nil {
@@ -276,8 +283,11 @@
 			c.Deleted = true
 		}
 		w.updateHosts(c)
-		if c.Kind == platform.ChangeCrashPart {
+		switch c.Kind {
+		case platform.ChangeCrashPart:
 			w.config.Parts.observe(c)
+		case platform.ChangeCrashRequest:
+			w.config.Requests.observe(c)
 		}
 		list = append(list, c)
 	}
