--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -125,7 +125,7 @@
 	if _, err := c.Write(wire.Bytes()); err != nil {
 		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
 		if readErr != nil {
-			return nil, fmt.Errorf("write request: %w (no early response: %v)", err, readErr)
+			return nil, errors.Join(err, readErr)
 		}
 		resp.Close = true
 		return resp, nil
