edge: send nothing new to a replica that says that it leaves

The directory remembers the process that said so, by ID, address and start time: until that process is gone, whatever its entry says, also if the entry disappears in an outage and returns. At most 4,096 processes are remembered. The header counts in every response that belongs to its request, from its head on, and in responses to memory orders; a 421 comes from another replica and tells nothing. Requests that wait are placed elsewhere, and refused if no replica is left.

TestReplicaSaysThatItLeaves and TestHelperSaysThatItLeaves fail without the calls of RecordLeaving.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -58,6 +58,15 @@
 	return p
 }
 
+// process identifies one start of a replica. IDs and addresses are used again.
+type process struct {
+	id, address string
+	startUnixMs int64
+}
+
+// maxLeaving is the maximum number of processes that are remembered as leaving.
+const maxLeaving = 4096
+
 type entry struct {
 	replica Replica
 	// missing is set while the entry has disappeared from the store; the
@@ -68,9 +77,12 @@
 
 // Table is the list of known replicas. It is owned by the control goroutine.
 type Table struct {
-	policy     Policy
-	entries    map[string]entry
-	evacuated  map[string]bool
+	policy    Policy
+	entries   map[string]entry
+	evacuated map[string]bool
+	// leaving holds the processes that have said that they leave, and when. It is kept when
+	// their entries disappear, since an outage of the store may bring these back.
+	leaving    map[process]time.Duration
 	hadOutage  bool
 	lastOutage time.Duration
 	// usable caches the result of Usable by service. It is valid until the table changes
@@ -97,7 +109,7 @@
 
 // New returns an empty table.
 func New(p Policy) *Table {
-	return &Table{policy: p, entries: map[string]entry{}, evacuated: map[string]bool{}, usable: map[string][]Replica{}}
+	return &Table{policy: p, entries: map[string]entry{}, evacuated: map[string]bool{}, leaving: map[process]time.Duration{}, usable: map[string][]Replica{}}
 }
 
 // Put adds or updates a replica and reports whether the ID was unknown or belonged
@@ -156,6 +168,37 @@
 // learns changes from.
 func (t *Table) RecordOutage(now time.Duration) { t.hadOutage, t.lastOutage = true, now }
 
+// MarkLeaving records that a process has said that it leaves, and reports whether that is new. It
+// gets no new requests, whatever its entry says.
+func (t *Table) MarkLeaving(now time.Duration, id, address string, startUnixMs int64) bool {
+	p := process{id, address, startUnixMs}
+	if _, ok := t.leaving[p]; ok {
+		return false
+	}
+	if len(t.leaving) >= maxLeaving {
+		t.forgetOldestLeaving()
+	}
+	t.leaving[p] = now
+	t.invalidate()
+	return true
+}
+
+func (t *Table) forgetOldestLeaving() {
+	var oldest process
+	first := true
+	for p, at := range t.leaving {
+		if first || at < t.leaving[oldest] {
+			oldest, first = p, false
+		}
+	}
+	delete(t.leaving, oldest)
+}
+
+func (t *Table) isLeaving(r Replica) bool {
+	_, ok := t.leaving[process{r.ID, r.Address, r.StartUnixMs}]
+	return ok
+}
+
 // SetEvacuated sets or clears the evacuation of a zone.
 func (t *Table) SetEvacuated(zone string, evacuated bool) {
 	t.invalidate()
@@ -234,7 +277,7 @@
 		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(b.StartUnixMs, a.StartUnixMs), cmp.Compare(a.ID, b.ID))
 	})
 	list = slices.CompactFunc(list, func(a, b Replica) bool { return a.Address == b.Address })
-	list = slices.DeleteFunc(list, func(r Replica) bool { return r.Draining || t.evacuated[r.Zone] })
+	list = slices.DeleteFunc(list, func(r Replica) bool { return r.Draining || t.evacuated[r.Zone] || t.isLeaving(r) })
 	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/coord/directory/directory_test.go
+++ b/coord/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,6 +27,55 @@
 	return table
 }
 
+// Guards against requests to a process that has said that it leaves, and against a process that
+// is taken for it because it uses its ID or its address.
+func TestLeavingProcess(t *testing.T) {
+	a := Replica{ID: "a", Service: "m", Address: "10.0.0.1:1", Zone: "z1", StartUnixMs: 1}
+	leave := func() *Table {
+		table := newTable()
+		table.Put(a)
+		if !table.MarkLeaving(time.Second, "a", "10.0.0.1:1", 1) || table.MarkLeaving(time.Second, "a", "10.0.0.1:1", 1) {
+			t.Error("the first word is not new, or the second one is")
+		}
+		checkUsable(t, table, time.Second, "b")
+		return table
+	}
+	t.Run("older or repeated entry", func(t *testing.T) {
+		table := leave()
+		table.Put(a)
+		checkUsable(t, table, 2*time.Second, "b")
+	})
+	t.Run("entry returns after an outage", func(t *testing.T) {
+		table := leave()
+		table.Remove(2*time.Second, 2*time.Second, "a")
+		table.Put(a)
+		checkUsable(t, table, 3*time.Second, "b")
+	})
+	t.Run("new process with the same ID", func(t *testing.T) {
+		table := leave()
+		restarted := a
+		restarted.StartUnixMs = 2
+		table.Put(restarted)
+		checkUsable(t, table, 2*time.Second, "a", "b")
+	})
+	t.Run("another replica at the address", func(t *testing.T) {
+		table := leave()
+		other := a
+		other.ID, other.StartUnixMs = "other", 2
+		table.Put(other)
+		checkUsable(t, table, 2*time.Second, "b", "other")
+	})
+	t.Run("many processes", func(t *testing.T) {
+		table := leave()
+		for i := range maxLeaving + 10 {
+			table.MarkLeaving(time.Duration(2+i)*time.Second, fmt.Sprint(i), "10.0.0.9:1", 1)
+		}
+		if n := len(table.leaving); n != maxLeaving {
+			t.Errorf("%d processes remembered, want %d", n, maxLeaving)
+		}
+	})
+}
+
 func TestUsable(t *testing.T) {
 	t.Run("draining", func(t *testing.T) {
 		// Guards against new requests to a leaving replica.
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -28,6 +28,9 @@
 // handleResponse reads a replica's response. It passes the response on to the caller unless
 // it is a rejection, is incomplete or invalid, or has a status of 500 or above.
 func (q *request) handleResponse(ctx context.Context, assignment control.Assignment, resp *replica.Response) outcome {
+	if resp.Info.Leaving && !resp.Info.WrongReplica {
+		q.server.config.Loop.RecordLeaving(assignment.Target, q.headers.AttemptID)
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	// A 400 from a replica refers to the caller's request, unless helpers were sent with
 	// it: then it may refer to the helpers.
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -231,6 +231,10 @@
 // RecordAnswerBegun records that the first event of a stream has arrived.
 func (l *Loop) RecordAnswerBegun(a Assignment) { l.messages <- answerBegun{a.ID, a.Target} }
 
+// RecordLeaving records that a replica has said in a response that it leaves. It gets no new
+// requests from this host.
+func (l *Loop) RecordLeaving(t Target, requestID string) { l.messages <- replicaLeaving{t, requestID} }
+
 // RecordSendEnd records the end of a send of the request with the given fingerprint.
 func (l *Loop) RecordSendEnd(a Assignment, r SendResult, f suspect.Fingerprint) {
 	l.messages <- sendEnded{assignmentID: a.ID, target: a.Target, result: r, fingerprint: f}
@@ -301,6 +305,10 @@
 		if l.ledger.MarkPrefillDone(m.assignmentID) {
 			l.scheduleReport(reportNow)
 		}
+	case replicaLeaving:
+		if l.directory.MarkLeaving(now, m.target.ID, m.target.Address, m.target.StartUnixMs) {
+			klog.V(1).InfoS("replica is leaving", "replica", m.target.ID, "address", m.target.Address, "request_id", m.requestID)
+		}
 	case answerBegun:
 		l.handleAnswerBegun(now, m)
 	case sendEnded:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -138,6 +138,12 @@
 	Finished bool
 }
 
+// replicaLeaving reports that a replica has said in a response that it leaves.
+type replicaLeaving struct {
+	target    Target
+	requestID string
+}
+
 // sendEnded reports the end of a send.
 type sendEnded struct {
 	assignmentID uint64
@@ -181,6 +187,7 @@
 
 func (placementMessage) isMessage()  {}
 func (usableQuestion) isMessage()    {}
+func (replicaLeaving) isMessage()    {}
 func (responseStarted) isMessage()   {}
 func (answerBegun) isMessage()       {}
 func (sendEnded) isMessage()         {}
--- a/edge/operators_test.go
+++ b/edge/operators_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/edge/control"
 	"siskinstand.example/fakes/platform"
 )
 
@@ -94,6 +95,56 @@
 	s.eventually("no replica is left", func() bool { return s.send(platform.PlainCall("idempotent")).Status == http.StatusServiceUnavailable })
 }
 
+func TestReplicaSaysThatItLeaves(t *testing.T) {
+	// Guards against requests to a replica that has said in a response that it leaves. Its entry does not show it.
+	answers := map[string]struct {
+		service string
+		events  int
+		call    platform.Call
+		mode    platform.ResponseMode
+	}{
+		"call":    {"app", 0, platform.PlainCall("idempotent"), platform.ResponseComplete},
+		"stream":  {"llm", 100, streamCall(), platform.ResponseComplete},
+		"error":   {"app", 0, platform.PlainCall("idempotent"), platform.ResponseServerError},
+		"refusal": {"app", 0, platform.PlainCall("idempotent"), platform.ResponseAtCapacity},
+	}
+	for name, tc := range answers {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t)
+			r := s.addReplica("i-1", tc.service, "z1", tc.events)
+			r.SetResponseMode(tc.mode)
+			r.SetLeaving(true)
+			done := make(chan platform.Reply, 1)
+			go func() { done <- s.send(tc.call) }()
+			// A stream of 100 events takes 0.5 s; the head says that the replica leaves.
+			s.eventually("the replica is not used", func() bool {
+				usable, err := s.edge.loop.IsUsable(t.Context(), tc.service, control.Target{ID: "i-1", Address: r.Address(), StartUnixMs: 1700000000000})
+				return err == nil && !usable
+			})
+			if tc.events > 0 {
+				select {
+				case <-done:
+					t.Error("the stream had ended before its head was considered")
+				default:
+				}
+			}
+			first := <-done
+			if tc.mode == platform.ResponseComplete && first.Status != http.StatusOK {
+				t.Errorf("response %d of the replica that leaves, want it passed on", first.Status)
+			}
+			before := s.runCount("i-1")
+			s.store.Put(platform.ReplicaPrefix+"i-1", r.StoreEntry("ready"))
+			time.Sleep(100 * time.Millisecond)
+			s.checkVerdict(s.send(tc.call), http.StatusServiceUnavailable, "not_run")
+			if n := s.runCount("i-1"); n != before {
+				t.Errorf("%d requests ran at the replica after it had said that it leaves", n-before)
+			}
+			s.addReplica("i-2", tc.service, "z1", 1)
+			s.eventually("the other replica serves", func() bool { return s.send(tc.call).Status == http.StatusOK })
+		})
+	}
+}
+
 func TestForgedEntries(t *testing.T) {
 	// Guards against invalid entries of other writers that are used as a replica or block the valid ones, and against
 	// an invalid configuration that replaces a valid one.
--- a/edge/replica/reserve.go
+++ b/edge/replica/reserve.go
@@ -29,6 +29,8 @@
 type ReservationTarget struct {
 	ID, Address string
 	Tokens      int
+	// OnLeaving is called when the replica says in a response that it leaves. It may be nil.
+	OnLeaving func()
 }
 
 // Reservation is memory reserved at replicas for one request.
@@ -64,7 +66,7 @@
 			if err != nil {
 				return err
 			}
-			return r.pool.sendOrder(ctx, target.Address, order)
+			return r.pool.sendOrder(ctx, target, order)
 		})
 	}
 	return g.Wait()
@@ -99,7 +101,7 @@
 	for _, target := range r.targets {
 		order, err := platform.NewReleaseOrder(target.ID, r.id)
 		if err == nil {
-			err = r.pool.sendOrder(context.Background(), target.Address, order)
+			err = r.pool.sendOrder(context.Background(), target, order)
 		}
 		if err != nil {
 			// The reservation expires without a renewal.
@@ -109,14 +111,17 @@
 }
 
 // sendOrder sends a reserve or release order to a replica.
-func (p *Pool) sendOrder(ctx context.Context, address string, order platform.OrderRequest) error {
+func (p *Pool) sendOrder(ctx context.Context, target ReservationTarget, order platform.OrderRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	resp, err := p.Do(ctx, Request{Address: address, Method: order.Method, Target: order.Path, Host: address, Headers: order.Headers, Body: order.Body})
+	resp, err := p.Do(ctx, Request{Address: target.Address, Method: order.Method, Target: order.Path, Host: target.Address, Headers: order.Headers, Body: order.Body})
 	if err != nil {
 		return err
 	}
 	defer resp.Close()
+	if resp.Info.Leaving && !resp.Info.WrongReplica && target.OnLeaving != nil {
+		target.OnLeaving()
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes)); err != nil {
 		return eris.Wrap(err, "read response to memory order")
 	}
--- a/edge/serving_test.go
+++ b/edge/serving_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/edge/control"
 	"siskinstand.example/fakes/platform"
 )
 
@@ -232,6 +233,32 @@
 	}
 }
 
+// Guards against prompts to a helper that has said in the response to a reservation that it
+// leaves.
+func TestHelperSaysThatItLeaves(t *testing.T) {
+	s := newTestSite(t)
+	ids := []string{"i-1", "i-2", "i-3"}
+	for _, id := range ids {
+		s.addReplica(id, "llm", "z1", 3).SetLeaving(true)
+	}
+	c := streamCall()
+	c.Header["Token-Counts"] = "500000,100"
+	s.checkReply(s.send(c), http.StatusOK, "")
+	usable := 0
+	for _, id := range ids {
+		ok, err := s.edge.loop.IsUsable(t.Context(), "llm", control.Target{ID: id, Address: s.replicas[id].Address(), StartUnixMs: 1700000000000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ok {
+			usable++
+		}
+	}
+	if usable != 1 {
+		t.Errorf("%d replicas usable, want the one that got neither the prompt nor a reservation", usable)
+	}
+}
+
 func TestBadContinuation(t *testing.T) {
 	// Guards against continuing a stream with a response that is not a stream or that starts from the beginning: its
 	// bytes would be appended to the first events.
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -87,6 +87,7 @@
 	orders             []string
 	longestReservation time.Duration
 	reservationDelay   time.Duration
+	isLeaving          bool
 	// refusals counts the connections of ResponseRepeatedRefusal.
 	refusals int
 	crashed  bool
@@ -165,6 +166,13 @@
 	return r.longestReservation
 }
 
+// SetLeaving makes the replica say in all its responses that it leaves.
+func (r *Replica) SetLeaving(isLeaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isLeaving = isLeaving
+}
+
 // SetReservationDelay delays the responses to orders that reserve memory.
 func (r *Replica) SetReservationDelay(d time.Duration) {
 	r.mu.Lock()
@@ -193,6 +201,12 @@
 	if id := q.Header.Get("Attempt-Id"); id != "" {
 		w.Header().Set("Attempt-Id", id)
 	}
+	r.mu.Lock()
+	isLeaving := r.isLeaving
+	r.mu.Unlock()
+	if isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := q.Header.Get("Expect-Replica"); expected != "" && expected != r.config.ID {
 		w.Header().Set("Replica-Id", r.config.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
