edge: send nothing to a replica during a pause that it asks for

If all replicas of a service pause, callers get 503 at once with the time until the first of them may be used.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -82,11 +83,14 @@
 	evacuated map[string]bool
 	// leaving holds the processes that have said that they leave, and when. It is kept when
 	// their entries disappear, since an outage of the store may bring these back.
-	leaving    map[process]time.Duration
+	leaving map[process]time.Duration
+	// paused holds until when processes want no requests from this host.
+	paused     map[process]time.Duration
 	hadOutage  bool
 	lastOutage time.Duration
 	// usable caches the result of Usable by service. It is valid until the table changes
-	// or, if usableUntil is not 0, until the expiry of a missing entry at usableUntil.
+	// or, if usableUntil is not 0, until the expiry of a missing entry or the end of a pause
+	// at usableUntil.
 	usable      map[string][]Replica
 	usableUntil time.Duration
 	version     uint64
@@ -109,7 +113,7 @@
 
 // New returns an empty table.
 func New(p Policy) *Table {
-	return &Table{policy: p, entries: map[string]entry{}, evacuated: map[string]bool{}, leaving: map[process]time.Duration{}, usable: map[string][]Replica{}}
+	return &Table{policy: p, entries: map[string]entry{}, evacuated: map[string]bool{}, leaving: map[process]time.Duration{}, paused: map[process]time.Duration{}, usable: map[string][]Replica{}}
 }
 
 // Put adds or updates a replica and reports whether the ID was unknown or belonged
@@ -194,6 +198,48 @@
 	delete(t.leaving, oldest)
 }
 
+// Pause records that a process wants no requests from this host until the given time. An earlier
+// end does not shorten a pause.
+func (t *Table) Pause(now, until time.Duration, id, address string, startUnixMs int64) {
+	p := process{id, address, startUnixMs}
+	if until <= max(now, t.paused[p]) {
+		return
+	}
+	maps.DeleteFunc(t.paused, func(_ process, end time.Duration) bool { return now >= end })
+	t.paused[p] = until
+	t.invalidate()
+}
+
+// PauseLeft returns the time until the first replica of a service that is paused, and could be
+// used otherwise, may be used again, or 0 if there is none.
+func (t *Table) PauseLeft(now time.Duration, service string) time.Duration {
+	var first time.Duration
+	for _, e := range t.entries {
+		r := e.replica
+		end, ok := t.paused[process{r.ID, r.Address, r.StartUnixMs}]
+		if !ok || now >= end || r.Service != service || r.Draining || e.missing || t.evacuated[r.Zone] || t.isLeaving(r) {
+			continue
+		}
+		if left := end - now; first == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
+// isPaused reports whether a replica wants no requests now. It lets the cached lists expire at
+// the end of the pause.
+func (t *Table) isPaused(now time.Duration, r Replica) bool {
+	end, ok := t.paused[process{r.ID, r.Address, r.StartUnixMs}]
+	if !ok || now >= end {
+		return false
+	}
+	if t.usableUntil == 0 || end < t.usableUntil {
+		t.usableUntil = end
+	}
+	return true
+}
+
 func (t *Table) isLeaving(r Replica) bool {
 	_, ok := t.leaving[process{r.ID, r.Address, r.StartUnixMs}]
 	return ok
@@ -277,7 +323,7 @@
 		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(b.StartUnixMs, a.StartUnixMs), cmp.Compare(a.ID, b.ID))
 	})
 	list = slices.CompactFunc(list, func(a, b Replica) bool { return a.Address == b.Address })
-	list = slices.DeleteFunc(list, func(r Replica) bool { return r.Draining || t.evacuated[r.Zone] || t.isLeaving(r) })
+	list = slices.DeleteFunc(list, func(r Replica) bool { return r.Draining || t.evacuated[r.Zone] || t.isLeaving(r) || t.isPaused(now, r) })
 	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/coord/directory/directory_test.go
+++ b/coord/directory/directory_test.go
@@ -76,6 +76,28 @@
 	})
 }
 
+// Guards against requests to a process during a pause that it has asked for, and against a pause
+// without an end.
+func TestPause(t *testing.T) {
+	table := newTable()
+	pause := func(now, until time.Duration) { table.Pause(now, until, "a", "10.0.0.1:1", 0) }
+	pause(time.Second, 3*time.Second)
+	pause(1500*time.Millisecond, 2*time.Second) // a shorter one
+	checkUsable(t, table, 2*time.Second, "b")
+	table.Put(Replica{ID: "a", Service: "m", Address: "10.0.0.1:1", Zone: "z1"})
+	checkUsable(t, table, 2900*time.Millisecond, "b")
+	if left := table.PauseLeft(2*time.Second, "m"); left != time.Second {
+		t.Errorf("pause left = %v, want 1s", left)
+	}
+	checkUsable(t, table, 3*time.Second, "a", "b")
+	if left := table.PauseLeft(3*time.Second, "m"); left != 0 {
+		t.Errorf("pause left at its end = %v, want 0", left)
+	}
+	pause(4*time.Second, 10*time.Second)
+	table.Put(Replica{ID: "a", Service: "m", Address: "10.0.0.1:1", Zone: "z1", StartUnixMs: 2})
+	checkUsable(t, table, 5*time.Second, "a", "b")
+}
+
 func TestUsable(t *testing.T) {
 	t.Run("draining", func(t *testing.T) {
 		// Guards against new requests to a leaving replica.
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -31,6 +31,9 @@
 	if resp.Info.Leaving && !resp.Info.WrongReplica {
 		q.server.config.Loop.RecordLeaving(assignment.Target, q.headers.AttemptID)
 	}
+	if resp.Info.Pause > 0 {
+		q.server.config.Loop.RecordPause(assignment.Target, resp.Info.Pause, q.headers.AttemptID)
+	}
 	success := resp.Status >= 200 && resp.Status < 300
 	// A 400 from a replica refers to the caller's request, unless helpers were sent with
 	// it: then it may refer to the helpers.
@@ -88,7 +91,7 @@
 func (q *request) rejectedOutcome(assignment control.Assignment, resp *replica.Response) outcome {
 	// The body must be read before the connection can be reused.
 	_, err := io.Copy(io.Discard, io.LimitReader(resp, q.server.config.MaxAnswerBytes))
-	e := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the replica answered %d without running", resp.Status).WithRetryAfter(q.route.Objective)
+	e := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the replica answered %d without running", resp.Status).WithRetryAfter(max(q.route.Objective, min(resp.Info.Pause, q.timeLeft(bootclock.Now())/3)))
 	if err != nil {
 		e = e.WithCause(err)
 	}
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -249,7 +249,12 @@
 	for i, h := range assignment.Helpers {
 		if tokens := assignment.HelperReservations[h.ID]; tokens > 0 {
 			helpers[i].ReservationID = reservationID
-			targets = append(targets, replica.ReservationTarget{ID: h.ID, Address: h.Address, Tokens: tokens, OnLeaving: func() { q.server.config.Loop.RecordLeaving(h, q.headers.AttemptID) }})
+			loop := q.server.config.Loop
+			targets = append(targets, replica.ReservationTarget{
+				ID: h.ID, Address: h.Address, Tokens: tokens,
+				OnLeaving: func() { loop.RecordLeaving(h, q.headers.AttemptID) },
+				OnPause:   func(d time.Duration) { loop.RecordPause(h, d, q.headers.AttemptID) },
+			})
 		}
 	}
 	return q.server.config.Pool.Reserve(ctx, reservationID, targets)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -235,6 +235,11 @@
 // requests from this host.
 func (l *Loop) RecordLeaving(t Target, requestID string) { l.messages <- replicaLeaving{t, requestID} }
 
+// RecordPause records that a replica wants no requests from this host for the given time.
+func (l *Loop) RecordPause(t Target, length time.Duration, requestID string) {
+	l.messages <- replicaPaused{t, length, requestID}
+}
+
 // RecordSendEnd records the end of a send of the request with the given fingerprint.
 func (l *Loop) RecordSendEnd(a Assignment, r SendResult, f suspect.Fingerprint) {
 	l.messages <- sendEnded{assignmentID: a.ID, target: a.Target, result: r, fingerprint: f}
@@ -309,6 +314,9 @@
 		if l.directory.MarkLeaving(now, m.target.ID, m.target.Address, m.target.StartUnixMs) {
 			klog.V(1).InfoS("replica is leaving", "replica", m.target.ID, "address", m.target.Address, "request_id", m.requestID)
 		}
+	case replicaPaused:
+		l.directory.Pause(now, now+m.length, m.target.ID, m.target.Address, m.target.StartUnixMs)
+		klog.V(1).InfoS("replica asks for a pause", "replica", m.target.ID, "pause_ms", m.length.Milliseconds(), "request_id", m.requestID)
 	case answerBegun:
 		l.handleAnswerBegun(now, m)
 	case sendEnded:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -144,6 +144,13 @@
 	requestID string
 }
 
+// replicaPaused reports that a replica wants no requests from this host for a while.
+type replicaPaused struct {
+	target    Target
+	length    time.Duration
+	requestID string
+}
+
 // sendEnded reports the end of a send.
 type sendEnded struct {
 	assignmentID uint64
@@ -188,6 +195,7 @@
 func (placementMessage) isMessage()  {}
 func (usableQuestion) isMessage()    {}
 func (replicaLeaving) isMessage()    {}
+func (replicaPaused) isMessage()     {}
 func (responseStarted) isMessage()   {}
 func (answerBegun) isMessage()       {}
 func (sendEnded) isMessage()         {}
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -38,7 +38,7 @@
 	}
 	candidates := l.candidates(now, req)
 	if len(candidates) == 0 {
-		return decision{refusal: Refusal{Reason: RefusedNoReplica, RetryAfter: noReplicaRetryAfter}}
+		return decision{refusal: Refusal{Reason: RefusedNoReplica, RetryAfter: max(noReplicaRetryAfter, l.directory.PauseLeft(now, req.Service.Name))}}
 	}
 	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
--- a/edge/operators_test.go
+++ b/edge/operators_test.go
@@ -145,6 +145,33 @@
 	}
 }
 
+func TestReplicaAsksForPause(t *testing.T) {
+	// Guards against requests to a replica that has asked for a pause, which reach it until the end of the pause, and
+	// against a replica that is not used afterwards.
+	s := newTestSite(t)
+	r := s.addReplica("i-1", "app", "z1", 0)
+	r.SetResponseMode(platform.ResponseAtCapacity)
+	r.SetPause("1.2")
+	s.eventually("a request is refused", func() bool { s.send(platform.PlainCall("idempotent")); return len(r.Refusals()) > 0 })
+	began := r.Refusals()[0]
+	r.SetResponseMode(platform.ResponseComplete)
+	for time.Since(began) < time.Second {
+		reply := s.send(platform.PlainCall("non_idempotent"))
+		s.checkVerdict(reply, http.StatusServiceUnavailable, "not_run")
+		if wait := reply.Header.Get("Retry-After"); wait == "" {
+			t.Error("a refusal during the pause has no Retry-After")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if n := len(r.Runs()); n > 0 {
+		t.Errorf("%d requests reached the replica during its pause", n)
+	}
+	s.eventually("the replica is used again", func() bool { return s.send(platform.PlainCall("idempotent")).Status == http.StatusOK })
+	if d := time.Since(began); d < 1200*time.Millisecond {
+		t.Errorf("used again after %v, want 1.2s", d)
+	}
+}
+
 func TestForgedEntries(t *testing.T) {
 	// Guards against invalid entries of other writers that are used as a replica or block the valid ones, and against
 	// an invalid configuration that replaces a valid one.
--- a/edge/replica/reserve.go
+++ b/edge/replica/reserve.go
@@ -29,8 +29,10 @@
 type ReservationTarget struct {
 	ID, Address string
 	Tokens      int
-	// OnLeaving is called when the replica says in a response that it leaves. It may be nil.
+	// OnLeaving is called when the replica says in a response that it leaves, and OnPause when
+	// it wants no requests for a while. They may be nil.
 	OnLeaving func()
+	OnPause   func(time.Duration)
 }
 
 // Reservation is memory reserved at replicas for one request.
@@ -122,6 +124,9 @@
 	if resp.Info.Leaving && !resp.Info.WrongReplica && target.OnLeaving != nil {
 		target.OnLeaving()
 	}
+	if resp.Info.Pause > 0 && target.OnPause != nil {
+		target.OnPause(resp.Info.Pause)
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes)); err != nil {
 		return eris.Wrap(err, "read response to memory order")
 	}
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -88,6 +88,8 @@
 	longestReservation time.Duration
 	reservationDelay   time.Duration
 	isLeaving          bool
+	pause              string
+	refusedAt          []time.Time
 	// refusals counts the connections of ResponseRepeatedRefusal.
 	refusals int
 	crashed  bool
@@ -173,6 +175,20 @@
 	r.isLeaving = isLeaving
 }
 
+// SetPause sets the Retry-After header of refusals; see ResponseAtCapacity.
+func (r *Replica) SetPause(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pause = retryAfter
+}
+
+// Refusals returns when the replica has refused requests.
+func (r *Replica) Refusals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.refusedAt...)
+}
+
 // SetReservationDelay delays the responses to orders that reserve memory.
 func (r *Replica) SetReservationDelay(d time.Duration) {
 	r.mu.Lock()
@@ -220,6 +236,12 @@
 	mode := r.mode
 	r.mu.Unlock()
 	if mode == ResponseAtCapacity {
+		r.mu.Lock()
+		r.refusedAt = append(r.refusedAt, time.Now())
+		if r.pause != "" {
+			w.Header().Set("Retry-After", r.pause)
+		}
+		r.mu.Unlock()
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
