edge: play replicas that say that they leave or ask for a pause in the soak

A replica says in its answers that it leaves, while its entry stays for 2 to 3 s: hosts that have passed such an answer on must send it nothing 2 s later. Refusals carry Retry-After, valid or not.

--- a/edge/soak_checks_test.go
+++ b/edge/soak_checks_test.go
@@ -50,8 +50,16 @@
 	drained map[string]time.Time
 	// removed holds when the entry of a replica was removed while a host was cut off from the
 	// store and nothing else was disturbed.
-	removed   map[string]time.Time
-	evacuated map[string][]timeSpan
+	removed map[string]time.Time
+	// toldLeaving holds when a host first passed on an answer of a replica that says that it
+	// leaves.
+	toldLeaving map[hostAndReplica]time.Time
+	evacuated   map[string][]timeSpan
+}
+
+type hostAndReplica struct {
+	host    int
+	replica string
 }
 
 // forever is the end of a timeSpan that is still open.
@@ -146,10 +154,11 @@
 	for _, r := range h.runs {
 		runs[r.Body] = append(runs[r.Body], r)
 	}
+	h.findLeavingReplicas()
 	served, expected, retries := 0, 0, 0
 	for _, r := range h.results {
 		mine := runs[r.call.Body]
-		for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica} {
+		for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
 			if problem := check(r, mine); problem != "" {
 				list = append(list, fmt.Sprintf("%s %s: %s at edge-%d, %s, key %q: %d %.200q (%v) after %v, %d runs, reused: %t",
 					r.call.Path, r.reply.AttemptID, problem, r.host, r.from.Format("15:04:05.000"), r.call.APIKey, r.reply.Status, r.reply.Body, r.reply.Err, r.to.Sub(r.from), len(mine), r.reply.Reused))
@@ -301,6 +310,35 @@
 	return ""
 }
 
+// findLeavingReplicas derives toldLeaving from the results.
+func (h *soakHistory) findLeavingReplicas() {
+	if h.toldLeaving == nil {
+		h.toldLeaving = map[hostAndReplica]time.Time{}
+	}
+	for _, r := range h.results {
+		if r.reply.Err != nil || r.reply.Header.Get("Server-Leaving") == "" {
+			continue
+		}
+		key := hostAndReplica{r.host, strings.TrimPrefix(r.reply.Header.Get("Replica-Stamp"), "stamp.")}
+		if at, ok := h.toldLeaving[key]; !ok || r.to.Before(at) {
+			h.toldLeaving[key] = r.to
+		}
+	}
+}
+
+// lateAtLeavingReplica reports a run at a replica later than the drain time after the host had
+// passed on that it leaves, unless the host was paused or restarted since then.
+func (h *soakHistory) lateAtLeavingReplica(r callResult, runs []soakRun) string {
+	for _, run := range runs {
+		at, ok := h.toldLeaving[hostAndReplica{r.host, run.replica}]
+		since := timeSpan{at, r.to}
+		if ok && r.from.After(at.Add(drainTime)) && !slices.ContainsFunc(h.disturbed[r.host], since.overlaps) {
+			return "a replica ran the request after it had said that it leaves"
+		}
+	}
+	return ""
+}
+
 func TestSoakChecksFire(t *testing.T) {
 	// Guards against a soak that passes because its checks detect nothing.
 	start := time.Now()
@@ -316,13 +354,14 @@
 	unstamped.Header = http.Header{}
 	cut := reply(0, "")
 	cut.Err = fmt.Errorf("connection closed")
-	ran := func(ms ...int) []soakRun {
+	ranAt := func(replica string, ms ...int) []soakRun {
 		var runs []soakRun
 		for _, m := range ms {
-			runs = append(runs, soakRun{"i-app-1", "z1", platform.Run{StartedAt: at(m)}})
+			runs = append(runs, soakRun{replica, "z1", platform.Run{StartedAt: at(m)}})
 		}
 		return runs
 	}
+	ran := func(ms ...int) []soakRun { return ranAt("i-app-1", ms...) }
 	tests := map[string]struct {
 		result callResult
 		runs   []soakRun
@@ -344,6 +383,8 @@
 		"evacuated":       {callResult{call: call, timeSpan: timeSpan{at(7100), at(7200)}, reply: whole}, ran(7150), "a replica ran the request long after the evacuation of its availability zone"},
 		"removed":         {callResult{call: call, timeSpan: timeSpan{at(11_100), at(11_200)}, reply: whole}, ran(11_150), "a replica ran the request later than the drain time after its entry was removed"},
 		"removed, cut":    {callResult{call: call, host: 2, timeSpan: timeSpan{at(11_100), at(11_200)}, reply: whole}, ran(11_150), ""},
+		"leaving":         {callResult{call: call, host: 3, timeSpan: timeSpan{at(15_100), at(15_200)}, reply: whole}, ranAt("i-app-2", 15_150), "a replica ran the request after it had said that it leaves"},
+		"leaving, other":  {callResult{call: call, host: 4, timeSpan: timeSpan{at(15_100), at(15_200)}, reply: whole}, ranAt("i-app-2", 15_150), ""},
 		"drained":         {callResult{call: call, timeSpan: timeSpan{at(7900), at(7990)}, reply: whole}, ran(7950), "a replica ran the request long after the start of its drain"},
 	}
 	for name, tc := range tests {
@@ -357,10 +398,11 @@
 			h := soakHistory{
 				revoked: []timeSpan{{at(1000), at(3000)}}, plannedPhases: []timeSpan{{at(5000), at(8000)}}, drained: map[string]time.Time{"i-app-1": at(6900)},
 				evacuated: map[string][]timeSpan{"z1": {{at(5500), at(7500)}}}, disturbed: map[int][]timeSpan{1: {{at(0), at(100)}}, 2: {{at(9000), at(12_000)}}},
-				removed: map[string]time.Time{"i-app-1": at(9100)},
+				removed:     map[string]time.Time{"i-app-1": at(9100)},
+				toldLeaving: map[hostAndReplica]time.Time{{3, "i-app-2"}: at(13_000), {4, "i-llm-9"}: at(13_000)},
 			}
 			got := ""
-			for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica} {
+			for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
 				got += check(tc.result, tc.runs)
 			}
 			if diff := cmp.Diff(tc.want, got); diff != "" {
--- a/edge/soak_faults_test.go
+++ b/edge/soak_faults_test.go
@@ -55,6 +55,7 @@
 	switch s.random.IntN(14) {
 	case 0, 1:
 		responseMode, r := randomItem(s.random, soakResponseModes), s.randomReplica()
+		r.SetPause(randomItem(s.random, []string{"", "0.5", "1", "soon"}))
 		r.SetResponseMode(responseMode)
 		s.undoLater(func() {
 			if responseMode == platform.ResponseHang {
@@ -167,7 +168,7 @@
 // plannedChange makes a random change that operators make in normal operation, and returns
 // its description.
 func (s *soak) plannedChange() string {
-	switch s.random.IntN(6) {
+	switch s.random.IntN(7) {
 	case 0:
 		s.setKeys(s.random.IntN(2) == 0)
 		return fmt.Sprintf("configuration with keys %v", s.keys)
@@ -201,6 +202,16 @@
 		e := randomItem(s.random, s.hosts)
 		e.reloadSettings()
 		return e.name + " gets SIGHUP"
+	case 5:
+		r := s.randomReplica()
+		service, _, _ := strings.Cut(strings.TrimPrefix(r.ID(), "i-"), "-")
+		r.SetLeaving(true)
+		s.startReplica(service, nil)
+		s.undoLater(func() {
+			time.Sleep(drainTime)
+			s.store.Delete(platform.ReplicaPrefix + r.ID())
+		})
+		return r.ID() + " says that it leaves"
 	}
 	s.configure()
 	return "configuration"
