edge: gauges of replicas that leave or pause

An operator sees how many replicas this host leaves out because of their own word: siskin_edge_leaving_replicas and siskin_edge_paused_replicas, checked in TestPause through the counts behind them.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -227,6 +227,23 @@
 	return first
 }
 
+// CountWithdrawn returns the numbers of replicas that have said that they leave and of those in a
+// pause.
+func (t *Table) CountWithdrawn(now time.Duration) (leaving, paused int) {
+	if len(t.leaving)+len(t.paused) == 0 {
+		return 0, 0
+	}
+	for _, e := range t.entries {
+		switch {
+		case t.isLeaving(e.replica):
+			leaving++
+		case t.isPaused(now, e.replica):
+			paused++
+		}
+	}
+	return leaving, paused
+}
+
 // isPaused reports whether a replica wants no requests now. It lets the cached lists expire at
 // the end of the pause.
 func (t *Table) isPaused(now time.Duration, r Replica) bool {
--- a/coord/directory/directory_test.go
+++ b/coord/directory/directory_test.go
@@ -86,6 +86,11 @@
 	checkUsable(t, table, 2*time.Second, "b")
 	table.Put(Replica{ID: "a", Service: "m", Address: "10.0.0.1:1", Zone: "z1"})
 	checkUsable(t, table, 2900*time.Millisecond, "b")
+	table.MarkLeaving(2*time.Second, "b", "10.0.0.2:1", 0)
+	if leaving, paused := table.CountWithdrawn(2 * time.Second); leaving != 1 || paused != 1 {
+		t.Errorf("%d replicas leaving and %d paused, want 1 each", leaving, paused)
+	}
+	table.Put(Replica{ID: "b", Service: "m", Address: "10.0.0.2:1", Zone: "z2", StartUnixMs: 3})
 	if left := table.PauseLeft(2*time.Second, "m"); left != time.Second {
 		t.Errorf("pause left = %v, want 1s", left)
 	}
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -24,6 +24,7 @@
 		l.applyChange(now, lastSeen, c)
 	}
 	l.forgetRemovedReplicas(now)
+	l.updateReplicaGauges(now)
 	l.updateForwarding()
 	l.updateView(func(v *View) {
 		v.StoreUnavailable = false
@@ -94,6 +95,17 @@
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
 
+// updateReplicaGauges sets the gauges of replicas that have said that they leave or that have
+// asked for a pause. The end of a pause shows with the next response of the store.
+func (l *Loop) updateReplicaGauges(now time.Duration) {
+	if l.config.Scope == nil {
+		return
+	}
+	leaving, paused := l.directory.CountWithdrawn(now)
+	l.config.Scope.Gauge("leaving_replicas").Update(float64(leaving))
+	l.config.Scope.Gauge("paused_replicas").Update(float64(paused))
+}
+
 func (l *Loop) applyChange(now, lastSeen time.Duration, c platform.Change) {
 	switch c.Kind {
 	case platform.ChangeConfig:
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -94,7 +94,8 @@
 	RequestStore RequestStore
 	Prober       Prober
 	Placement    placement.Policy
-	// Scope receives the gauges of suspected and refused prompt parts; nil for none.
+	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
+	// leave or pause; nil for none.
 	Scope tally.Scope
 }
 
@@ -313,10 +314,12 @@
 	case replicaLeaving:
 		if l.directory.MarkLeaving(now, m.target.ID, m.target.Address, m.target.StartUnixMs) {
 			klog.V(1).InfoS("replica is leaving", "replica", m.target.ID, "address", m.target.Address, "request_id", m.requestID)
+			l.updateReplicaGauges(now)
 		}
 	case replicaPaused:
 		l.directory.Pause(now, now+m.length, m.target.ID, m.target.Address, m.target.StartUnixMs)
 		klog.V(1).InfoS("replica asks for a pause", "replica", m.target.ID, "pause_ms", m.length.Milliseconds(), "request_id", m.requestID)
+		l.updateReplicaGauges(now)
 	case answerBegun:
 		l.handleAnswerBegun(now, m)
 	case sendEnded:
