--- a/edge/control/part_store.go
+++ b/edge/control/part_store.go
@@ -23,8 +23,8 @@
 // storedParts is what this host knows of the refused parts in the store.
 type storedParts struct {
 	entries map[suspect.Part]storedPart
-	// ownCrashes holds the crashes that this host has seen itself, oldest first.
-	ownCrashes []suspect.CrashID
+	// ownCrashes holds the crashes that this host has seen itself.
+	ownCrashes crashLog
 	expiry     time.Duration
 }
 
@@ -37,14 +37,16 @@
 	return storedParts{entries: map[suspect.Part]storedPart{}, expiry: suspect.DefaultPartConfig("").Expiry}
 }
 
-// recordOwnCrash records that this host has seen a crash that prompt parts are blamed for.
-func (s *storedParts) recordOwnCrash(crash suspect.CrashID) {
-	if slices.Contains(s.ownCrashes, crash) {
+// crashLog holds the last maxOwnCrashes crashes, oldest first.
+type crashLog []suspect.CrashID
+
+func (c *crashLog) add(crash suspect.CrashID) {
+	if slices.Contains(*c, crash) {
 		return
 	}
-	s.ownCrashes = append(s.ownCrashes, crash)
-	if excess := len(s.ownCrashes) - maxOwnCrashes; excess > 0 {
-		s.ownCrashes = slices.Delete(s.ownCrashes, 0, excess)
+	*c = append(*c, crash)
+	if excess := len(*c) - maxOwnCrashes; excess > 0 {
+		*c = slices.Delete(*c, 0, excess)
 	}
 }
 
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -153,7 +153,7 @@
 		}
 	}
 	if len(requests) > 0 {
-		l.storedParts.recordOwnCrash(crash)
+		l.storedParts.ownCrashes.add(crash)
 	}
 	for _, c := range l.parts.RecordCrash(partTime(now), crash, requests) {
 		klog.V(1).InfoS("prompt part suspected", "part", formatPart(c.Part), "replica", id, "crash", uint64(crash), "strikes", c.Strikes, "status", c.Status)
--- a/edge/control/request_store.go
+++ b/edge/control/request_store.go
@@ -22,24 +22,14 @@
 	// expiry holds when the entries that are in the store, or that this host has published,
 	// expire.
 	expiry map[suspect.Fingerprint]time.Duration
-	// ownCrashes holds the crashes that this host has seen itself, oldest first.
-	ownCrashes []suspect.CrashID
+	// ownCrashes holds the crashes that this host has seen itself.
+	ownCrashes crashLog
 }
 
 func newStoredRequests() storedRequests {
 	return storedRequests{expiry: map[suspect.Fingerprint]time.Duration{}}
 }
 
-func (s *storedRequests) recordOwnCrash(crash suspect.CrashID) {
-	if slices.Contains(s.ownCrashes, crash) {
-		return
-	}
-	s.ownCrashes = append(s.ownCrashes, crash)
-	if excess := len(s.ownCrashes) - maxOwnCrashes; excess > 0 {
-		s.ownCrashes = slices.Delete(s.ownCrashes, 0, excess)
-	}
-}
-
 // requestExpiry is the time after its last strike for which a request is refused.
 var requestExpiry = suspect.DefaultConfig().Expiry
 
--- a/edge/control/suspects.go
+++ b/edge/control/suspects.go
@@ -38,7 +38,7 @@
 		status := l.suspects.AddStrike(time.Now(), m.fingerprint, crash)
 		klog.V(1).InfoS("crash suspect", "fingerprint", uint64(m.fingerprint), "replica", id, "status", status)
 	}
-	l.storedRequests.recordOwnCrash(list[0].crashID())
+	l.storedRequests.ownCrashes.add(list[0].crashID())
 	if errors.Is(probeErr, syscall.ECONNREFUSED) {
 		l.recordPartCrash(now, id, list[0].crashID(), list)
 	}
