edge/control: let the test of late assignments wait for the loop's messages

It stopped the loop 100 ms after the last request and counted the jobs then. A trial with 24 busy processes fails in 26 of 40 runs; each time messages were left in the loop's queue, and none of the assignments was left after they were handled. So the wait is wrong, not the program.

--- a/edge/control/late_test.go
+++ b/edge/control/late_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"siskinstand.example/coord/health"
+	"siskinstand.example/service/bootclock"
 )
 
 // Guards against an assignment that is never released because the request's context ends
@@ -38,11 +39,19 @@
 		})
 	}
 	wg.Wait()
-	time.Sleep(100 * time.Millisecond) // late assignments are released in the background
 	stop()
 	if err := <-stopped; err != nil {
 		t.Fatal(err)
 	}
+	// Late assignments are released in the background, by messages that the loop may not have
+	// handled when it stopped.
+	for end := time.Now().Add(5 * time.Second); l.ledger.JobCount() > 0 && time.Now().Before(end); {
+		select {
+		case m := <-l.messages:
+			l.handle(bootclock.Now(), m)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
 	if n := l.ledger.JobCount(); n != 0 {
 		t.Errorf("%d assignments were not released", n)
 	}
