edge: don't take a probe from before a crash for a sign of life

A request that crashes replicas in the middle of a stream crashed four replicas where two are allowed, and callers of other requests got 503 no_replica.

Cause: a successful probe discarded all recorded sends of the replica, also those that ended after the probe had started, and responses that the host had aborted (here a wrong continuation) before the replica died. A request whose second crash was not yet resolved was not held back.

--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -133,6 +133,15 @@
 	return e.status()
 }
 
+// Strikes returns the number of strikes of a request that count, at most RefuseStrikes.
+func (t *Tracker) Strikes(now time.Time, f Fingerprint) int {
+	e := t.entries[f]
+	if e == nil || t.expired(now, e) {
+		return 0
+	}
+	return int(e.strikes())
+}
+
 // Refused returns the requests to refuse of which at least RefuseStrikes crashes are known, in
 // no particular order.
 func (t *Tracker) Refused(now time.Time) []Report {
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,7 +59,7 @@
 			return outcome{err: q.contextError(ctx), health: health.Served}
 		}
 		o := brokenOutcome("the answer broke off", err)
-		o.mayHaveCrashed, o.began = true, true
+		o.mayHaveCrashed, o.aborted, o.began = true, !endedByReplica(err), true
 		return o
 	}
 	if resp.Status >= 500 {
@@ -73,6 +74,13 @@
 	return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "%s", message).WithCause(err), health: connectionOutcome(err)}
 }
 
+// endedByReplica reports whether reading a response failed because the connection ended, and
+// not because of the bytes that the replica had sent.
+func endedByReplica(err error) bool {
+	var opError *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errNoEvents) || errors.As(err, &opError)
+}
+
 // connectionOutcome distinguishes a replica that stopped acknowledging data from one that
 // closed the connection or sent an invalid response.
 func connectionOutcome(err error) health.Outcome {
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -31,6 +31,8 @@
 	// mayHaveCrashed is set if the replica may have crashed while it ran the request: it sent
 	// no response, or one that did not end properly.
 	mayHaveCrashed bool
+	// aborted is set if this host ended the exchange because the response was invalid.
+	aborted bool
 	// began is set if a complete event of a stream, or the head of another response, has
 	// arrived.
 	began bool
@@ -188,7 +190,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	case control.RefusedNoReplica:
 		reason = verdict.ReasonNoEndpoint
-	case control.RefusedCrashSuspect, control.RefusedSuspectedPart:
+	case control.RefusedCrashSuspect, control.RefusedSuspectedPart, control.RefusedUnresolvedCrash:
 		reason = verdict.ReasonCrashSuspect
 	}
 	// Jitter keeps callers that are refused together from retrying together.
@@ -201,7 +203,7 @@
 	loop := q.server.config.Loop
 	var o outcome
 	defer func() {
-		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Began: o.began, Finished: o.finished}, q.fingerprint)
+		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished}, q.fingerprint)
 		if o.failedHelper.ID != "" {
 			// Without an assignment ID, only the outcome for the helper is recorded.
 			loop.RecordSendEnd(control.Assignment{Target: o.failedHelper}, control.SendResult{Outcome: health.NoHelp}, q.fingerprint)
@@ -316,6 +318,6 @@
 		o.err = q.contextError(ctx)
 		return o
 	}
-	o.mayHaveCrashed = o.sent
+	o.mayHaveCrashed, o.aborted = o.sent, !endedByReplica(err)
 	return o
 }
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -91,7 +91,7 @@
 		return outcome{err: q.contextError(ctx), health: health.Served}
 	}
 	o := brokenOutcome("the stream broke off", err)
-	o.mayHaveCrashed, o.began = true, began
+	o.mayHaveCrashed, o.aborted, o.began = true, !endedByReplica(err), began
 	return o
 }
 
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -113,6 +113,9 @@
 	// RefusedSuspectedPart means that a part of the prompt is suspected of crashing replicas
 	// and that this host may not try it now.
 	RefusedSuspectedPart RefusalReason = "suspected_part"
+	// RefusedUnresolvedCrash means that replicas may have crashed while they ran the request,
+	// often enough to refuse it, and that a probe has yet to show whether they did.
+	RefusedUnresolvedCrash RefusalReason = "unresolved_crash"
 	// RefusedDraining means that the request would have to wait at a draining host.
 	RefusedDraining RefusalReason = "leaving"
 )
@@ -132,6 +135,9 @@
 	Outcome health.Outcome
 	// MayHaveCrashed is set if the replica may have crashed while it ran the request.
 	MayHaveCrashed bool
+	// Aborted is set if this host closed the connection because of an invalid response. The
+	// replica was still alive then.
+	Aborted bool
 	// Began is set if the replica had begun to write an answer.
 	Began bool
 	// Finished is set if the replica has run the request to its end without an error.
@@ -159,6 +165,8 @@
 	fingerprint  suspect.Fingerprint
 	// parts is set when the control goroutine handles the message.
 	parts []suspect.Part
+	// probeAt is the earliest start of a probe that can show that the replica has not crashed.
+	probeAt time.Duration
 }
 
 // storeUpdate holds changes read from the store.
@@ -186,6 +194,8 @@
 type probeResult struct {
 	id  string
 	err error
+	// startedAt is the boot clock reading when the probe started.
+	startedAt time.Duration
 }
 
 type drainStarted struct{}
--- a/edge/control/parts.go
+++ b/edge/control/parts.go
@@ -120,7 +120,7 @@
 // mayBeCrashOfPart reports whether a part of the prompt may have crashed the replica. Such
 // replicas close the connection before they begin to write an answer.
 func (m sendEnded) mayBeCrashOfPart() bool {
-	return len(m.parts) > 0 && m.result.MayHaveCrashed && !m.result.Began && m.result.Outcome == health.Broken
+	return len(m.parts) > 0 && m.result.MayHaveCrashed && !m.result.Aborted && !m.result.Began && m.result.Outcome == health.Broken
 }
 
 // leastLoaded returns the candidates with the fewest streams, since a trial may crash the
--- a/edge/control/parts_test.go
+++ b/edge/control/parts_test.go
@@ -108,7 +108,7 @@
 		},
 		"replica lives": func(l *Loop, a Assignment) {
 			l.breakOff(time.Second, a, false)
-			l.handle(time.Second, probeResult{id: a.Target.ID})
+			l.handle(time.Second, probeResult{id: a.Target.ID, startedAt: time.Second})
 		},
 		"replica cut off": func(l *Loop, a Assignment) {
 			l.breakOff(time.Second, a, false)
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -32,6 +32,9 @@
 	if l.isCrashSuspect(now, req.Fingerprint) {
 		return decision{refusal: Refusal{Reason: RefusedCrashSuspect}}
 	}
+	if l.awaitsProbe(req.Fingerprint) {
+		return decision{refusal: Refusal{Reason: RefusedUnresolvedCrash, RetryAfter: trialRetryAfter, mayQueue: true}}
+	}
 	refusedPart, isTrial := l.judgeParts(now, req)
 	if refusedPart.Reason != "" {
 		return decision{refusal: refusedPart}
--- a/edge/control/probe.go
+++ b/edge/control/probe.go
@@ -23,15 +23,20 @@
 	}
 	ctx := l.ctx
 	time.AfterFunc(wait, func() {
+		startedAt := bootclock.Now()
 		err := l.config.Prober.Probe(ctx, r.Address)
 		// Posting fails only during shutdown.
-		_ = l.post(ctx, probeResult{id, err})
+		_ = l.post(ctx, probeResult{id, err, startedAt})
 	})
 	return true
 }
 
 func (l *Loop) handleProbeResult(at time.Duration, m probeResult) {
-	l.resolveBrokenSends(at, m.id, m.err)
+	if m.err != nil {
+		l.resolveBrokenSends(at, m.id, m.err)
+	} else {
+		l.discardBrokenSends(at, m.id, m.startedAt)
+	}
 	if m.err != nil && l.health.Record(at, m.id, health.Unreachable) {
 		klog.V(1).InfoS("replica out of use", "replica", m.id, "outcome", health.Unreachable, "err", m.err)
 		l.scheduleReport(reportNow)
