caller: don't pass a client account's key on at public routes

Cause: the key was removed only where the route requires one. It is now removed wherever the configuration knows it; other credentials are the application's own and pass. No account is named on public routes, because no key is checked there.

--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -283,7 +283,7 @@
 // replicaRequest returns the request to send to the assigned replica.
 func (q *request) replicaRequest(assignment control.Assignment, helpers []platform.Helper) replica.Request {
 	options := platform.ForwardOptions{
-		ReplicaID: assignment.Target.ID, TimeLeft: q.timeLeft(bootclock.Now()), StripKey: q.view.Catalog.NeedsKey(q.route),
+		ReplicaID: assignment.Target.ID, TimeLeft: q.timeLeft(bootclock.Now()), StripKey: q.carriesKey(),
 		Priority: q.priority(), Helpers: helpers, LastEventID: q.lastEventID,
 	}
 	if q.account != nil {
@@ -296,6 +296,13 @@
 	}
 }
 
+// carriesKey reports whether the request has the key of a client account, also on a route that
+// requires none. Other credentials are the application's own.
+func (q *request) carriesKey() bool {
+	c := q.view.Catalog
+	return c.NeedsKey(q.route) || c.Account(q.headers.Key) != nil
+}
+
 // noResponseOutcome returns the outcome of a send that got no response.
 func (q *request) noResponseOutcome(ctx context.Context, err error) outcome {
 	o := outcome{health: connectionOutcome(err), sent: true}
--- a/edge/serving_test.go
+++ b/edge/serving_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"siskinstand.example/edge/control"
 	"siskinstand.example/fakes/platform"
 )
@@ -34,6 +36,23 @@
 		s.checkReply(s.send(platform.PlainCall("idempotent")), http.StatusOK, "answer of i-app")
 		s.checkReply(s.send(platform.PlainCall("non_idempotent")), http.StatusOK, "answer of i-app")
 	})
+	t.Run("public route", func(t *testing.T) {
+		// Guards against a client account's key that is passed on where none is needed.
+		s.t = t
+		call := platform.PlainCall("public")
+		s.checkReply(s.send(call), http.StatusOK, "answer of i-app")
+		call.Header = map[string]string{"Authorization": "Basic own"}
+		s.checkReply(s.send(call), http.StatusOK, "answer of i-app")
+		var got []string
+		for _, run := range s.replicas["i-app"].Runs() {
+			if strings.HasPrefix(run.Target, platform.PublicPath) {
+				got = append(got, run.Authorization)
+			}
+		}
+		if diff := cmp.Diff([]string{"", "Basic own"}, got); diff != "" {
+			t.Errorf("Authorization at the replica (-want +got):\n%s", diff)
+		}
+	})
 	t.Run("refused", func(t *testing.T) {
 		// Guards against refusals with a status whose meaning in the platform's rules is different.
 		s.t = t
--- a/fakes/platform/configuration.go
+++ b/fakes/platform/configuration.go
@@ -7,8 +7,10 @@
 // Hostnames of the routes in the sample configuration, and the API key that calls
 // use by default.
 const (
-	StreamHost   = "llm.example"
-	PlainHost    = "app.example"
+	StreamHost = "llm.example"
+	PlainHost  = "app.example"
+	// PublicPath is the path prefix of a route of PlainHost that requires no key.
+	PublicPath   = "/public/"
 	SampleAPIKey = "key-1"
 )
 
@@ -41,10 +43,12 @@
 			"target_latency_ms": 5000, "max_attempts": maxAttempts, "backend": service, "resumable": isStream, "sticky": isStream, "target_gap_ms": 200,
 		}
 	}
+	public := route(PlainHost, "idempotent", PlainService, 2)
+	public["name"], public["prefix"], public["public"] = "public", PublicPath, true
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			route(StreamHost, "streaming", ModelService, 2), route(PlainHost, "idempotent", PlainService, 2), route(PlainHost, "non_idempotent", PlainService, 1),
+			route(StreamHost, "streaming", ModelService, 2), route(PlainHost, "idempotent", PlainService, 2), route(PlainHost, "non_idempotent", PlainService, 1), public,
 		},
 		"services": []any{
 			map[string]any{"name": ModelService, "engine": map[string]any{
