--- a/coord/placement/burst_test.go
+++ b/coord/placement/burst_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	// rates holds the prompts a second in each period of periodLength.
 	rates        []float64
 	periodLength time.Duration
+	pause        pauseConfig
 }
 
 // largeFleet is a deployment of 68 hosts in which short prompts arrive at three times the
@@ -46,8 +48,15 @@
 	late int
 	// idleReplicas is the mean number of replicas without streams.
 	idleReplicas float64
+	// refusedSends counts the sends that paused replicas refused.
+	refusedSends int
+	// longPrompts and longReplicas count the long prompts and the replicas that prefilled them.
+	longPrompts, longReplicas int
 }
 
+// longParts returns the mean number of replicas that prefill a long prompt.
+func (r periodResult) longParts() float64 { return float64(r.longReplicas) / float64(r.longPrompts) }
+
 func (r periodResult) lateShare() float64 { return float64(r.late) / float64(r.prompts) }
 
 const shortObjective = 300 * time.Millisecond
@@ -80,10 +89,16 @@
 	prefillEnd []time.Duration
 	queued     [][]fleetEvent
 	events     map[time.Duration][]fleetEvent
+	// usable is the array of usableCandidates.
+	usable []Candidate
+	// herd counts the short prompts placed at each replica from the end of the pause to
+	// herdUntil.
+	herd      map[int]int
+	herdUntil time.Duration
 }
 
 func newFleet(c fleetConfig, seed uint64) *fleet {
-	f := &fleet{config: c, random: rand.New(rand.NewPCG(seed, 1)), index: map[string]int{}, running: make([]int, c.replicas), longStreams: make([]int, c.replicas), prefillEnd: make([]time.Duration, c.replicas), queued: make([][]fleetEvent, c.replicas), events: map[time.Duration][]fleetEvent{}}
+	f := &fleet{config: c, random: rand.New(rand.NewPCG(seed, 1)), index: map[string]int{}, running: make([]int, c.replicas), longStreams: make([]int, c.replicas), prefillEnd: make([]time.Duration, c.replicas), queued: make([][]fleetEvent, c.replicas), events: map[time.Duration][]fleetEvent{}, herd: map[int]int{}}
 	engine := placementtest.Engine()
 	engine.Slots, engine.StepsPerPass = c.slots, 73
 	f.model = NewModel(engine)
@@ -125,7 +140,7 @@
 			}
 			delete(f.events, now)
 			if f.config.longInterval > 0 && now%f.config.longInterval == 0 {
-				f.placeLong(now)
+				f.placeLong(now, r)
 			}
 			for arrivals := f.random.Float64(); arrivals < rate/1000; arrivals++ {
 				r.prompts++
@@ -150,14 +165,28 @@
 		f.candidates[i].Load = loads[ShortID(f.candidates[i].ID)]
 	}
 	tokens := int(min(23_800, 3_300*math.Exp(0.9*f.random.NormFloat64()))) // mean 4,960
-	plan, refusal := Choose(f.model, DefaultPolicy(), f.candidates, Request{
+	request := Request{
 		Service: "m", Hash: f.random.Uint64(), PromptTokens: tokens, OutputTokens: 1700, Objective: shortObjective, TimeLeft: 10 * time.Second, MaxGap: 250 * time.Millisecond, HostCount: f.config.hosts,
 		UnreportedPrompts: l.ExpectedStarts(now, f.config.startDelay),
-	})
+	}
+	candidates := f.usableCandidates(now)
+	plan, refusal := Choose(f.model, DefaultPolicy(), candidates, request)
+	if refusal.Reason == RefusedNone && f.config.pause.isPaused(now, f.index[plan.Primary]) {
+		r.refusedSends++
+		others := slices.DeleteFunc(candidates, func(c Candidate) bool { return c.ID == plan.Primary })
+		plan, refusal = Choose(f.model, DefaultPolicy(), others, request)
+		if refusal.Reason == RefusedNone && f.config.pause.isPaused(now, f.index[plan.Primary]) {
+			r.refusedSends++
+			refusal.Reason = RefusedNoPlace // no further send is allowed
+		}
+	}
 	if refusal.Reason != RefusedNone {
 		r.late++
 		return
 	}
+	if now >= f.config.pause.to && now < f.herdUntil {
+		f.herd[f.index[plan.Primary]]++
+	}
 	job := l.AddJob(Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: tokens + 1700, SentAt: now})
 	f.schedule(now+f.config.startDelay, fleetEvent{kind: "report", host: host})
 	e := fleetEvent{host: host, job: job, replica: f.index[plan.Primary], placed: now, prefill: plan.PartPrefill, result: r}
@@ -169,14 +198,16 @@
 }
 
 // placeLong prefills a long prompt at random replicas without short streams.
-func (f *fleet) placeLong(now time.Duration) {
+func (f *fleet) placeLong(now time.Duration, r *periodResult) {
 	host := f.random.IntN(f.config.hosts)
 	var free []int
 	for _, i := range f.random.Perm(f.config.replicas) {
-		if f.running[i]-f.longStreams[i] == 0 && len(free) < f.config.longParts {
+		if f.running[i]-f.longStreams[i] == 0 && len(free) < f.config.longParts && !f.config.pause.isPaused(now, i) {
 			free = append(free, i)
 		}
 	}
+	r.longPrompts++
+	r.longReplicas += len(free)
 	if len(free) == 0 {
 		return
 	}
