adapters/engine: send each request to an engine on a connection of its own

If an engine or plain service writes an earlier response once more on a kept connection, callers of siskin-sidecar got the answer to another request (MIXED), or a refusal for a request that had run.

Cause: net/http matches responses by their order on a connection, and the engine's responses have no ID. Requests now get new connections to the engine, which is on the same host. Reports and orders still share connections: they may be repeated, and the next report corrects them.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -10,6 +10,15 @@
 	"siskinstand.example/adapters/internal/httpjson"
 )
 
+// newRunTransport returns a transport for requests that an engine runs. Each has a connection of
+// its own: responses have no ID, so one that an engine writes once more, or late, would be taken
+// for that to the next request on the connection.
+func newRunTransport(l Limits) *http.Transport {
+	t := httpjson.NewTransport(l.DialTimeout)
+	t.DisableKeepAlives = true
+	return t
+}
+
 // maxIdleTime is how long a connection may have been idle to be reused. HTTP servers
 // usually close idle connections after 2 s or more, and it is unknown whether a call
 // that is sent meanwhile has run. New connections cost little on the same host.
--- a/adapters/engine/model.go
+++ b/adapters/engine/model.go
@@ -60,7 +60,7 @@
 	return &ModelClient{
 		baseURL:      baseURL,
 		limits:       limits,
-		streamClient: &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		streamClient: &http.Client{Transport: newRunTransport(limits), CheckRedirect: noRedirect},
 		jsonClient: httpjson.New(baseURL, transport, httpjson.Limits{
 			CallTimeout: limits.CallTimeout, MaxResponseBytes: limits.MaxResponseBytes,
 		}),
--- a/adapters/engine/plain.go
+++ b/adapters/engine/plain.go
@@ -14,16 +14,20 @@
 // PlainClient forwards requests to a plain HTTP service. Such a service has no
 // memory to manage and accepts no orders.
 type PlainClient struct {
-	baseURL    string
-	limits     Limits
-	httpClient *http.Client
+	baseURL     string
+	limits      Limits
+	runClient   *http.Client
+	probeClient *http.Client
 }
 
 // NewPlainClient returns a client for the service at address: host and port, with
 // or without "http://".
 func NewPlainClient(address string, limits Limits) *PlainClient {
-	client := &http.Client{Transport: newTransport(limits), CheckRedirect: noRedirect}
-	return &PlainClient{baseURL: httpjson.BaseURL(address), limits: limits, httpClient: client}
+	return &PlainClient{
+		baseURL: httpjson.BaseURL(address), limits: limits,
+		runClient:   &http.Client{Transport: newRunTransport(limits), CheckRedirect: noRedirect},
+		probeClient: &http.Client{Transport: newTransport(limits), CheckRedirect: noRedirect},
+	}
 }
 
 // hopByHopHeaders contains the header fields that apply to a single connection
@@ -43,7 +47,7 @@
 		}
 	}
 	request.Header = forwarded
-	err := sendStreaming(ctx, p.httpClient, p.baseURL, p.limits, request, func(response *http.Response, body io.Reader) error {
+	err := sendStreaming(ctx, p.runClient, p.baseURL, p.limits, request, func(response *http.Response, body io.Reader) error {
 		return p.forward(response, body, markDeliverErrors(deliver))
 	})
 	if err != nil {
@@ -100,7 +104,7 @@
 	if err != nil {
 		return State{}, withVerdict(ctx, err)
 	}
-	response, err := httpjson.Do(p.httpClient, request)
+	response, err := httpjson.Do(p.probeClient, request)
 	if err != nil {
 		return State{}, withVerdict(ctx, err)
 	}
