adapters/engine: don't believe a refusal after text of the same stream

An engine that writes text and then an error event with the verdict not_run was taken at its word: siskin-sidecar undid the record of the attempt, so that the request could run there again (TWICE). siskin-gateway noticed the contradiction and told callers "may have run".

Cause: decodeStream passed the verdict of an error event on, whatever had come before. After text it is now may_have_run.

TestRefusalAfterText failed in 1 of 1 run before (not_run) and passes in 1 of 1 after.

--- a/adapters/engine/sse.go
+++ b/adapters/engine/sse.go
@@ -58,6 +58,11 @@
 // were read. Limits apply to each line and to the whole stream.
 func decodeStream(r io.Reader, limits Limits, deliver func(Chunk) error) (Result, error) {
 	var result Result
+	hasText := false
+	deliverText := func(c Chunk) error {
+		hasText = true
+		return deliver(c)
+	}
 	scanner := bufio.NewScanner(&limitedReader{r: r, remaining: limits.MaxResponseBytes})
 	scanner.Buffer(make([]byte, 0, min(4<<10, limits.MaxEventBytes)), limits.MaxEventBytes)
 	for scanner.Scan() {
@@ -72,7 +77,11 @@
 			}
 			return result, nil
 		}
-		if err := decodeEvent(data, &result, deliver); err != nil {
+		if err := decodeEvent(data, &result, deliverText); err != nil {
+			var refusal *verdict.Error
+			if errors.As(err, &refusal) && hasText && refusal.Verdict == verdict.NotRun {
+				refusal.Verdict = verdict.MayHaveRun
+			}
 			// After a read error, the scanner returns the truncated last line. Prefer
 			// the read error over the decoding error that such a line causes.
 			return Result{}, cmp.Or(scanner.Err(), err)
--- a/adapters/engine/sse_test.go
+++ b/adapters/engine/sse_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"siskinstand.example/coord/verdict"
 )
 
@@ -39,6 +41,16 @@
 	}
 }
 
+// Guards against a refusal in a stream whose text has begun: the request has run, whatever the
+// refusal says.
+func TestRefusalAfterText(t *testing.T) {
+	stream := textEvent + `data: {"error":{"code":"overloaded","verdict":"not_run"}}` + "\n\n"
+	_, err := decodeStream(strings.NewReader(stream), DefaultLimits(), func(Chunk) error { return nil })
+	if diff := cmp.Diff(verdict.MayHaveRun, verdict.FromError(err)); diff != "" {
+		t.Errorf("verdict of %v (-want +got):\n%s", err, diff)
+	}
+}
+
 // Guards against a verdict other than may_have_run for an error that contains no
 // valid verdict, and against changing a valid one.
 func TestErrorEventVerdict(t *testing.T) {
