edge/replica: refuse a response that has several attempt IDs

A response with the ID of the new request and that of an earlier one was taken as the answer to the new request, since only the first line was read. A repeated rejection of that form counted as not run for a request that runs. Both are now an exchange that may have run.

--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -102,6 +102,10 @@
 
 var (
 	errUnmatchedResponse = errors.New("response does not belong to this request")
+	// errConflictingIDs ends the exchange even on a new connection: a repeated rejection of an
+	// earlier request that also has the new ID would otherwise count as "not run" for a request
+	// that runs.
+	errConflictingIDs    = errors.New("response has several attempt IDs")
 	errAnonymousResponse = errors.New("response without an attempt ID on a reused connection")
 )
 
@@ -148,6 +152,10 @@
 			continue
 		}
 		info := platform.ParseResponseHeaders(resp.StatusCode, resp.Header)
+		if info.ConflictingIDs {
+			klog.V(1).InfoS("response has several attempt IDs", "request_id", attemptID, "status", resp.StatusCode, "not_run", info.NotRun, "address", c.address, "reused", c.reused)
+			return nil, errConflictingIDs
+		}
 		if info.AttemptID == attemptID || info.AttemptID == "" && !c.reused {
 			return resp, nil
 		}
--- a/edge/replica/unmatched_test.go
+++ b/edge/replica/unmatched_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -27,6 +28,8 @@
 const (
 	lateSuccess   = "HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nReplica-Stamp: s\r\nContent-Length: 7\r\n\r\nforeign"
 	lateRejection = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	mixedSuccess  = "HTTP/1.1 200 OK\r\nAttempt-Id: own\r\nAttempt-Id: earlier\r\nReplica-Stamp: s\r\nContent-Length: 7\r\n\r\nforeign"
+	mixedRefusal  = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: own\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	ownRejection  = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: own\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -182,3 +185,22 @@
 
 func (openConn) Write(p []byte) (int, error)     { return len(p), nil }
 func (openConn) SetReadDeadline(time.Time) error { return nil }
+
+// Guards against a response with two attempt IDs that is taken for the response to the request:
+// callers got the response to another request, and a repeated rejection counted as "not run" for
+// a request that ran.
+func TestResponseWithTwoIDs(t *testing.T) {
+	for name, received := range map[string]string{"success": mixedSuccess, "rejection": mixedRefusal, "own ID last": strings.Replace(mixedRefusal, "own\r\nAttempt-Id: earlier", "earlier\r\nAttempt-Id: own", 1)} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reused %t", name, reused), func(t *testing.T) {
+				budget := &budgetReader{source: strings.NewReader(received)}
+				c := &conn{Conn: brokenConn{Reader: strings.NewReader("")}, budget: budget, reader: bufio.NewReader(budget), reused: reused}
+				resp, err := readOwnHead(c, &http.Request{Method: "POST"}, "own", time.Time{})
+				if err == nil {
+					resp.Body.Close()
+					t.Errorf("response %d was accepted, want an error", resp.StatusCode)
+				}
+			})
+		}
+	}
+}
