edge: sections of load reports

Features need to tell other hosts more than load rows. A report now ends with typed sections of at most 512 bytes, which receivers skip if they do not know the type. The datagram format has a new version (5), so hosts of this build and earlier ones ignore each other's reports during an upgrade. Without features a report grows by 1 byte.

--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -185,6 +185,7 @@
 	delete(l.lastSequences, name)
 	l.forwarding.isOutdated = true
 	l.ledger.RemovePeer(name)
+	l.removeHostFromSections(name)
 }
 
 // markStoreUnavailable records that a read or watch of the store failed, at this host or at
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -41,10 +41,10 @@
 	StoreUnavailable bool
 }
 
-// ReportSender sends this host's load report, crash suspects and suspected prompt parts to
-// other entry hosts.
+// ReportSender sends this host's load report, crash suspects, suspected prompt parts and
+// sections to other entry hosts.
 type ReportSender interface {
-	Send(to peer.Recipients, r placement.Report, suspects []suspect.Report, parts []suspect.PartReport)
+	Send(to peer.Recipients, m peer.Message)
 	// SetNeighbors replaces the addresses of the other hosts of this host's availability
 	// zone, to which the sender forwards reports from other zones.
 	SetNeighbors(addresses []string)
@@ -94,6 +94,8 @@
 	RequestStore RequestStore
 	Prober       Prober
 	Placement    placement.Policy
+	// Sections are the parts of the load report that features add to it.
+	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
 	// leave or pause; nil for none.
 	Scope tally.Scope
@@ -267,7 +269,7 @@
 // ReceiveReport applies the load report and the suspects of another host, or drops them if the message queue is full.
 func (l *Loop) ReceiveReport(m peer.Message) {
 	select {
-	case l.messages <- peerReport{m.Name, m.Incarnation, m.Sequence, m.Report, m.Suspects, m.Parts}:
+	case l.messages <- peerReport{m.Name, m.Incarnation, m.Sequence, m.Report, m.Suspects, m.Parts, m.Sections}:
 	default: // the next full report makes up for a dropped one
 	}
 }
@@ -364,4 +366,5 @@
 		l.publishRefusedRequests(now)
 	}
 	l.mergePartReports(now, m.name, m.parts)
+	l.mergeSections(now, m.name, m.sections)
 }
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -8,6 +8,7 @@
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/suspect"
+	"siskinstand.example/edge/peer"
 	"siskinstand.example/platform"
 )
 
@@ -188,6 +189,7 @@
 	report   placement.Report
 	suspects []suspect.Report
 	parts    []suspect.PartReport
+	sections []peer.Section
 }
 
 // probeResult reports whether a replica accepts connections.
--- a/edge/control/reports.go
+++ b/edge/control/reports.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"siskinstand.example/edge/peer"
 	"siskinstand.example/service/bootclock"
 )
 
@@ -108,7 +109,9 @@
 		l.lastFullReport = now
 	}
 	l.reportUnchanged = false
-	l.config.ReportSender.Send(l.recipients(now), report, l.suspects.Reports(time.Now(), maxReportedSuspects), l.parts.Reports(partTime(now), maxReportedParts))
+	l.config.ReportSender.Send(l.recipients(now), peer.Message{
+		Report: report, Suspects: l.suspects.Reports(time.Now(), maxReportedSuspects), Parts: l.parts.Reports(partTime(now), maxReportedParts), Sections: l.reportSections(now),
+	})
 }
 
 const (
--- a/edge/control/reports_test.go
+++ b/edge/control/reports_test.go
@@ -9,7 +9,6 @@
 
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
-	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/peer"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
@@ -22,8 +21,8 @@
 	neighbors  []string
 }
 
-func (s *countingSender) Send(to peer.Recipients, r placement.Report, _ []suspect.Report, _ []suspect.PartReport) {
-	s.reports = append(s.reports, r)
+func (s *countingSender) Send(to peer.Recipients, m peer.Message) {
+	s.reports = append(s.reports, m.Report)
 	s.recipients = to
 }
 
--- a/edge/peer/codec.go
+++ b/edge/peer/codec.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"math"
 	"time"
@@ -14,7 +15,7 @@
 
 const (
 	// magic is the start of every datagram; its last byte is the format version.
-	magic uint32 = 0x53495304
+	magic uint32 = 0x53495305
 	// maxDatagramBytes is the maximum size of a report. It fits into one packet on links
 	// with an MTU of 9,000. A report about 45 replicas and eight crash suspects takes
 	// 1.1 KB, 16 suspected prompt parts 0.6 KB with three crashes each.
@@ -22,8 +23,8 @@
 	maxNameBytes     = 255
 )
 
-// datagramHeader is the fixed part of a datagram. The name, the load rows, the suspect rows
-// and the part rows follow it.
+// datagramHeader is the fixed part of a datagram. The name, the load rows, the suspect rows,
+// the part rows and the sections follow it.
 type datagramHeader struct {
 	Magic           uint32
 	Forward         bool
@@ -35,6 +36,7 @@
 	LoadCount       uint16
 	SuspectCount    uint16
 	PartCount       uint16
+	SectionCount    uint8
 	NameLength      uint8
 }
 
@@ -92,8 +94,27 @@
 	Report      placement.Report
 	Suspects    []suspect.Report
 	Parts       []suspect.PartReport
+	Sections    []Section
 }
 
+// Section is a part of a report with a format of its own. Receivers skip sections of unknown
+// types, so that hosts with and without a feature understand each other.
+type Section struct {
+	Type SectionType
+	Data []byte
+}
+
+// SectionType identifies the format of a section.
+type SectionType uint8
+
+// Types of sections.
+const (
+	SectionAccountUsage  SectionType = 1
+	SectionReplicaSpeeds SectionType = 2
+	SectionCostEstimates SectionType = 3
+	SectionInFlightBytes SectionType = 4
+)
+
 // headerBytes and the others are the sizes of encoded structs.
 var (
 	headerBytes     = binary.Size(datagramHeader{})
@@ -107,6 +128,11 @@
 	// maxPartCrashIDs is the maximum number of crashes encoded for one part.
 	maxPartCrashIDs = 32
 	maxPartBytes    = 14 + maxPartCrashIDs*crashIDBytes
+	// sectionHeaderBytes is the size of the type and the length of a section.
+	sectionHeaderBytes = 3
+	// MaxSectionBytes is the maximum size of the data of a section. Four sections of this size
+	// and the rows of a large deployment fit into one datagram.
+	MaxSectionBytes = 512
 )
 
 // Encode encodes a message as a datagram. Rows that do not fit are omitted.
@@ -136,6 +162,15 @@
 		out = appendPart(out, p)
 		h.PartCount++
 	}
+	for _, section := range m.Sections {
+		if len(section.Data) > MaxSectionBytes || len(out)+sectionHeaderBytes+len(section.Data) > maxDatagramBytes {
+			continue
+		}
+		out = append(out, byte(section.Type))
+		out = binary.BigEndian.AppendUint16(out, uint16(len(section.Data)))
+		out = append(out, section.Data...)
+		h.SectionCount++
+	}
 	if _, err := binary.Encode(out[:headerBytes], binary.BigEndian, h); err != nil {
 		return nil, eris.Wrap(err, "encode load report")
 	}
@@ -237,9 +272,30 @@
 		m.Parts = append(m.Parts, p)
 		data = data[size:]
 	}
+	for range h.SectionCount {
+		section, size, err := decodeSection(data)
+		if err != nil {
+			return m, err
+		}
+		m.Sections = append(m.Sections, section)
+		data = data[size:]
+	}
 	return m, nil
 }
 
+// decodeSection decodes the section at the start of data, and returns its size. Its data is a
+// copy, because the buffer of a datagram is reused.
+func decodeSection(data []byte) (Section, int, error) {
+	if len(data) < sectionHeaderBytes {
+		return Section{}, 0, eris.New("load report truncated in the head of a section")
+	}
+	size := sectionHeaderBytes + int(binary.BigEndian.Uint16(data[1:]))
+	if len(data) < size {
+		return Section{}, 0, eris.New("load report truncated in a section")
+	}
+	return Section{Type: SectionType(data[0]), Data: bytes.Clone(data[sectionHeaderBytes:size])}, size, nil
+}
+
 // decodeLoadRow decodes the loadRow at the start of data, which must be long enough.
 func decodeLoadRow(data []byte) (uint32, placement.ReplicaReport) {
 	order := binary.BigEndian
--- a/edge/peer/codec_test.go
+++ b/edge/peer/codec_test.go
@@ -23,6 +23,7 @@
 			{Part: 5, Crashes: []suspect.CrashID{3}, Age: 20 * time.Millisecond},
 			{Part: 6, Crashes: []suspect.CrashID{4}, Cleared: true},
 		},
+		Sections: []Section{{Type: SectionReplicaSpeeds, Data: []byte{1, 2, 3}}, {Type: 200, Data: []byte{4}}},
 	}
 }
 
--- a/edge/peer/peer.go
+++ b/edge/peer/peer.go
@@ -9,9 +9,6 @@
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
-
-	"siskinstand.example/coord/placement"
-	"siskinstand.example/coord/suspect"
 )
 
 // Config identifies this host. Incarnation distinguishes successive processes of the same
@@ -78,11 +75,12 @@
 	return list
 }
 
-// Send sends this host's report. Lost reports are not resent; the next full report makes up
+// Send sends this host's report; it sets the fields that identify the host. Lost reports are not resent; the next full report makes up
 // for them. It must not be called concurrently.
-func (s *Socket) Send(to Recipients, r placement.Report, suspects []suspect.Report, parts []suspect.PartReport) {
+func (s *Socket) Send(to Recipients, m Message) {
 	s.sequence++
-	data, err := Encode(Message{Name: s.config.Name, Incarnation: s.config.Incarnation, Sequence: s.sequence, Report: r, Suspects: suspects, Parts: parts})
+	m.Name, m.Incarnation, m.Sequence = s.config.Name, s.config.Incarnation, s.sequence
+	data, err := Encode(m)
 	if err != nil {
 		klog.ErrorS(err, "load report not sent")
 		return
