--- a/edge/replica/unmatched_test.go
+++ b/edge/replica/unmatched_test.go
@@ -195,7 +195,7 @@
 			t.Run(fmt.Sprintf("%s, reused %t", name, reused), func(t *testing.T) {
 				budget := &budgetReader{source: strings.NewReader(received)}
 				c := &conn{Conn: brokenConn{Reader: strings.NewReader("")}, budget: budget, reader: bufio.NewReader(budget), reused: reused}
-				resp, err := readOwnHead(c, &http.Request{Method: "POST"}, "own", time.Time{})
+				resp, err := readOwnHead(c, &http.Request{Method: http.MethodPost}, "own", time.Time{})
 				if err == nil {
 					resp.Body.Close()
 					t.Errorf("response %d was accepted, want an error", resp.StatusCode)
