coord/placement: remaining work and expected free slots in the ledger

The ledger counted streams only. Jobs with a predicted survival add their expected rest, given how long they have run, and Ledger.PredictedFree returns the expected time until the next request of a replica ends; without predictions it uses the mean duration of streams. Loads without predictions are unchanged.

--- a/coord/placement/ledger.go
+++ b/coord/placement/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"siskinstand.example/coord/cost"
 )
 
 // Load is the load of one replica.
@@ -20,6 +22,10 @@
 	// QueuedPrefill is the time that the queued prefill takes at a replica that
 	// is not decoding. It includes a share of overdue prefill.
 	QueuedPrefill time.Duration
+	// Remaining is the sum of the expected rests of the requests with a prediction; NextFree is
+	// the expected time until the first of them ends, or 0 if there is none.
+	Remaining time.Duration
+	NextFree  time.Duration
 }
 
 // Add returns the sum of two loads.
@@ -27,6 +33,7 @@
 	return Load{
 		Streams: l.Streams + o.Streams, MaxGap: shorterGap(l.MaxGap, o.MaxGap), Tokens: l.Tokens + o.Tokens,
 		HelpedPrompts: l.HelpedPrompts + o.HelpedPrompts, QueuedPrefill: l.QueuedPrefill + o.QueuedPrefill,
+		Remaining: l.Remaining + o.Remaining, NextFree: soonerEnd(l.NextFree, o.NextFree),
 	}
 }
 
@@ -48,6 +55,10 @@
 	// SentAt is the time of sending. PrefillDone is set at the first event.
 	SentAt      time.Duration
 	PrefillDone bool
+	// Survival predicts the rest of the request; nil without a prediction. streamsSince is the
+	// time set by StartStream.
+	Survival     *cost.Survival
+	streamsSince time.Duration
 	// primary and helpers are the ShortIDs of the plan's replicas. AddJob sets them.
 	primary uint32
 	helpers []uint32
@@ -120,6 +131,11 @@
 	loads      map[uint32]Load
 	loadsAt    time.Duration
 	loadsValid bool
+	// unpredicted counts this process's requests without a prediction, by replica, as of the
+	// last call of Loads.
+	unpredicted map[uint32]int
+	// meanStreamTime is the decaying mean duration of this process's streams.
+	meanStreamTime time.Duration
 }
 
 // NewLedger returns an empty ledger that ignores reports older than
@@ -128,6 +144,7 @@
 	return &Ledger{
 		jobs: map[uint64]*Job{}, peers: map[string]*peerState{}, peerLoads: map[uint32]*peerLoad{}, peerSentMicros: map[string]map[uint32]uint32{},
 		prefillQueues: map[uint32]prefillQueue{}, sentPrefill: map[uint32]sentPrefill{}, maxReportAge: maxReportAge, loads: map[uint32]Load{},
+		unpredicted: map[uint32]int{}, meanStreamTime: initialStreamTime,
 	}
 }
 
@@ -188,6 +205,7 @@
 	}
 	delete(l.jobs, number)
 	l.loadsValid = false
+	l.recordStreamTime(now, j)
 	remaining := j.Plan.TimeToFirstEvent - (now - j.SentAt)
 	if j.PrefillDone || remaining <= 0 {
 		return
@@ -218,9 +236,14 @@
 // addOwnLoads adds the loads of this process's jobs. Their QueuedPrefill is the overdue
 // prefill only.
 func (l *Ledger) addOwnLoads(now time.Duration, loads map[uint32]Load) {
+	clear(l.unpredicted)
 	for _, j := range l.jobs {
 		overdue := j.overduePrefill(now)
-		loads[j.primary] = loads[j.primary].Add(Load{Streams: 1, Tokens: j.Tokens, MaxGap: j.Plan.MaxGap, QueuedPrefill: overdue})
+		remaining, nextFree := j.work(now)
+		if nextFree == 0 {
+			l.unpredicted[j.primary]++
+		}
+		loads[j.primary] = loads[j.primary].Add(Load{Streams: 1, Tokens: j.Tokens, MaxGap: j.Plan.MaxGap, QueuedPrefill: overdue, Remaining: remaining, NextFree: nextFree})
 		for i, id := range j.helpers {
 			help := Load{Tokens: j.Plan.ReservedTokens[j.Plan.Helpers[i].ID], QueuedPrefill: overdue}
 			if !j.PrefillDone {
@@ -246,7 +269,7 @@
 	l.loadsAt, l.loadsValid = now, true
 	clear(l.loads)
 	for id, p := range l.peerLoads {
-		l.loads[id] = p.sum
+		l.loads[id] = p.sum.aged(now - p.updatedAt)
 	}
 	l.addOwnLoads(now, l.loads)
 	for id, q := range l.prefillQueues {
--- a/coord/placement/peers.go
+++ b/coord/placement/peers.go
@@ -16,6 +16,10 @@
 	// byPeer holds the loads that are not zero.
 	byPeer map[string]Load
 	sum    Load
+	// updatedAt is the time of the last change, relative to which the remaining work is aged.
+	// unpredicted counts the streams of peers that report no remaining work.
+	updatedAt   time.Duration
+	unpredicted int
 }
 
 // maxInitialPrefillMicros is the largest total, in microseconds, that counts as
@@ -49,7 +53,7 @@
 	if !r.Partial {
 		for id := range state.report.Replicas {
 			if _, ok := r.Replicas[id]; !ok {
-				l.setPeerEntry(name, state, id, ReplicaReport{})
+				l.setPeerEntry(r.At, name, state, id, ReplicaReport{})
 				delete(state.report.Replicas, id)
 			}
 		}
@@ -58,14 +62,14 @@
 		if started := entry.Load.Streams - state.report.Replicas[id].Load.Streams; started > 0 && knownPeer {
 			l.starts.add(r.At, started)
 		}
-		l.setPeerEntry(name, state, id, entry)
+		l.setPeerEntry(r.At, name, state, id, entry)
 	}
 	r.Replicas = state.report.Replicas
 	state.report = r
 }
 
 // setPeerEntry replaces a peer's entry for a replica and updates the sum of all peers.
-func (l *Ledger) setPeerEntry(name string, state *peerState, id uint32, entry ReplicaReport) {
+func (l *Ledger) setPeerEntry(now time.Duration, name string, state *peerState, id uint32, entry ReplicaReport) {
 	old := state.report.Replicas[id]
 	if old.Unreachable {
 		state.unreachable--
@@ -92,8 +96,21 @@
 		delete(l.peerLoads, id)
 		return
 	}
-	p.sum = Load{}
-	for _, load := range p.byPeer {
+	p.update(now, name)
+}
+
+// update recomputes the sums after the load of the named peer has changed.
+func (p *peerLoad) update(now time.Duration, changed string) {
+	elapsed := now - p.updatedAt
+	p.sum, p.unpredicted, p.updatedAt = Load{}, 0, max(now, p.updatedAt)
+	for name, load := range p.byPeer {
+		if load.Remaining > 0 && name != changed {
+			load = load.aged(elapsed)
+			p.byPeer[name] = load
+		}
+		if load.NextFree == 0 {
+			p.unpredicted += load.Streams
+		}
 		p.sum = p.sum.Add(load)
 	}
 }
@@ -132,7 +149,7 @@
 		return
 	}
 	for id := range state.report.Replicas {
-		l.setPeerEntry(name, state, id, ReplicaReport{})
+		l.setPeerEntry(state.report.At, name, state, id, ReplicaReport{})
 	}
 	delete(l.peers, name)
 }
--- a/coord/placement/report.go
+++ b/coord/placement/report.go
@@ -72,7 +72,7 @@
 func (l *Ledger) DeltaReport(r Report) Report {
 	changed := map[uint32]ReplicaReport{}
 	for id, entry := range r.Replicas {
-		if entry != l.reported[id] {
+		if entry.withoutWork() != l.reported[id].withoutWork() {
 			changed[id] = entry
 		}
 	}
