coord/placement, edge/peer: choose by predicted free slots among equals

Load rows carry the remaining work in 4 bytes (format version 6). With Policy.RemainingWork, of two replicas with as many streams per slot the one whose next slot is expected to become free sooner is taken.

--- a/coord/cost/survival.go
+++ b/coord/cost/survival.go
@@ -64,6 +64,20 @@
 	return (1-reaches)/rate + reaches*next
 }
 
+// binOfRatio returns the bin of a ratio of 0 or more, without a logarithm: the rest of each
+// running request is computed at every placement.
+func binOfRatio(ratio float64) int {
+	if ratio < edges[1] {
+		return 0
+	}
+	fraction, exponent := math.Frexp(ratio) // fraction is at least 0.5
+	bin := (exponent - 1 - lowestLog2) * binsPerLog
+	if fraction >= math.Sqrt2/2 {
+		bin++
+	}
+	return min(bin, binCount-1)
+}
+
 // IsZero reports whether the survival predicts nothing.
 func (s *Survival) IsZero() bool { return s == nil || s.unit == 0 }
 
@@ -75,16 +89,16 @@
 	}
 	elapsed = max(0, elapsed)
 	ratio := float64(elapsed) / float64(s.unit)
-	bin := 0
-	if ratio >= edges[1] {
-		bin = binOf(math.Log2(ratio))
-	}
-	units := 0.0
+	bin := binOfRatio(ratio)
+	var units float64
 	if bin == binCount-1 {
 		units = overdueShare * max(ratio, edges[bin])
 		endsPerSecond = 1 / (units * s.unit.Seconds())
 	} else {
-		units = restWithin(float64(s.rates[bin]), max(0, edges[bin+1]-ratio), float64(s.rests[bin+1]))
+		// Between the edges, the rest is interpolated.
+		start := lowerEdge(bin)
+		position := (ratio - start) / (edges[bin+1] - start)
+		units = float64(s.rests[bin]) + position*float64(s.rests[bin+1]-s.rests[bin])
 		endsPerSecond = float64(s.rates[bin]) / s.unit.Seconds()
 	}
 	rest = time.Duration(units * float64(s.unit))
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -246,12 +246,22 @@
 	n := uint64(len(candidates))
 	i := c.request.Hash % n
 	a, b := candidates[i], candidates[(i+1+(c.request.Hash>>32)%(n-1))%n]
-	if b.Load.Streams*a.Slots < a.Load.Streams*b.Slots {
+	if c.isLessLoaded(b, a) {
 		a = b
 	}
 	return a, true
 }
 
+// isLessLoaded reports whether a short prompt should go to a rather than to b: the replica with
+// fewer streams per slot or, if they have as many, the one whose next slot is expected to become
+// free sooner, for prompts that other hosts place at the same time.
+func (c *chooser) isLessLoaded(a, b Candidate) bool {
+	if x, y := a.Load.Streams*b.Slots, b.Load.Streams*a.Slots; x != y || !c.policy.RemainingWork {
+		return x < y
+	}
+	return a.Load.NextFree() < b.Load.NextFree()
+}
+
 // isRelaxed reports whether a replica is decoding and all its streams tolerate
 // long gaps.
 func (c *chooser) isRelaxed(replica Candidate) bool {
--- a/coord/placement/ledger.go
+++ b/coord/placement/ledger.go
@@ -22,10 +22,12 @@
 	// QueuedPrefill is the time that the queued prefill takes at a replica that
 	// is not decoding. It includes a share of overdue prefill.
 	QueuedPrefill time.Duration
-	// Remaining is the sum of the expected rests of the requests with a prediction; NextFree is
-	// the expected time until the first of them ends, or 0 if there is none.
-	Remaining time.Duration
-	NextFree  time.Duration
+	// Remaining is the sum of the expected rests of the requests with a prediction, and
+	// ShortestRest the least of them. EndInterval is the mean time between their ends at the
+	// current rates. All are 0 if there is none.
+	Remaining    time.Duration
+	EndInterval  time.Duration
+	ShortestRest time.Duration
 }
 
 // Add returns the sum of two loads.
@@ -33,11 +35,11 @@
 	return Load{
 		Streams: l.Streams + o.Streams, MaxGap: shorterGap(l.MaxGap, o.MaxGap), Tokens: l.Tokens + o.Tokens,
 		HelpedPrompts: l.HelpedPrompts + o.HelpedPrompts, QueuedPrefill: l.QueuedPrefill + o.QueuedPrefill,
-		Remaining: l.Remaining + o.Remaining, NextFree: soonerEnd(l.NextFree, o.NextFree),
+		Remaining: l.Remaining + o.Remaining, EndInterval: soonerEnd(l.EndInterval, o.EndInterval), ShortestRest: shorterGap(l.ShortestRest, o.ShortestRest),
 	}
 }
 
-// shorterGap returns the shorter of two gap limits, where 0 means no limit.
+// shorterGap returns the shorter of two gap limits, or of other durations, where 0 means none.
 func shorterGap(a, b time.Duration) time.Duration {
 	if a == 0 || b != 0 && b < a {
 		return b
@@ -239,11 +241,11 @@
 	clear(l.unpredicted)
 	for _, j := range l.jobs {
 		overdue := j.overduePrefill(now)
-		remaining, nextFree := j.work(now)
-		if nextFree == 0 {
+		remaining, endInterval := j.work(now)
+		if endInterval == 0 {
 			l.unpredicted[j.primary]++
 		}
-		loads[j.primary] = loads[j.primary].Add(Load{Streams: 1, Tokens: j.Tokens, MaxGap: j.Plan.MaxGap, QueuedPrefill: overdue, Remaining: remaining, NextFree: nextFree})
+		loads[j.primary] = loads[j.primary].Add(Load{Streams: 1, Tokens: j.Tokens, MaxGap: j.Plan.MaxGap, QueuedPrefill: overdue, Remaining: remaining, EndInterval: endInterval, ShortestRest: remaining})
 		for i, id := range j.helpers {
 			help := Load{Tokens: j.Plan.ReservedTokens[j.Plan.Helpers[i].ID], QueuedPrefill: overdue}
 			if !j.PrefillDone {
--- a/coord/placement/peers.go
+++ b/coord/placement/peers.go
@@ -108,7 +108,7 @@
 			load = load.aged(elapsed)
 			p.byPeer[name] = load
 		}
-		if load.NextFree == 0 {
+		if load.EndInterval == 0 {
 			p.unpredicted += load.Streams
 		}
 		p.sum = p.sum.Add(load)
--- a/coord/placement/policy.go
+++ b/coord/placement/policy.go
@@ -61,6 +61,9 @@
 	LongLateFactor  float64
 	// MemoryShare is the share of a replica's memory that placement may fill.
 	MemoryShare float64
+	// RemainingWork makes the predicted rest of the requests decide between replicas with as
+	// many streams per slot.
+	RemainingWork bool
 }
 
 // DefaultPolicy returns the production settings.
--- a/coord/placement/work.go
+++ b/coord/placement/work.go
@@ -19,7 +19,7 @@
 )
 
 // soonerEnd returns the expected time until the first of two independent events, of which each
-// is expected after the given time and has a constant rate. 0 means that it is unknown.
+// is expected after the given time and has a constant rate. 0 means that there is no event.
 func soonerEnd(a, b time.Duration) time.Duration {
 	if a == 0 || b == 0 {
 		return a + b
@@ -27,12 +27,17 @@
 	return max(1, time.Duration(float64(a)*float64(b)/float64(a+b)))
 }
 
+// NextFree returns the expected time until the first of the requests with a prediction ends, or
+// 0 if there is none. Requests end independently at their current rates; those whose predictions
+// are certain have a low rate until shortly before they end.
+func (l Load) NextFree() time.Duration { return min(l.EndInterval, l.ShortestRest) }
+
 // isCall reports whether a job has no prefill, so that it runs from the time of sending.
 func (j *Job) isCall() bool { return j.PartPrefill == 0 && j.Plan.TimeToFirstEvent == 0 }
 
 // work returns the expected rest of a job, and the time until it is expected to end at its
-// current rate, or 0 if the job has no prediction.
-func (j *Job) work(now time.Duration) (remaining, nextFree time.Duration) {
+// current rate. Both are 0 if the job has no prediction.
+func (j *Job) work(now time.Duration) (remaining, endInterval time.Duration) {
 	if j.Survival == nil {
 		return 0, 0
 	}
@@ -45,12 +50,12 @@
 	default:
 		remaining, _ = j.Survival.Rest(0)
 		remaining += max(0, j.SentAt+j.Plan.TimeToFirstEvent-now)
+		endsPerSecond = 1 / remaining.Seconds()
 	}
-	nextFree = remaining
-	if endsPerSecond > 0 {
-		nextFree = time.Duration(float64(time.Second) / endsPerSecond)
+	if endsPerSecond*maxStreamTime.Seconds() <= 1 {
+		return remaining, maxStreamTime
 	}
-	return remaining, max(1, nextFree)
+	return remaining, max(1, time.Duration(float64(time.Second)/endsPerSecond))
 }
 
 // StartStream records the time at which the stream of a job has started. Its remaining work is
@@ -78,7 +83,7 @@
 func (l *Ledger) PredictedFree(now time.Duration, replica string) time.Duration {
 	id := ShortID(replica)
 	load := l.Loads(now)[id]
-	free := load.NextFree
+	free := load.NextFree()
 	n := l.unpredicted[id]
 	if p := l.peerLoads[id]; p != nil {
 		n += p.unpredicted
@@ -101,7 +106,7 @@
 // withoutWork returns the report without what changes with the time alone. Such changes are
 // sent in full reports only.
 func (r ReplicaReport) withoutWork() ReplicaReport {
-	r.Load.Remaining, r.Load.NextFree = 0, 0
+	r.Load.Remaining, r.Load.EndInterval, r.Load.ShortestRest = 0, 0, 0
 	return r
 }
 
--- a/edge/peer/codec.go
+++ b/edge/peer/codec.go
@@ -15,10 +15,10 @@
 
 const (
 	// magic is the start of every datagram; its last byte is the format version.
-	magic uint32 = 0x53495305
+	magic uint32 = 0x53495306
 	// maxDatagramBytes is the maximum size of a report. It fits into one packet on links
 	// with an MTU of 9,000. A report about 45 replicas and eight crash suspects takes
-	// 1.1 KB, 16 suspected prompt parts 0.6 KB with three crashes each.
+	// 1.3 KB, 16 suspected prompt parts 0.6 KB with three crashes each.
 	maxDatagramBytes = 8192
 	maxNameBytes     = 255
 )
@@ -42,7 +42,7 @@
 
 // loadRow is the load at one replica. The replica is identified by a hash: a collision is
 // harmless because loads are only hints and a replica reported as unreachable is probed,
-// and rows of 19 bytes keep the traffic between availability zones low.
+// and rows of 23 bytes keep the traffic between availability zones low.
 type loadRow struct {
 	Replica           uint32
 	SentPrefillMicros uint32
@@ -52,6 +52,10 @@
 	Streams           uint8
 	HelpedPrompts     uint8
 	Unreachable       bool
+	// RemainingWork is in units of remainingUnit, the others are encoded by encodeInterval.
+	RemainingWork uint16
+	EndInterval   uint8
+	ShortestRest  uint8
 }
 
 // suspectRow is a crash suspect; its crash IDs follow it.
@@ -189,7 +193,9 @@
 	if row.Unreachable {
 		unreachable = 1
 	}
-	return append(out, uint8(min(row.Load.Streams, math.MaxUint8)), uint8(min(row.Load.HelpedPrompts, math.MaxUint8)), unreachable)
+	out = append(out, uint8(min(row.Load.Streams, math.MaxUint8)), uint8(min(row.Load.HelpedPrompts, math.MaxUint8)), unreachable)
+	out = binary.BigEndian.AppendUint16(out, uint16(min((max(row.Load.Remaining, 0)+remainingUnit-1)/remainingUnit, math.MaxUint16)))
+	return append(out, encodeInterval(row.Load.EndInterval), encodeInterval(row.Load.ShortestRest))
 }
 
 func appendSuspect(out []byte, s suspect.Report) []byte {
@@ -302,6 +308,7 @@
 	return order.Uint32(data), placement.ReplicaReport{SentPrefillMicros: order.Uint32(data[4:]), Unreachable: data[18] != 0, Load: placement.Load{
 		Tokens: int(order.Uint32(data[8:])), QueuedPrefill: time.Duration(order.Uint16(data[12:])) * time.Millisecond,
 		MaxGap: time.Duration(order.Uint16(data[14:])) * time.Millisecond, Streams: int(data[16]), HelpedPrompts: int(data[17]),
+		Remaining: time.Duration(order.Uint16(data[19:])) * remainingUnit, EndInterval: decodeInterval(data[21]), ShortestRest: decodeInterval(data[22]),
 	}}
 }
 
--- a/edge/peer/codec_test.go
+++ b/edge/peer/codec_test.go
@@ -16,6 +16,7 @@
 		Report: placement.Report{OldestWait: 250 * time.Millisecond, QueuedPrefill: 9 * time.Second, Partial: true, Replicas: map[uint32]placement.ReplicaReport{
 			7:  {Load: placement.Load{Streams: 3, HelpedPrompts: 2, Tokens: 410_000, MaxGap: 200 * time.Millisecond, QueuedPrefill: 160 * time.Millisecond}, SentPrefillMicros: 4_294_967_295},
 			11: {Unreachable: true},
+			12: {Load: placement.Load{Streams: 2, Remaining: 1230 * time.Millisecond, EndInterval: 32 * time.Millisecond, ShortestRest: 512 * time.Millisecond}},
 		}},
 		Suspects: []suspect.Report{{Fingerprint: 9, Crashes: []suspect.CrashID{1, 2}, Strikes: 2, Age: 3 * time.Second}},
 		Parts: []suspect.PartReport{
