edge: predict the cost of requests and use it to choose between replicas

Switched by [placement] cost_prediction. Among replicas with as many streams per slot, plain calls go to the one with the least remaining work.

--- a/coord/cost/entry.go
+++ b/coord/cost/entry.go
@@ -109,8 +109,9 @@
 	skillShare = 0.02
 	// minSkillSamples is the number of observations before hints are ignored.
 	minSkillSamples = 30
-	// skillMargin is the difference of the errors, in octaves, from which hints are ignored.
-	skillMargin = 0.05
+	// skillMargin is the difference of the errors, in octaves, from which hints are ignored. The
+	// width of the bins causes differences of up to 0.25 for outputs of one length.
+	skillMargin = 0.2
 )
 
 // add records the absolute errors of both predictions in octaves.
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -65,6 +65,9 @@
 	// with a margin; TimeToFirstEvent is the predicted time to the first event.
 	PartPrefill      time.Duration
 	TimeToFirstEvent time.Duration
+	// ByWork is set if the predicted rest of running requests has decided between replicas with
+	// as many streams per slot.
+	ByWork bool
 }
 
 // Refusal is the reason why no replica was chosen for a prompt.
@@ -100,6 +103,8 @@
 	// candidates are in rank order: sorted by HashID, so that all hosts fill them
 	// with short prompts in the same order.
 	candidates []Candidate
+	// byWork is the ByWork of the plan.
+	byWork bool
 }
 
 // Choose returns the plan for a prompt, or the reason why none was found. It may
@@ -147,10 +152,14 @@
 // each other's requests only after milliseconds and would otherwise all fill
 // the same replica.
 func (c *chooser) chooseShort() (Plan, Refusal) {
-	for _, replicas := range [][]Candidate{c.shortPromptReplicas(), c.relaxedReplicas()} {
-		if replica, ok := c.lessLoadedOfTwo(replicas); ok {
-			return c.makePlan(replica, nil), Refusal{}
-		}
+	replica, ok := c.lessLoadedOfTwo(c.shortPromptReplicas())
+	if !ok {
+		replica, ok = c.lessLoadedOfTwo(c.relaxedReplicas())
+	}
+	if ok {
+		p := c.makePlan(replica, nil)
+		p.ByWork = c.byWork
+		return p, Refusal{}
 	}
 	return c.refuseIfLate(c.earliestShortPlan(), c.policy.ShortLateFactor)
 }
@@ -216,7 +225,7 @@
 	}
 	neededSlots := c.policy.ReservedSlotsPerHost*float64(max(1, c.request.HostCount)) + float64(streams)
 	withSeveralSlots := 0
-	var eligible []Candidate
+	eligible := make([]Candidate, 0, len(c.candidates))
 	for _, replica := range c.candidates {
 		if neededSlots <= 0 && withSeveralSlots >= c.minShortReplicas() {
 			break
@@ -252,16 +261,6 @@
 	return a, true
 }
 
-// isLessLoaded reports whether a short prompt should go to a rather than to b: the replica with
-// fewer streams per slot or, if they have as many, the one whose next slot is expected to become
-// free sooner, for prompts that other hosts place at the same time.
-func (c *chooser) isLessLoaded(a, b Candidate) bool {
-	if x, y := a.Load.Streams*b.Slots, b.Load.Streams*a.Slots; x != y || !c.policy.RemainingWork {
-		return x < y
-	}
-	return a.Load.NextFree() < b.Load.NextFree()
-}
-
 // isRelaxed reports whether a replica is decoding and all its streams tolerate
 // long gaps.
 func (c *chooser) isRelaxed(replica Candidate) bool {
--- a/coord/placement/work.go
+++ b/coord/placement/work.go
@@ -110,6 +110,25 @@
 	return r
 }
 
+// SetSurvival sets the prediction of a job's duration.
+func (l *Ledger) SetSurvival(number uint64, s cost.Survival) {
+	if j, ok := l.jobs[number]; ok {
+		j.Survival = NewSurvival(s)
+		l.loadsValid = false
+	}
+}
+
+// isLessLoaded reports whether a short prompt should go to a rather than to b: the replica with
+// fewer streams per slot or, if they have as many, the one whose next slot is expected to become
+// free sooner, for prompts that other hosts place at the same time.
+func (c *chooser) isLessLoaded(a, b Candidate) bool {
+	if x, y := a.Load.Streams*b.Slots, b.Load.Streams*a.Slots; x != y || !c.policy.RemainingWork {
+		return x < y
+	}
+	c.byWork = a.Load.NextFree() != b.Load.NextFree()
+	return a.Load.NextFree() < b.Load.NextFree()
+}
+
 // NewSurvival returns a copy of a request's survival for a Job, or nil if it predicts nothing.
 func NewSurvival(s cost.Survival) *cost.Survival {
 	if s.IsZero() {
--- a/coord/placement/work_policies_test.go
+++ b/coord/placement/work_policies_test.go
@@ -33,10 +33,10 @@
 	choose        workPolicy
 	// jobs holds the requests at each replica, ended those of which the end is not known to all
 	// hosts yet.
-	jobs, ended   [workReplicas][]*workJob
-	prefillEnd    [workReplicas]time.Duration
+	jobs, ended [workReplicas][]*workJob
+	prefillEnd  [workReplicas]time.Duration
 	// idle holds the candidates without load.
-	idle []Candidate
+	idle          []Candidate
 	prompts, late int
 	// predictedFree and actualFree are the sums of the predicted and the actual times until a
 	// request of a full replica ends.
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -63,8 +63,8 @@
 			}
 			break
 		}
-		klog.V(1).InfoS("placed", "request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
-			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount)
+		klog.V(1).InfoS("placed", append([]any{"request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
+			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount}, assignment.Cost.LogFields()...)...)
 		last = q.send(ctx, assignment)
 		if last.err == nil && last.response == nil {
 			return
@@ -81,9 +81,13 @@
 	req := control.PlacementRequest{
 		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0,
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
-		Regions: q.regions(),
+		Regions: q.regions(), Route: q.route.Name,
+	}
+	if q.account != nil {
+		req.Account = q.account.Name
 	}
 	if q.route.HasPrompt {
+		req.OutputHint = q.headers.OutputTokensHint
 		req.Request.PromptTokens, req.Request.OutputTokens = q.headers.PromptTokens, q.headers.MaxOutputTokens
 	}
 	return req
@@ -202,8 +206,9 @@
 func (q *request) send(ctx context.Context, assignment control.Assignment) outcome {
 	loop := q.server.config.Loop
 	var o outcome
+	eventsBefore := q.eventCount
 	defer func() {
-		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished}, q.fingerprint)
+		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished, Events: q.eventCount - eventsBefore}, q.fingerprint)
 		if o.failedHelper.ID != "" {
 			// Without an assignment ID, only the outcome for the helper is recorded.
 			loop.RecordSendEnd(control.Assignment{Target: o.failedHelper}, control.SendResult{Outcome: health.NoHelp}, q.fingerprint)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -94,6 +94,8 @@
 	RequestStore RequestStore
 	Prober       Prober
 	Placement    placement.Policy
+	// CostPrediction predicts the cost of requests and uses it to choose between replicas.
+	CostPrediction bool
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
@@ -116,8 +118,10 @@
 	// retainedVersion is the version of the directory at the last forgetRemovedReplicas.
 	retainedVersion uint64
 
-	health   *health.Tracker
-	ledger   *placement.Ledger
+	health *health.Tracker
+	ledger *placement.Ledger
+	// costs is nil while predictions are off.
+	costs    *costs
 	suspects *suspect.Tracker
 	parts    *suspect.PartTracker
 	// partSends holds the prompt parts of the requests that are at a replica and have received
@@ -167,6 +171,9 @@
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
 		storedRequests: newStoredRequests(), peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
+	if c.CostPrediction {
+		l.enableCostPrediction()
+	}
 	l.view.Store(&View{})
 	return l
 }
@@ -309,6 +316,7 @@
 	case usableQuestion:
 		m.reply <- slices.ContainsFunc(l.directory.Usable(now, m.service), func(r directory.Replica) bool { return target(r) == m.target })
 	case responseStarted:
+		l.startCost(now, m.assignmentID)
 		// Without helpers, the load that other hosts know of does not change.
 		if l.ledger.MarkPrefillDone(m.assignmentID) {
 			l.scheduleReport(reportNow)
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -35,6 +35,8 @@
 	TriesParts bool
 	// Load is the replica's load as known at the time of placement, for the log.
 	Load placement.Load
+	// Cost is the predicted cost, for the log; empty while predictions are off.
+	Cost CostEstimate
 }
 
 // HelperIDs returns the replica IDs of the helpers, for the log.
@@ -51,6 +53,11 @@
 	ID      string
 	Service *catalog.Service
 	Request placement.Request
+	// Route and Account are the names of the route and of the client account, which is empty
+	// for public routes. OutputHint is the caller's estimate of the output length, or 0.
+	Route      string
+	Account    string
+	OutputHint int
 	// Regions are the regions in which the request may run; empty allows all.
 	Regions     []string
 	Fingerprint suspect.Fingerprint
@@ -143,6 +150,8 @@
 	Began bool
 	// Finished is set if the replica has run the request to its end without an error.
 	Finished bool
+	// Events is the number of events of a stream that have arrived.
+	Events int
 }
 
 // replicaLeaving reports that a replica has said in a response that it leaves.
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -78,6 +78,7 @@
 			assignment.Load = c.Load
 		}
 	}
+	l.predictCost(now, req, plan, &assignment)
 	return decision{assignment: assignment}
 }
 
@@ -165,7 +166,7 @@
 		return placement.Choose(model, l.config.Placement, candidates, req.Request)
 	}
 	best := slices.MinFunc(candidates, func(x, y placement.Candidate) int {
-		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
+		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), l.compareWork(x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
 	})
 	if best.Load.Streams >= best.Slots*maxCallsPerSlot {
 		return placement.Plan{}, placement.Refusal{Reason: placement.RefusedNoPlace, RetryAfter: req.Request.Objective}
@@ -213,6 +214,7 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
+	l.observeCost(now, m)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(reportLater)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -125,7 +125,7 @@
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
-		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
+		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), CostPrediction: s.Placement.CostPrediction, Scope: d.metrics.Scope,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
