docs: request costs and predictions

The page for operators names metrics and log fields of siskin-edge, which TestPageNames now checks against that program's sources, as it does for the gateway and the sidecar.

--- a/coord/cost/predictor.go
+++ b/coord/cost/predictor.go
@@ -79,8 +79,9 @@
 	}
 }
 
-// maxSharedWeight limits the weight of what other hosts report, so that own observations
-// prevail after a few requests.
+// maxSharedWeight limits the weight of what other hosts report for a key against the more general
+// distribution. Own observations of the key are combined with the result, so that they prevail
+// after a few requests.
 const maxSharedWeight = 3 * initialWeight
 
 // evidenceFor returns what is known about a request. Hints are ignored if useHint is not set.
--- a/coord/cost/predictor_test.go
+++ b/coord/cost/predictor_test.go
@@ -68,14 +68,16 @@
 		}
 	})
 	t.Run("useless hints", func(t *testing.T) {
-		// Guards against hints that are unrelated to the output and change their meaning, which
-		// would be worse than no prediction.
+		// Guards against hints that are unrelated to the output, of so many sizes that few requests
+		// with each are observed, which would be worse than no hints.
 		p, now := New(Config{}), time.Duration(0)
+		random := rand.New(rand.NewPCG(3, 1))
 		for range 300 {
-			hint := 10 << random.IntN(8)
-			observeOutputs(p, random, &now, stream("", hint), 200, 1)
+			r := stream("", 1<<random.IntN(12))
+			r.PromptTokens = 1 << (2 * random.IntN(10))
+			observeOutputs(p, random, &now, r, 200, 1)
 		}
-		for _, hint := range []int{10, 1280} {
+		for _, hint := range []int{2, 2048} {
 			checkRatio(t, "median", float64(p.Predict(now, stream("", hint)).P50), 200, 1.5)
 		}
 	})
@@ -173,6 +175,9 @@
 			t.Fatal(err)
 		}
 	}
+	if w := started.table.get(stream("a", 100).keys().account).shared.weight; w > 60 {
+		t.Errorf("100 reports of 60 samples count as %v samples", w)
+	}
 	e := started.Predict(now, stream("a", 100))
 	checkRatio(t, "median", float64(e.P50), 800, 1.7)
 	if e.Source != SourcePeers {
--- a/siskinctl/pages_test.go
+++ b/siskinctl/pages_test.go
@@ -152,14 +152,17 @@
 	codeName       = regexp.MustCompile(`^[a-z]+(_[a-z0-9]+)+$`)
 	labelledMetric = regexp.MustCompile(`^([a-z_]+)\{([a-z_]+)="([a-z_]+)"\}$`)
 	citedExitCode  = regexp.MustCompile(`exit codes? (\d)(?: or (\d))?`)
-	metricName     = regexp.MustCompile(`^(gateway|sidecar)_([a-z_]+)$`)
+	metricName     = regexp.MustCompile(`^(gateway|sidecar|siskin_edge)_([a-z_]+)$`)
 )
 
+// edgeProgram is mentioned on the pages about it, whose names are those of that program.
+const edgeProgram = "`siskin-edge`"
+
 // isRegisteredMetric reports whether the program that the name's prefix denotes
 // registers the metric.
 func isRegisteredMetric(t *testing.T, name string) bool {
 	m := metricName.FindStringSubmatch(name)
-	return m != nil && regexp.MustCompile(`(Gauge|Counter|Histogram|Timer)\("`+m[2]+`"`).MatchString(readSources(t, m[1]))
+	return m != nil && regexp.MustCompile(`(Gauge|Counter|Histogram|Timer)\("`+m[2]+`"`).MatchString(readSources(t, strings.TrimPrefix(m[1], "siskin_")))
 }
 
 // findUnknownNames returns the names in a page's code spans that are neither a
@@ -190,8 +193,16 @@
 	if got := findUnknownNames(t, code, "`gateway_bogus{pool=\"x\"}` and `no_such_reason`"); len(got) != 2 {
 		t.Errorf("findUnknownNames returned %q, want both unknown names", got)
 	}
+	edgeCode := readSources(t, "coord", "edge", "service")
+	if got := findUnknownNames(t, edgeCode, "`siskin_edge_answers` and `siskin_edge_bogus`"); len(got) != 1 {
+		t.Errorf("findUnknownNames returned %q, want the unknown metric of siskin-edge", got)
+	}
 	for page, text := range readPages(t) {
-		for _, name := range findUnknownNames(t, code, text) {
+		known := code
+		if strings.Contains(text, edgeProgram) {
+			known = edgeCode
+		}
+		for _, name := range findUnknownNames(t, known, text) {
 			t.Errorf("%s: name %s does not exist in any program", page, name)
 		}
 		for _, cited := range citedExitCode.FindAllStringSubmatch(text, -1) {
