placement: delays between zones and idle connections

Placement ignored the delays between zones and whether a new connection, which is expensive on the entry hosts, is needed. The engine's delays are decoded and a short prompt goes to a near replica with several free slots as long as its predicted first event is earlier than that of the replica chosen by load; among replicas with at most one stream of difference, one with an idle connection is preferred. Replicas of which a speed factor is known are avoided from 1.25 on.

[placement] zone_delays switches it on.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -113,6 +113,25 @@
 	// answers.
 	MeanPromptTokens int
 	MeanAnswerTokens int
+	// Delays holds the one-way delays between availability zones.
+	Delays map[ZonePair]time.Duration
+}
+
+// ZonePair is a direction between two availability zones.
+type ZonePair struct{ From, To string }
+
+// RoundTrip returns the round trip time between two availability zones, or 0 if it is not
+// configured. If only one direction is configured, the other one counts as equal.
+func (e *Engine) RoundTrip(a, b string) time.Duration {
+	there, knowsThere := e.Delays[ZonePair{a, b}]
+	back, knowsBack := e.Delays[ZonePair{b, a}]
+	if !knowsThere {
+		there = back
+	}
+	if !knowsBack {
+		back = there
+	}
+	return there + back
 }
 
 // Service is a set of replicas that serve the same requests.
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -15,6 +15,13 @@
 	Rank  uint64
 	Slots int
 	Load  Load
+	// Speed is the factor by which prefill and passes take longer than by the engine's
+	// configuration; 0 and 1 are nominal.
+	Speed float64
+	// Delay is the round trip time to the replica.
+	Delay time.Duration
+	// Connected is set if this host has an idle connection to the replica.
+	Connected bool
 }
 
 // Request describes a prompt to be placed.
@@ -61,8 +68,8 @@
 	ReservedTokens map[string]int
 	// MaxGap is the longest allowed gap between the stream's events.
 	MaxGap time.Duration
-	// PartPrefill is the prefill time of each replica's part, for a large prompt
-	// with a margin; TimeToFirstEvent is the predicted time to the first event.
+	// PartPrefill is the prefill time of each replica's part at the slowest of them, for a
+	// large prompt with a margin; TimeToFirstEvent is the predicted time to the first event.
 	PartPrefill      time.Duration
 	TimeToFirstEvent time.Duration
 }
@@ -100,6 +107,10 @@
 	// candidates are in rank order: sorted by HashID, so that all hosts fill them
 	// with short prompts in the same order.
 	candidates []Candidate
+	// uneven is set if a candidate has a delay or a speed that is not nominal. leastSlowdown
+	// is the slowdown of the fastest candidate.
+	uneven        bool
+	leastSlowdown float64
 }
 
 // Choose returns the plan for a prompt, or the reason why none was found. It may
@@ -107,6 +118,7 @@
 func Choose(m Model, p Policy, candidates []Candidate, r Request) (Plan, Refusal) {
 	c := chooser{model: m, policy: p, request: r, candidates: candidates, fullPrefill: m.PartPrefill(r.PromptTokens, 1)}
 	c.sortByRank()
+	c.findUnevenness()
 	switch {
 	case c.requiredTokens() > c.usableMemory():
 		return c.chooseOversized()
@@ -147,8 +159,8 @@
 // each other's requests only after milliseconds and would otherwise all fill
 // the same replica.
 func (c *chooser) chooseShort() (Plan, Refusal) {
-	for _, replicas := range [][]Candidate{c.shortPromptReplicas(), c.relaxedReplicas()} {
-		if replica, ok := c.lessLoadedOfTwo(replicas); ok {
+	for _, list := range []func() []Candidate{c.shortPromptReplicas, c.relaxedReplicas} {
+		if replica, ok := c.pickShort(list()); ok {
 			return c.makePlan(replica, nil), Refusal{}
 		}
 	}
@@ -216,7 +228,8 @@
 	}
 	neededSlots := c.policy.ReservedSlotsPerHost*float64(max(1, c.request.HostCount)) + float64(streams)
 	withSeveralSlots := 0
-	var eligible []Candidate
+	// Usually enough for the replicas of short prompts.
+	eligible := make([]Candidate, 0, len(c.candidates)/4+1)
 	for _, replica := range c.candidates {
 		if neededSlots <= 0 && withSeveralSlots >= c.minShortReplicas() {
 			break
@@ -224,34 +237,18 @@
 		if c.isRelaxed(replica) {
 			continue
 		}
-		neededSlots -= c.policy.SlotFillShare * float64(replica.Slots)
+		neededSlots -= c.policy.SlotFillShare * float64(replica.Slots) / replica.slowdown()
 		if !c.meetsShortTarget(replica) {
 			continue
 		}
 		eligible = append(eligible, replica)
-		if c.hasSeveralSlots(replica) {
+		if c.hasSeveralSlots(replica) && !c.isSlow(replica) {
 			withSeveralSlots++
 		}
 	}
 	return eligible
 }
 
-func (c *chooser) lessLoadedOfTwo(candidates []Candidate) (Candidate, bool) {
-	switch len(candidates) {
-	case 0:
-		return Candidate{}, false
-	case 1:
-		return candidates[0], true
-	}
-	n := uint64(len(candidates))
-	i := c.request.Hash % n
-	a, b := candidates[i], candidates[(i+1+(c.request.Hash>>32)%(n-1))%n]
-	if b.Load.Streams*a.Slots < a.Load.Streams*b.Slots {
-		a = b
-	}
-	return a, true
-}
-
 // isRelaxed reports whether a replica is decoding and all its streams tolerate
 // long gaps.
 func (c *chooser) isRelaxed(replica Candidate) bool {
@@ -266,7 +263,7 @@
 	if gap == 0 {
 		return time.Hour
 	}
-	return time.Duration(c.policy.PassGapShare*float64(gap)) - c.model.PassTime(streams, replica.Load.Tokens)
+	return time.Duration(c.policy.PassGapShare*float64(gap)) - scaleTime(c.model.PassTime(streams, replica.Load.Tokens), replica.slowdown())
 }
 
 // chooseLong splits the prefill over several replicas, which run the newest part
@@ -280,7 +277,9 @@
 	}
 	// The sort is stable to keep the order among decoding replicas and among
 	// the others.
-	slices.SortStableFunc(order, func(a, b Candidate) int { return cmp.Compare(min(b.Load.Streams, 1), min(a.Load.Streams, 1)) })
+	slices.SortStableFunc(order, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(c.slowRank(a), c.slowRank(b)), cmp.Compare(min(b.Load.Streams, 1), min(a.Load.Streams, 1)))
+	})
 	var best Plan
 	var bestCost time.Duration
 	for _, replica := range order {
@@ -288,7 +287,7 @@
 			continue
 		}
 		p := c.planFastest(replica, helpers, fallback)
-		part := c.model.PartPrefill(c.request.PromptTokens, len(p.Helpers)+1)
+		part := scaleTime(c.model.PartPrefill(c.request.PromptTokens, len(p.Helpers)+1), replica.slowdown())
 		overrun := max(0, part+replica.Load.QueuedPrefill-c.prefillBudget(replica, c.request.MaxGap, replica.Load.Streams+1))
 		if p.TimeToFirstEvent <= c.request.Objective && overrun == 0 {
 			return p, Refusal{}
@@ -309,13 +308,15 @@
 	for _, replica := range slices.Backward(c.candidates) {
 		switch {
 		case replica.Load.HelpedPrompts >= replica.Slots-1:
-		case replica.Load.Streams == 0 || c.isRelaxed(replica):
+		case !c.isSlow(replica) && (replica.Load.Streams == 0 || c.isRelaxed(replica)):
 			preferred = append(preferred, replica)
 		default:
 			fallback = append(fallback, replica)
 		}
 	}
-	byWork := func(a, b Candidate) int { return cmp.Compare(a.Load.QueuedPrefill, b.Load.QueuedPrefill) }
+	byWork := func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(c.slowRank(a), c.slowRank(b)), cmp.Compare(a.Load.QueuedPrefill, b.Load.QueuedPrefill))
+	}
 	slices.SortStableFunc(preferred, byWork)
 	slices.SortStableFunc(fallback, byWork)
 	return preferred, fallback
@@ -352,15 +353,18 @@
 // timeToFirstEvent predicts the time to the first event at a replica that
 // prefills one of several equal parts.
 func (c *chooser) timeToFirstEvent(replica Candidate, parts int) time.Duration {
-	return c.model.TimeToFirstEvent(c.model.PartPrefill(c.request.PromptTokens, parts), replica.Load.QueuedPrefill, replica.Load.Streams, replica.Load.Tokens+c.request.PromptTokens)
+	part, factor := c.model.PartPrefill(c.request.PromptTokens, parts), replica.slowdown()
+	// The queued prefill is in real time, see Plan.PartPrefill, and the model's is nominal.
+	ahead := scaleTime(replica.Load.QueuedPrefill, 1/factor)
+	return replica.Delay + scaleTime(c.model.TimeToFirstEvent(part, ahead, replica.Load.Streams, replica.Load.Tokens+c.request.PromptTokens), factor)
 }
 
 func (c *chooser) makePlan(primary Candidate, helpers []Candidate) Plan {
 	p := Plan{Service: c.request.Service, Primary: primary.ID, MaxGap: c.request.MaxGap}
 	part := c.model.PartPrefill(c.request.PromptTokens, len(helpers)+1)
-	passTime := c.model.PassTime(primary.Load.Streams+1, primary.Load.Tokens+c.request.PromptTokens)
+	passTime := scaleTime(c.model.PassTime(primary.Load.Streams+1, primary.Load.Tokens+c.request.PromptTokens), primary.slowdown())
+	slowest := primary.slowdown()
 	p.TimeToFirstEvent = c.timeToFirstEvent(primary, len(helpers)+1)
-	p.PartPrefill = part
 	for _, h := range helpers {
 		// A helper prefills the newest part first, so its queued prefill does
 		// not count.
@@ -369,8 +373,10 @@
 			partTime += c.model.PassTime(h.Load.Streams, h.Load.Tokens) / 2
 		}
 		p.Helpers = append(p.Helpers, Helper{ID: h.ID})
-		p.TimeToFirstEvent = max(p.TimeToFirstEvent, partTime+passTime)
+		p.TimeToFirstEvent = max(p.TimeToFirstEvent, primary.Delay+scaleTime(partTime, h.slowdown())+passTime)
+		slowest = max(slowest, h.slowdown())
 	}
+	p.PartPrefill = scaleTime(part, slowest)
 	return p
 }
 
--- a/coord/placement/large.go
+++ b/coord/placement/large.go
@@ -19,6 +19,18 @@
 // chooseLarge uses replicas without other prefill, so that large prompts are
 // prefilled one after the other, each by many replicas.
 func (c *chooser) chooseLarge() (Plan, Refusal) {
+	if fast := c.fastCandidates(); len(fast) < len(c.candidates) {
+		withoutSlow := *c
+		withoutSlow.candidates = fast
+		if plan, refusal := withoutSlow.chooseLargeOf(); refusal.Reason == RefusedNone || refusal.CanWait {
+			return plan, refusal
+		}
+	}
+	return c.chooseLargeOf()
+}
+
+// chooseLargeOf is chooseLarge for all of the candidates, slow ones included.
+func (c *chooser) chooseLargeOf() (Plan, Refusal) {
 	var idle, decoding []Candidate
 	var backlog time.Duration
 	available := 0
@@ -85,7 +97,7 @@
 		}
 		var helpers []Candidate
 		for _, replica := range slices.Concat(idle, decoding) {
-			if replica.ID != primary.ID && len(helpers) < parts-1 && part+replica.Load.QueuedPrefill <= c.prefillBudget(replica, 0, replica.Load.Streams) {
+			if replica.ID != primary.ID && len(helpers) < parts-1 && scaleTime(part, replica.slowdown())+replica.Load.QueuedPrefill <= c.prefillBudget(replica, 0, replica.Load.Streams) {
 				helpers = append(helpers, replica)
 			}
 		}
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -148,6 +148,7 @@
 	}
 	routes, services, accounts := c.Config.Counts()
 	klog.V(1).InfoS("configuration in force", "version", c.Config.Version(), "store_revision", c.Revision, "routes", routes, "services", services, "accounts", accounts)
+	l.ranked.services = nil // it holds the delays of the old configuration
 	l.models = map[string]placement.Model{}
 	for _, s := range c.Config.Services() {
 		if s.Engine != nil {
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -94,6 +94,11 @@
 	RequestStore RequestStore
 	Prober       Prober
 	Placement    placement.Policy
+	// Connections tells to which replicas this host has idle connections; nil if it is not to
+	// be considered.
+	Connections Connections
+	// ZoneDelays makes the configured delays between availability zones count.
+	ZoneDelays bool
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -86,6 +86,7 @@
 	directory.Replica
 	shortID uint32
 	rank    uint64
+	link    replicaLink
 }
 
 // rankedReplicas are the usable replicas of each service in rank order. They are derived
@@ -106,7 +107,7 @@
 	usable := l.directory.Usable(now, service)
 	list := make([]rankedReplica, len(usable))
 	for i, r := range usable {
-		list[i] = rankedReplica{Replica: r, shortID: placement.ShortID(r.ID), rank: placement.HashID(r.ID)}
+		list[i] = rankedReplica{Replica: r, shortID: placement.ShortID(r.ID), rank: placement.HashID(r.ID), link: l.replicaLink(r)}
 	}
 	slices.SortFunc(list, func(a, b rankedReplica) int { return cmp.Compare(a.rank, b.rank) })
 	l.ranked.services[service] = list
@@ -126,7 +127,10 @@
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
 		}
-		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID]})
+		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{
+			ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID],
+			Delay: r.link.delay, Connected: r.link.isConnected(now),
+		})
 	}
 	return l.candidateBuffer
 }
@@ -165,7 +169,7 @@
 		return placement.Choose(model, l.config.Placement, candidates, req.Request)
 	}
 	best := slices.MinFunc(candidates, func(x, y placement.Candidate) int {
-		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
+		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(x.Delay, y.Delay), compareConnected(x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
 	})
 	if best.Load.Streams >= best.Slots*maxCallsPerSlot {
 		return placement.Plan{}, placement.Refusal{Reason: placement.RefusedNoPlace, RetryAfter: req.Request.Objective}
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,8 @@
 	idle map[string][]*conn
 	// active holds the connections with a request in progress, by address.
 	active map[string]map[*conn]bool
+	// idleUntil holds the results of IdleUntil by a hash of the address.
+	idleUntil [idleHintCount]atomic.Int64
 }
 
 // NewPool returns a pool without connections.
@@ -159,6 +162,7 @@
 	if len(p.idle[address]) == 0 {
 		delete(p.idle, address)
 	}
+	p.updateIdleHint(address)
 }
 
 // putIdle returns a connection to the pool after a complete response, or closes it if the
@@ -178,6 +182,7 @@
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	p.updateIdleHint(c.address)
 }
 
 // Close closes the idle connections.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -120,12 +120,17 @@
 	d.parts = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Kind: platform.ChangeCrashPart, Expiry: suspect.DefaultPartConfig(s.Process.ID).Expiry})
 	d.pool = replica.NewPool(replica.Config{ConnectTimeout: s.Replicas.ConnectTimeout, IdleTimeout: s.Replicas.IdleTimeout, MaxIdle: s.Replicas.MaxIdle, MaxReservationTTL: s.Bounds.HoldMax})
 	drainAcceptTime := min(maxDrainAcceptTime, s.Bounds.Shutdown/drainAcceptDivisor)
+	var connections control.Connections
+	if s.Placement.ZoneDelays {
+		connections = d.pool
+	}
 	d.loop = control.New(control.Config{
 		Name: s.Process.ID, Zone: s.Process.Zone, Regions: regions,
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
+		ZoneDelays: s.Placement.ZoneDelays, Connections: connections,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
