replicaspeed: learn the speed of replicas and zones

A replica that is slower than its engine's configuration got as many prompts as the others. Each host now compares the time to the first event with the nominal prediction for prompts that find no queue, and keeps the median of five samples per replica. Hosts exchange evidence of slow replicas in report section 2; the factor is a weighted median over hosts in which one other host alone can't call a replica slow. A zone whose replicas are all slow from one host's view gets an added delay instead. Evidence fades within 10 s, and a restart drops it.

--- a/coord/placement/uneven.go
+++ b/coord/placement/uneven.go
@@ -161,3 +161,7 @@
 	}
 	return loadB < loadA
 }
+
+// LastLoad returns the load of a replica as of the last call of Loads, which may be some time
+// ago.
+func (l *Ledger) LastLoad(id uint32) Load { return l.loads[id] }
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -53,6 +53,9 @@
 			if !began && assignment.TriesParts {
 				q.server.config.Loop.RecordAnswerBegun(assignment)
 			}
+			if !began && assignment.Measured {
+				q.server.config.Loop.RecordFirstEvent(assignment)
+			}
 			began = true
 			if first, ok := firstEvent(pending[:end]); ok && continued {
 				if !continuesAfter(first, lastEventID) {
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -92,6 +92,9 @@
 	}
 	l.health.Retain(known)
 	l.ledger.RetainReplicas(shortIDs)
+	if l.config.Speeds != nil {
+		l.config.Speeds.Retain(shortIDs)
+	}
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
 
@@ -170,6 +173,7 @@
 	if r.ColdTimeLeft > 0 {
 		entry.ColdUntil = now + r.ColdTimeLeft
 	}
+	l.resetSpeed(now, entry)
 	if l.directory.Put(entry) {
 		l.health.Reset(r.ID)
 		l.ledger.RemoveReplica(r.ID)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -17,6 +17,7 @@
 	"siskinstand.example/coord/freshness"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
+	"siskinstand.example/coord/replicaspeed"
 	"siskinstand.example/coord/retry"
 	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/peer"
@@ -99,6 +100,9 @@
 	Connections Connections
 	// ZoneDelays makes the configured delays between availability zones count.
 	ZoneDelays bool
+	// Speeds learns the speeds of replicas and zones; nil if they are not to be learned. Its
+	// SpeedSection is to be one of Sections.
+	Speeds *replicaspeed.Tracker
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
@@ -329,6 +333,8 @@
 		l.updateReplicaGauges(now)
 	case answerBegun:
 		l.handleAnswerBegun(now, m)
+	case firstEvent:
+		l.observeSpeed(now, m)
 	case sendEnded:
 		l.handleSendEnded(now, m)
 	case storeUpdate:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -33,6 +33,8 @@
 	// TriesParts is set if a part of the prompt is not known good, so that the first event is
 	// to be reported with RecordAnswerBegun.
 	TriesParts bool
+	// Measured is set if the first event is to be reported with RecordFirstEvent.
+	Measured bool
 	// Load is the replica's load as known at the time of placement, for the log.
 	Load placement.Load
 }
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -76,6 +76,7 @@
 	for _, c := range candidates {
 		if c.ID == plan.Primary {
 			assignment.Load = c.Load
+			assignment.Measured = l.startSpeedSample(now, id, req, plan, c)
 		}
 	}
 	return decision{assignment: assignment}
@@ -123,13 +124,14 @@
 func (l *Loop) candidates(now time.Duration, req PlacementRequest) []placement.Candidate {
 	loads := l.ledger.Loads(now)
 	l.candidateBuffer = l.candidateBuffer[:0]
+	speeds := l.learnedSpeeds(now)
 	for _, r := range l.rankedReplicas(now, req.Service.Name) {
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
 		}
 		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{
 			ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID],
-			Delay: r.link.delay, Connected: r.link.isConnected(now),
+			Speed: speeds.factor(r.shortID), Delay: r.link.delay + speeds.addedDelay(r.Zone), Connected: r.link.isConnected(now),
 		})
 	}
 	return l.candidateBuffer
@@ -217,6 +219,7 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
+	l.endSpeedSample(m.assignmentID)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(reportLater)
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"time"
 
+	"siskinstand.example/coord/health"
+	"siskinstand.example/coord/placement"
+	"siskinstand.example/coord/replicaspeed"
+	"siskinstand.example/edge/peer"
 	"siskinstand.example/platform"
 )
 
@@ -61,3 +65,64 @@
 		t.Errorf("delay with zone_delays off is %v", d["a"])
 	}
 }
+
+func TestLearnedSpeeds(t *testing.T) {
+	l := testLoop(t, replica("a", "llm", "z1"))
+	req := largeRequest(l, t)
+	req.Request.PromptTokens = 2000
+	// answer plays a request whose first event arrives after the given time.
+	answer := func(now, took time.Duration, meanwhile ...message) bool {
+		d, _ := pollDecision(l.requestPlacement(now, req))
+		for _, m := range meanwhile {
+			l.handle(now, m)
+		}
+		if d.assignment.Measured {
+			l.handle(now+took, firstEvent{d.assignment.ID, now + took})
+		}
+		l.handle(now+took, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.Served}})
+		return d.assignment.Measured
+	}
+	if answer(0, time.Second) {
+		t.Error("a request is measured although learned_speeds is off")
+	}
+	tracker := replicaspeed.New(replicaspeed.DefaultConfig())
+	l.config.Speeds, l.config.Sections = tracker, []ReportSection{SpeedSection{tracker}}
+	speed := func(now time.Duration) float64 { return l.candidates(now, req)[0].Speed }
+	started := replica("a", "llm", "z1")
+	started.StartUnixMs = 5
+	restart := storeUpdate{list: []platform.Change{{Kind: platform.ChangeReplica, Name: "a", Replica: started}}}
+	// Guards against results of requests sent before a restart.
+	answer(time.Second, time.Second, restart)
+	answer(3*time.Second, 500*time.Millisecond)
+	if f := speed(4 * time.Second); f != 0 {
+		t.Errorf("factor %.2f after a restart and one slow result, want nominal", f)
+	}
+	// Guards against a result that is not counted, and against one that does not reach others.
+	answer(4*time.Second, 500*time.Millisecond)
+	if f := speed(5 * time.Second); f < 3 {
+		t.Errorf("factor %.2f after two results of 500 ms, want above 3", f)
+	}
+	if sections := l.reportSections(5 * time.Second); len(sections) != 1 || sections[0].Type != peer.SectionReplicaSpeeds {
+		t.Errorf("sections %+v, want the speeds", sections)
+	}
+	// Guards against waiting for a slot that is taken for a slow replica.
+	tracker.Reset(6*time.Second, placement.ShortID("a"))
+	full := placement.Report{Replicas: map[uint32]placement.ReplicaReport{placement.ShortID("a"): {Load: placement.Load{Streams: 14}}}}
+	l.handle(6*time.Second, storeUpdate{list: []platform.Change{{Kind: platform.ChangePeer, Name: "edge-2", Peer: platform.Peer{Address: "x", Incarnation: 1}}}})
+	l.handle(6*time.Second, peerReport{name: "edge-2", incarnation: 1, report: full})
+	if answer(6*time.Second, time.Second) {
+		t.Error("a request at a replica with two free slots is measured")
+	}
+	// Guards against samples that stay when requests end without a first event.
+	l.ledger.RemovePeer("edge-2")
+	d, _ := pollDecision(l.requestPlacement(8*time.Second, req))
+	l.handle(8*time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.Served}})
+	if _, ok := tracker.Pending(d.assignment.ID); ok || !d.assignment.Measured {
+		t.Errorf("measured: %v, still pending: %v; want a measured request that is forgotten", d.assignment.Measured, ok)
+	}
+	// Guards against state of replicas that no longer exist.
+	l.handle(9*time.Second, storeUpdate{full: true})
+	if n := len(tracker.Slow()); n != 0 {
+		t.Errorf("%d slow replicas after all were deleted", n)
+	}
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -14,6 +14,7 @@
 
 	"siskinstand.example/coord/directory"
 	"siskinstand.example/coord/placement"
+	"siskinstand.example/coord/replicaspeed"
 	"siskinstand.example/coord/suspect"
 	"siskinstand.example/edge/caller"
 	"siskinstand.example/edge/config"
@@ -124,13 +125,19 @@
 	if s.Placement.ZoneDelays {
 		connections = d.pool
 	}
+	var speeds *replicaspeed.Tracker
+	var sections []control.ReportSection
+	if s.Placement.LearnedSpeeds {
+		speeds = replicaspeed.New(replicaspeed.DefaultConfig())
+		sections = append(sections, control.SpeedSection{Tracker: speeds})
+	}
 	d.loop = control.New(control.Config{
 		Name: s.Process.ID, Zone: s.Process.Zone, Regions: regions,
 		RetryLimits:       retryLimits(s),
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
-		ZoneDelays: s.Placement.ZoneDelays, Connections: connections,
+		ZoneDelays: s.Placement.ZoneDelays, Connections: connections, Speeds: speeds, Sections: sections,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
