placement: measure uneven replicas, keep the choice free of allocations

The list of preferred replicas overwrites that of eligible ones. The tests of the share of near replicas, of fading and of a restart did not fail on mutants of these rules; they do now.

--- a/coord/placement/uneven.go
+++ b/coord/placement/uneven.go
@@ -93,9 +93,9 @@
 // preferredReplicas returns the eligible replicas that are not slow, have several free slots
 // and are the nearest of these. If only a few are near, all of the fast ones are returned:
 // the hosts of a zone would otherwise place the prompts that they do not know of yet at the
-// same few replicas.
+// same few replicas. The result overwrites eligible.
 func (c *chooser) preferredReplicas(eligible []Candidate) []Candidate {
-	fast := make([]Candidate, 0, len(eligible))
+	fast := eligible[:0]
 	least := time.Duration(-1)
 	for _, r := range eligible {
 		if c.isSlow(r) || !c.hasSeveralSlots(r) {
--- a/coord/placement/uneven_test.go
+++ b/coord/placement/uneven_test.go
@@ -124,7 +124,7 @@
 	// Guards against all hosts of a zone placing their unreported prompts at the one near
 	// replica that has free slots: 8 prompts that are not reported yet, 6 near replicas of 18.
 	replicas := decodingReplicas(18, 12, 5)
-	replicas[0].Load.Streams = 5
+	replicas[0].Load = replicas[1].Load
 	if _, most := countChoices(t, replicas, 300, 8, isNear); most > 90 {
 		t.Errorf("%d of 300 prompts at one replica, want at most 90", most)
 	}
--- a/coord/replicaspeed/tracker_test.go
+++ b/coord/replicaspeed/tracker_test.go
@@ -75,6 +75,9 @@
 			t.Errorf("factor grows from %.2f to %.2f without new evidence", last, f)
 		}
 		last = f
+		if now == 5*time.Second {
+			checkFactor(t, "half of MaxAge", f, 2)
+		}
 	}
 	if last != 1 || len(tracker.replicas) != 0 || len(tracker.zones) != 0 {
 		t.Errorf("after 11 s: factor %.2f, %d replicas, %d zones; want nominal and no state", last, len(tracker.replicas), len(tracker.zones))
@@ -160,11 +163,15 @@
 		merge(tracker, now, "a", 4, 5)
 		merge(tracker, now, "b", 4, 5)
 		observeRatio(tracker, now, 1, 4)
-		tracker.Begin(7, Request{Replica: 1, Zone: "z", SentAt: now, Predicted: predicted})
+		for number := range uint64(2) {
+			tracker.Begin(number, Request{Replica: 1, Zone: "z", SentAt: now, Predicted: predicted})
+		}
 		tracker.Reset(now, 1)
 		merge(tracker, now, "a", 4, 5)
 		merge(tracker, now, "b", 4, 5)
-		tracker.FirstEvent(now, 7, now+time.Second)
+		for number := range uint64(2) {
+			tracker.FirstEvent(now, number, now+time.Second)
+		}
 		checkFactor(t, "restarted", slowFactor(tracker, now, 1), 1)
 	})
 	t.Run("invalid and many", func(t *testing.T) {
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,3 +127,42 @@
 		t.Errorf("%d slow replicas after all were deleted", n)
 	}
 }
+
+// BenchmarkPlaceShortUneven is BenchmarkPlaceShort with connections, zone delays and, in the
+// worst case, one slow replica in ten and a slow zone.
+func BenchmarkPlaceShortUneven(b *testing.B) {
+	for name, slowReplicas := range map[string]bool{"nominal": false, "slow": true} {
+		b.Run(name, func(b *testing.B) {
+			l := largeFleetLoop(b)
+			tracker := replicaspeed.New(replicaspeed.DefaultConfig())
+			l.config.Zone, l.config.ZoneDelays, l.config.Connections, l.config.Speeds = "z1", true, fixedConnections{}, tracker
+			c, err := platform.DecodeConfig([]byte(strings.Replace(testConfiguration, `"slots"`, delaysConfiguration, 1)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := []platform.Change{{Kind: platform.ChangeConfig, Config: c}}
+			for i := range largeFleetReplicas {
+				r := replica(fmt.Sprintf("r-%d", i), "llm", []string{"z1", "z2", "z3"}[i%3])
+				list = append(list, platform.Change{Kind: platform.ChangeReplica, Name: r.ID, Replica: r})
+			}
+			l.handle(0, storeUpdate{list: list})
+			for i := 0; slowReplicas && i < largeFleetReplicas; i++ {
+				if i%10 != 0 && i%3 != 2 {
+					continue
+				}
+				for n := range uint64(2) {
+					tracker.Begin(n, replicaspeed.Request{Replica: placement.ShortID(fmt.Sprintf("r-%d", i)), Zone: fmt.Sprint("z", i%3+1), Predicted: 80 * time.Millisecond})
+					tracker.FirstEvent(0, n, 400*time.Millisecond)
+				}
+			}
+			req := largeRequest(l, b)
+			req.Request.PromptTokens, req.Request.MaxGap = 5000, 250*time.Millisecond
+			b.ReportAllocs()
+			for b.Loop() {
+				d, _ := pollDecision(l.requestPlacement(0, req))
+				l.handle(0, firstEvent{d.assignment.ID, 80 * time.Millisecond})
+				l.handle(0, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: "served"}})
+			}
+		})
+	}
+}
