replicaspeed: compare within slow zones, gauges, documentation

A host with too little processor time found all zones slow and would have added their delays to every prediction. If all zones are slow, only the difference to the fastest one counts, and replicas of a slow zone are compared with its median instead of being ignored. Gauges are set with every report, so that they stay current without placements.

--- a/coord/replicaspeed/sim_test.go
+++ b/coord/replicaspeed/sim_test.go
@@ -39,8 +39,10 @@
 	// requests is the number of the last request.
 	requests uint64
 	// late is the number of late first events, placed the number of prompts by second and replica.
-	late   int
-	placed map[int]*[simReplicas]int
+	late int
+	// reportBytes is the size of all sections that the hosts have made.
+	reportBytes int
+	placed      map[int]*[simReplicas]int
 }
 
 func newSite(seed uint64) *site {
@@ -51,6 +53,13 @@
 	for range simHosts {
 		s.trackers = append(s.trackers, replicaspeed.New(replicaspeed.DefaultConfig()))
 	}
+	known := map[uint32]bool{}
+	for i := range simReplicas {
+		known[shortID(i)] = true
+	}
+	for _, t := range s.trackers {
+		t.Retain(known, simZones)
+	}
 	return s
 }
 
@@ -80,6 +89,7 @@
 		t.ObserveOverdue(now, func(replicaspeed.Request) bool { return false })
 		t.Refresh(now)
 		data := t.AppendReport(now, nil, 512)
+		s.reportBytes += len(data)
 		if s.falsify != nil {
 			data = s.falsify(from, data)
 		}
@@ -179,6 +189,7 @@
 	// Guards against prompts that keep going there; with half of the reports lost, too.
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		first := busiest(seed)
+		bytes := 0
 		play := func(learns bool, lost float64) int {
 			s := newSite(seed)
 			s.learns, s.lostReports = learns, lost
@@ -188,10 +199,12 @@
 				}
 				return 1
 			}
-			return s.run(30 * time.Second).late
+			s.run(30 * time.Second)
+			bytes = s.reportBytes / simHosts / 30
+			return s.late
 		}
 		without, with, lossy := play(false, 0), play(true, 0), play(true, 0.5)
-		t.Logf("late of %d: %d without learning, %d with it, %d with half of the reports lost", 30*simRate, without, with, lossy)
+		t.Logf("late of %d: %d without learning, %d with it, %d with half of the reports lost; %d bytes/s of sections from each host", 30*simRate, without, with, lossy, bytes)
 		if with > without/2 || lossy > without*3/4 {
 			t.Errorf("late first events: %d without learning, %d with it, %d with lost reports; want at most half, and three quarters with lost reports", without, with, lossy)
 		}
@@ -244,6 +257,29 @@
 	})
 }
 
+func TestSlowHost(t *testing.T) {
+	// Load pattern: everything takes 100 ms longer at one host, which has too little processor
+	// time. Guards against blaming replicas or zones for it.
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		s := newSite(seed)
+		s.link = func(_ time.Duration, host, _ int) time.Duration {
+			if host == 0 {
+				return 100 * time.Millisecond
+			}
+			return 0
+		}
+		s.run(12 * time.Second)
+		if delays := s.trackers[0].Delays(); len(delays) > 0 {
+			t.Errorf("the host takes zones for slow: %v", delays)
+		}
+		for host, tracker := range s.trackers {
+			if n := len(tracker.Slow()); n > 1 {
+				t.Errorf("host %d takes %d replicas for slow, want at most one", host, n)
+			}
+		}
+	})
+}
+
 func TestColdZoneReturnsWithoutSwing(t *testing.T) {
 	// Load pattern: zone 2 returns cold, all its replicas take eight times as long for 3 s.
 	// Guards against load that stays away for good, and that swings when it comes back: in no
--- a/coord/replicaspeed/tracker.go
+++ b/coord/replicaspeed/tracker.go
@@ -49,6 +49,8 @@
 	config   Config
 	replicas map[uint32]*replica
 	zones    map[string]*zone
+	// zoneCount is the number of availability zones that have replicas.
+	zoneCount int
 	// pending holds the requests that await their first events.
 	pending map[uint64]*pendingRequest
 	// changed holds the replicas with new evidence since the last evaluation.
@@ -72,18 +74,16 @@
 }
 
 // observe records the time to the first event of a request, or the time that it has been
-// overdue for. While the zone counts as slow, that says nothing about the single replica.
+// overdue for. In a slow zone, it is compared with the other replicas of the zone.
 func (t *Tracker) observe(now time.Duration, number uint64, p *pendingRequest, took time.Duration) {
-	if t.observeZone(now, p, took) {
-		return
-	}
+	zoneFactor := t.observeZone(now, p, took)
 	r := t.replicas[p.Replica]
 	if r == nil {
 		r = &replica{}
 		t.replicas[p.Replica] = r
 	}
 	r.zone = p.Zone
-	r.putSample(sample{number: number, at: now, ratio: min(max(float64(took)/float64(p.Predicted), minFactor), maxFactor)})
+	r.putSample(sample{number: number, at: now, ratio: min(max(float64(took)/(zoneFactor*float64(p.Predicted)), minFactor), maxFactor)})
 	t.changed[p.Replica] = true
 }
 
@@ -94,8 +94,10 @@
 	t.changed[id] = true
 }
 
-// Retain deletes the evidence about replicas that are not in known.
-func (t *Tracker) Retain(known map[uint32]bool) {
+// Retain deletes the evidence about replicas that are not in known. They are in zoneCount
+// availability zones.
+func (t *Tracker) Retain(known map[uint32]bool, zoneCount int) {
+	t.zoneCount = zoneCount
 	maps.DeleteFunc(t.replicas, func(id uint32, _ *replica) bool { return !known[id] })
 	maps.DeleteFunc(t.slow, func(id uint32, _ float64) bool { return !known[id] })
 	maps.DeleteFunc(t.changed, func(id uint32, _ bool) bool { return !known[id] })
--- a/coord/replicaspeed/zone.go
+++ b/coord/replicaspeed/zone.go
@@ -40,12 +40,13 @@
 	newest time.Duration
 }
 
-// observeZone records the time to the first event of a request and reports whether its zone is slow.
-func (t *Tracker) observeZone(now time.Duration, p *pendingRequest, took time.Duration) bool {
+// observeZone records the time to the first event of a request and returns the factor by which
+// its whole zone is slow, or 1.
+func (t *Tracker) observeZone(now time.Duration, p *pendingRequest, took time.Duration) float64 {
 	z := t.zones[p.Zone]
 	if z == nil {
 		if len(t.zones) >= maxZones {
-			return false
+			return 1
 		}
 		z = &zone{}
 		t.zones[p.Zone] = z
@@ -62,7 +63,10 @@
 			}
 		}
 	}
-	return z.isSlow
+	if z.isSlow {
+		return z.ratio
+	}
+	return 1
 }
 
 // put stores a sample in place of the replica's earlier one or of the oldest one.
@@ -105,23 +109,45 @@
 	z.isSlow = z.ratio >= c.Enter && allSlow || z.isSlow && z.ratio >= c.Leave
 }
 
-// refreshZones evaluates all zones and returns those that have changed.
+// faded returns the zone's factor, which approaches nominal with the age of the newest slow
+// sample, so that the zone is tried again.
+func (z *zone) faded(now time.Duration, c Config) float64 {
+	if !z.isSlow {
+		return 1
+	}
+	return 1 + (z.ratio-1)*(1-float64(now-z.newest)/float64(c.MaxAge))
+}
+
+// refreshZones evaluates all zones and returns those that have changed. If all zones are slow,
+// the cause is this host or the model, and only what a zone takes longer than the fastest one
+// counts.
 func (t *Tracker) refreshZones(now time.Duration) []Change {
+	fastest, isFirst := 1.0, true
+	for _, z := range t.zones {
+		z.evaluate(now, t.config)
+		if f := z.faded(now, t.config); isFirst || f < fastest {
+			fastest, isFirst = f, false
+		}
+	}
+	if len(t.zones) < t.zoneCount {
+		fastest = 1
+	}
 	var changes []Change
 	for name, z := range t.zones {
-		z.evaluate(now, t.config)
+		factor, least := z.faded(now, t.config)/fastest, t.config.Enter
 		_, wasSlow := t.delays[name]
-		delete(t.delays, name)
-		if z.isSlow {
-			// The delay fades with the age of the newest sample, so that the zone is tried again.
-			share := 1 - float64(now-z.newest)/float64(t.config.MaxAge)
-			if faded := 1 + (z.ratio-1)*share; faded >= t.config.Leave {
-				t.delays[name] = time.Duration(float64(z.excess) * share)
-			}
+		if wasSlow {
+			least = t.config.Leave
+		}
+		isSlow := z.isSlow && factor >= least
+		if isSlow {
+			// The share of the excess that remains, exact for zones with equal predictions.
+			t.delays[name] = time.Duration(float64(z.excess) * (factor - 1) * fastest / (z.ratio - 1))
+		} else {
+			delete(t.delays, name)
 		}
-		delay, isSlow := t.delays[name]
 		if isSlow != wasSlow {
-			changes = append(changes, Change{Zone: name, IsSlow: isSlow, Delay: delay})
+			changes = append(changes, Change{Zone: name, IsSlow: isSlow, Delay: t.delays[name]})
 		}
 	}
 	maps.DeleteFunc(t.zones, func(_ string, z *zone) bool { return len(z.samples) == 0 })
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -86,14 +86,14 @@
 		return
 	}
 	l.retainedVersion = version
-	known, shortIDs := map[string]bool{}, map[uint32]bool{}
+	known, shortIDs, zones := map[string]bool{}, map[uint32]bool{}, map[string]bool{}
 	for r := range l.directory.All(now) {
-		known[r.ID], shortIDs[placement.ShortID(r.ID)] = true, true
+		known[r.ID], shortIDs[placement.ShortID(r.ID)], zones[r.Zone] = true, true, true
 	}
 	l.health.Retain(known)
 	l.ledger.RetainReplicas(shortIDs)
 	if l.config.Speeds != nil {
-		l.config.Speeds.Retain(shortIDs)
+		l.config.Speeds.Retain(shortIDs, len(zones))
 	}
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
--- a/edge/control/sections.go
+++ b/edge/control/sections.go
@@ -24,7 +24,7 @@
 
 // reportSections returns the sections of the next report.
 func (l *Loop) reportSections(now time.Duration) []peer.Section {
-	l.learnedSpeeds(now) // so that changes are logged while no request is placed
+	l.updateSpeedGauges(now)
 	var sections []peer.Section
 	for _, s := range l.config.Sections {
 		if data := s.Append(now, nil); len(data) > 0 {
--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -194,7 +194,12 @@
 			klog.V(1).InfoS("replica is no longer slow", "replica", names[c.Replica], "factor", c.Factor)
 		}
 	}
-	if l.config.Scope == nil {
+}
+
+// updateSpeedGauges evaluates the speeds and sets their gauges, also while no request is placed.
+func (l *Loop) updateSpeedGauges(now time.Duration) {
+	l.learnedSpeeds(now)
+	if l.config.Speeds == nil || l.config.Scope == nil {
 		return
 	}
 	largest := 1.0
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/replicaspeed"
@@ -86,8 +88,8 @@
 	if answer(0, time.Second) {
 		t.Error("a request is measured although learned_speeds is off")
 	}
-	tracker := replicaspeed.New(replicaspeed.DefaultConfig())
-	l.config.Speeds, l.config.Sections = tracker, []ReportSection{SpeedSection{tracker}}
+	tracker, scope := replicaspeed.New(replicaspeed.DefaultConfig()), tally.NewTestScope("", nil)
+	l.config.Speeds, l.config.Sections, l.config.Scope = tracker, []ReportSection{SpeedSection{tracker}}, scope
 	speed := func(now time.Duration) float64 { return l.candidates(now, req)[0].Speed }
 	started := replica("a", "llm", "z1")
 	started.StartUnixMs = 5
@@ -106,6 +108,9 @@
 	if sections := l.reportSections(5 * time.Second); len(sections) != 1 || sections[0].Type != peer.SectionReplicaSpeeds {
 		t.Errorf("sections %+v, want the speeds", sections)
 	}
+	if g := scope.Snapshot().Gauges(); g["slow_replicas+"].Value() != 1 || g["largest_replica_factor+"].Value() < 3 {
+		t.Errorf("%v slow replicas, largest factor %v; want 1 and above 3", g["slow_replicas+"].Value(), g["largest_replica_factor+"].Value())
+	}
 	// Guards against waiting for a slot that is taken for a slow replica.
 	tracker.Reset(6*time.Second, placement.ShortID("a"))
 	full := placement.Report{Replicas: map[uint32]placement.ReplicaReport{placement.ShortID("a"): {Load: placement.Load{Streams: 14}}}}
