control: let returned replicas get calls despite idle connections

In a trial with zone_delays on, TestEvacuatedZone failed: with one plain call at a time, the replica of the zone that returned got none in 5 s, since the other one always had an idle connection. One call in eight now ignores connections; the test passes with both switches on.

--- a/coord/replicaspeed/tracker_test.go
+++ b/coord/replicaspeed/tracker_test.go
@@ -84,6 +84,27 @@
 	}
 }
 
+func TestSlowZoneFades(t *testing.T) {
+	// Guards against blaming the replicas of a slow zone, by the results before it was found to
+	// be slow, and against an added delay that stays until the evidence is gone.
+	tracker := New(DefaultConfig())
+	tracker.zoneCount = 2
+	for number := range uint64(6) {
+		tracker.Begin(number, Request{Replica: uint32(number % 3), Zone: "z", Predicted: predicted})
+	}
+	for _, number := range []uint64{0, 3, 1, 4, 2, 5} {
+		tracker.FirstEvent(0, number, 4*predicted)
+	}
+	for _, c := range []struct{ at, want time.Duration }{{0, 240 * time.Millisecond}, {5 * time.Second, 120 * time.Millisecond}, {11 * time.Second, 0}} {
+		for id := range uint32(3) {
+			checkFactor(t, "replica of a slow zone", slowFactor(tracker, c.at, id), 1)
+		}
+		if got := tracker.Delays()["z"]; got != c.want {
+			t.Errorf("added delay after %v is %v, want %v", c.at, got, c.want)
+		}
+	}
+}
+
 func TestOverdueRequestIsEvidence(t *testing.T) {
 	// Guards against a host that learns of a very slow replica only after its first events, and
 	// against one request that counts twice.
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -171,7 +171,7 @@
 		return placement.Choose(model, l.config.Placement, candidates, req.Request)
 	}
 	best := slices.MinFunc(candidates, func(x, y placement.Candidate) int {
-		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(x.Delay, y.Delay), compareConnected(x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
+		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(x.Delay, y.Delay), compareConnected(req.ID, x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
 	})
 	if best.Load.Streams >= best.Slots*maxCallsPerSlot {
 		return placement.Plan{}, placement.Refusal{Reason: placement.RefusedNoPlace, RetryAfter: req.Request.Objective}
--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -65,10 +65,15 @@
 	return 0
 }
 
+// connectionBlindShare is the share of the requests, one in so many, for which connections do
+// not count. Without it, a replica that returns would get no request while the load is so
+// low that one replica can serve it.
+const connectionBlindShare = 8
+
 // compareConnected orders replicas to which this host has an idle connection first.
-func compareConnected(x, y placement.Candidate) int {
+func compareConnected(requestID string, x, y placement.Candidate) int {
 	switch {
-	case x.Connected == y.Connected:
+	case x.Connected == y.Connected || placement.HashID(requestID)%connectionBlindShare == 0:
 		return 0
 	case x.Connected:
 		return -1
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -63,7 +63,23 @@
 			}
 		}
 	}
-	l.config.ZoneDelays, l.ranked.services = false, nil
+	// Guards against a replica that returns and gets nothing, since all others are connected.
+	l = testLoop(t, replica("c", "app", "z1"), replica("d", "app", "z1"))
+	l.config.Connections = fixedConnections{"c:1": connections["a:1"]}
+	atReplica := map[string]int{}
+	for i := range 160 {
+		plain := plainRequest(l, t)
+		plain.ID = fmt.Sprint(i)
+		d, _ := pollDecision(l.requestPlacement(time.Second, plain))
+		atReplica[d.assignment.Target.ID]++
+		l.handle(time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.Served}})
+	}
+	if n := atReplica["d"]; n < 2 || n > 40 {
+		t.Errorf("%d of 160 plain calls at the replica without a connection, want 2 to 40", n)
+	}
+	l = testLoop(t, replica("a", "llm", "z2"), replica("b", "llm", "z1"))
+	l.config.Zone = "z1"
+	l.handle(0, storeUpdate{list: []platform.Change{{Kind: platform.ChangeConfig, Config: c}}})
 	if d := delays(); d["a"] != 0 {
 		t.Errorf("delay with zone_delays off is %v", d["a"])
 	}
@@ -127,6 +143,11 @@
 		t.Errorf("measured: %v, still pending: %v; want a measured request that is forgotten", d.assignment.Measured, ok)
 	}
 	// Guards against state of replicas that no longer exist.
+	answer(8*time.Second, 500*time.Millisecond)
+	answer(8*time.Second, 500*time.Millisecond)
+	if speed(9*time.Second) == 0 {
+		t.Error("nominal after two slow results")
+	}
 	l.handle(9*time.Second, storeUpdate{full: true})
 	if n := len(tracker.Slow()); n != 0 {
 		t.Errorf("%d slow replicas after all were deleted", n)
