--- a/coord/placement/slots.go
+++ b/coord/placement/slots.go
@@ -31,7 +31,7 @@
 		return Plan{}, c.slotRefusal()
 	}
 	for _, replicas := range [][]Candidate{c.shortPromptReplicas(), c.relaxedReplicas(), c.inTimeReplicas()} {
-		if replica, ok := c.lessLoadedOfTwo(c.withFreeSlots(replicas)); ok {
+		if replica, ok := c.pickShort(c.withFreeSlots(replicas)); ok {
 			p := c.makePlan(replica, nil)
 			p.ByWork = c.byWork
 			return p, Refusal{}
--- a/coord/placement/work.go
+++ b/coord/placement/work.go
@@ -118,13 +118,10 @@
 	}
 }
 
-// isLessLoaded reports whether a short prompt should go to a rather than to b: the replica with
-// fewer streams per slot or, if they have as many, the one whose next slot is expected to become
-// free sooner, for prompts that other hosts place at the same time.
-func (c *chooser) isLessLoaded(a, b Candidate) bool {
-	if x, y := a.Load.Streams*b.Slots, b.Load.Streams*a.Slots; x != y || !c.policy.RemainingWork {
-		return x < y
-	}
+// freesSooner reports whether the next slot of a is expected to become free sooner than that of
+// b, for prompts that other hosts place at the same time. It decides between replicas with as
+// many streams per slot.
+func (c *chooser) freesSooner(a, b Candidate) bool {
 	c.byWork = a.Load.NextFree() != b.Load.NextFree()
 	return a.Load.NextFree() < b.Load.NextFree()
 }
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -86,12 +86,15 @@
 		return
 	}
 	l.retainedVersion = version
-	known, shortIDs := map[string]bool{}, map[uint32]bool{}
+	known, shortIDs, zones := map[string]bool{}, map[uint32]bool{}, map[string]bool{}
 	for r := range l.directory.All(now) {
-		known[r.ID], shortIDs[placement.ShortID(r.ID)] = true, true
+		known[r.ID], shortIDs[placement.ShortID(r.ID)], zones[r.Zone] = true, true, true
 	}
 	l.health.Retain(known)
 	l.ledger.RetainReplicas(shortIDs)
+	if l.config.Speeds != nil {
+		l.config.Speeds.Retain(shortIDs, len(zones))
+	}
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
 
@@ -148,6 +151,7 @@
 	}
 	routes, services, accounts := c.Config.Counts()
 	klog.V(1).InfoS("configuration in force", "version", c.Config.Version(), "store_revision", c.Revision, "routes", routes, "services", services, "accounts", accounts)
+	l.ranked.services = nil // it holds the delays of the old configuration
 	l.models = map[string]placement.Model{}
 	for _, s := range c.Config.Services() {
 		if s.Engine != nil {
@@ -169,6 +173,7 @@
 	if r.ColdTimeLeft > 0 {
 		entry.ColdUntil = now + r.ColdTimeLeft
 	}
+	l.resetSpeed(now, entry)
 	if l.directory.Put(entry) {
 		l.health.Reset(r.ID)
 		l.ledger.RemoveReplica(r.ID)
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -76,6 +76,7 @@
 	for _, c := range candidates {
 		if c.ID == plan.Primary {
 			assignment.Load = c.Load
+			assignment.Measured = l.startSpeedSample(now, id, req, plan, c)
 		}
 	}
 	l.predictCost(now, req, plan, &assignment)
@@ -87,6 +88,7 @@
 	directory.Replica
 	shortID uint32
 	rank    uint64
+	link    replicaLink
 }
 
 // rankedReplicas are the usable replicas of each service in rank order. They are derived
@@ -107,7 +109,7 @@
 	usable := l.directory.Usable(now, service)
 	list := make([]rankedReplica, len(usable))
 	for i, r := range usable {
-		list[i] = rankedReplica{Replica: r, shortID: placement.ShortID(r.ID), rank: placement.HashID(r.ID)}
+		list[i] = rankedReplica{Replica: r, shortID: placement.ShortID(r.ID), rank: placement.HashID(r.ID), link: l.replicaLink(r)}
 	}
 	slices.SortFunc(list, func(a, b rankedReplica) int { return cmp.Compare(a.rank, b.rank) })
 	l.ranked.services[service] = list
@@ -123,11 +125,15 @@
 func (l *Loop) candidates(now time.Duration, req PlacementRequest) []placement.Candidate {
 	loads := l.ledger.Loads(now)
 	l.candidateBuffer = l.candidateBuffer[:0]
+	speeds := l.learnedSpeeds(now)
 	for _, r := range l.rankedReplicas(now, req.Service.Name) {
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
 		}
-		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID]})
+		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{
+			ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID],
+			Speed: speeds.factor(r.shortID), Delay: r.link.delay + speeds.addedDelay(r.Zone), Connected: r.link.isConnected(now),
+		})
 	}
 	return l.candidateBuffer
 }
@@ -170,7 +176,7 @@
 		return placement.Choose(model, l.config.Placement, candidates, req.Request)
 	}
 	best := slices.MinFunc(candidates, func(x, y placement.Candidate) int {
-		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), l.compareWork(x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
+		return cmp.Or(cmp.Compare(x.Load.Streams*y.Slots, y.Load.Streams*x.Slots), cmp.Compare(x.Delay, y.Delay), l.compareWork(x, y), compareConnected(req.ID, x, y), cmp.Compare(placement.HashID(x.ID+req.ID), placement.HashID(y.ID+req.ID)))
 	})
 	if best.Load.Streams >= best.Slots*maxCallsPerSlot {
 		return placement.Plan{}, placement.Refusal{Reason: placement.RefusedNoPlace, RetryAfter: req.Request.Objective}
@@ -219,6 +225,7 @@
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	service := l.ledger.RemoveJob(now, m.assignmentID)
 	l.observeCost(now, m)
+	l.endSpeedSample(m.assignmentID)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(l.endUrgency(now, service))
