--- a/coord/admission/admit.go
+++ b/coord/admission/admit.go
@@ -125,13 +125,13 @@
 		hasEligible := false
 		a.forEachHead(func(_ int, head *entry) { hasEligible = hasEligible || eligible(head) })
 		if hasEligible {
-			a.deficit += rounds * q.quantum(a.weight)
+			a.deficit.Credit(rounds, q.quantum(a.weight))
 		}
 	}
 	a := q.ring[index]
 	a.charge(q, e, classRounds, eligible)
-	a.deficit = max(a.deficit-float64(e.Cost()), 0)
-	if a.deficit < q.quantum(a.weight) {
+	a.deficit.Charge(float64(e.Cost()))
+	if float64(a.deficit) < q.quantum(a.weight) {
 		q.cursor = (index + 1) % len(q.ring)
 	} else {
 		q.cursor = index
@@ -145,14 +145,14 @@
 	isTarget := func(o *entry) bool { return o == e }
 	rounds := roundsFor(e.Cost(), a.deficit, q.quantum(a.weight))
 	for _, other := range q.ring {
-		other.deficit += rounds * q.quantum(other.weight)
+		other.deficit.Credit(rounds, q.quantum(other.weight))
 	}
 	_, classRounds := a.choose(q, now, isTarget)
 	if math.IsInf(classRounds, 1) {
 		classRounds = 0
 	}
 	a.charge(q, e, classRounds, isTarget)
-	a.deficit = max(a.deficit-float64(e.Cost()), 0)
+	a.deficit.Charge(float64(e.Cost()))
 	return e
 }
 
--- a/coord/admission/flow.go
+++ b/coord/admission/flow.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"siskinstand.example/coord/fairshare"
 )
 
 // entry is a queued item.
@@ -16,7 +18,7 @@
 type flow struct {
 	entries []*entry
 	tokens  int64
-	deficit float64
+	deficit fairshare.Deficit
 }
 
 func (f *flow) remove(e *entry) {
@@ -42,7 +44,7 @@
 	cursor  int
 	tokens  int64
 	items   int
-	deficit float64
+	deficit fairshare.Deficit
 }
 
 // forEachHead calls visit for the first item of each class, starting at the
@@ -84,19 +86,17 @@
 func (a *account) charge(q *Queue, e *entry, rounds float64, eligible func(*entry) bool) {
 	a.forEachHead(func(class int, head *entry) {
 		if eligible(head) {
-			a.flows[class].deficit += rounds * q.quantum(1)
+			a.flows[class].deficit.Credit(rounds, q.quantum(1))
 		}
 	})
 	f := &a.flows[e.class]
-	f.deficit = max(f.deficit-float64(e.Cost()), 0)
-	if f.deficit < q.quantum(1) {
+	f.deficit.Charge(float64(e.Cost()))
+	if float64(f.deficit) < q.quantum(1) {
 		a.cursor = (e.class + 1) % classCount
 	}
 }
 
 // roundsFor returns the number of rounds after which a deficit covers a cost.
-// Computing all rounds at once makes a million-token item as cheap to schedule
-// as a short one.
-func roundsFor(cost int64, deficit, quantum float64) float64 {
-	return max(math.Ceil((float64(cost)-deficit)/quantum), 0)
+func roundsFor(cost int64, deficit fairshare.Deficit, quantum float64) float64 {
+	return fairshare.WholeRounds(float64(cost), deficit, quantum)
 }
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -1,10 +1,10 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"siskinstand.example/coord/fairshare"
 	"siskinstand.example/coord/verdict"
 )
 
@@ -247,7 +247,7 @@
 }
 
 func (q *Queue) quantum(weight float64) float64 {
-	return math.Max(float64(q.config.QuantumTokens)*weight, 1)
+	return fairshare.Quantum(float64(q.config.QuantumTokens), weight)
 }
 
 func (q *Queue) pastAgeBound(now time.Time, e *entry) bool {
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -57,14 +57,14 @@
 		if refusal.Reason != "" {
 			q.refusedPart = refusal.Part
 			klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "part", formatPart(refusal.Part), "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
-				"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount)
+				"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount, "account_share", refusal.AccountShare)
 			if last.err == nil {
 				last.err = q.refusalError(refusal)
 			}
 			break
 		}
 		klog.V(1).InfoS("placed", "request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
-			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount)
+			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount, "account_share", assignment.AccountShare)
 		last = q.send(ctx, assignment)
 		if last.err == nil && last.response == nil {
 			return
@@ -83,6 +83,9 @@
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(),
 	}
+	if q.account != nil {
+		req.Account = q.account.Name
+	}
 	if q.route.HasPrompt {
 		req.Request.PromptTokens, req.Request.OutputTokens = q.headers.PromptTokens, q.headers.MaxOutputTokens
 	}
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -94,6 +94,8 @@
 	RequestStore RequestStore
 	Prober       Prober
 	Placement    placement.Policy
+	// FairShares divides replica time between client accounts while requests compete for it.
+	FairShares bool
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
@@ -152,9 +154,11 @@
 	nextReport            time.Duration
 	reportUnchanged       bool
 	storeUnavailableSince time.Duration
-	// queue holds the requests that wait for a replica, oldest first.
+	// queue holds the requests that wait for a replica, oldest first or in the order of fairOrder.
 	queue         []placementMessage
 	lastQueueScan time.Duration
+	// accounts is nil without Config.FairShares.
+	accounts *accounts
 }
 
 // New returns a loop; Run starts it.
@@ -167,6 +171,10 @@
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
 		storedRequests: newStoredRequests(), peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
+	if c.FairShares {
+		l.accounts = newAccounts()
+		l.config.Sections = append(slices.Clone(c.Sections), l.accounts)
+	}
 	l.view.Store(&View{})
 	return l
 }
@@ -298,6 +306,7 @@
 		}
 		now := bootclock.Now()
 		l.placeQueued(now)
+		l.endContention(now)
 		l.sendReportIfDue(now, timer)
 	}
 }
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -33,6 +33,9 @@
 	// TriesParts is set if a part of the prompt is not known good, so that the first event is
 	// to be reported with RecordAnswerBegun.
 	TriesParts bool
+	// AccountShare is the part of all used replica time that the request's account has used, for
+	// the log.
+	AccountShare float64
 	// Load is the replica's load as known at the time of placement, for the log.
 	Load placement.Load
 }
@@ -51,6 +54,8 @@
 	ID      string
 	Service *catalog.Service
 	Request placement.Request
+	// Account is the name of the client account, empty on public routes.
+	Account string
 	// Regions are the regions in which the request may run; empty allows all.
 	Regions     []string
 	Fingerprint suspect.Fingerprint
@@ -97,6 +102,9 @@
 	ReplicaCount int
 	// Part is the part of the prompt because of which the request was refused, or 0.
 	Part suspect.Part
+	// AccountShare is the part of all used replica time that the request's account has used, for
+	// the log.
+	AccountShare float64
 	// mayQueue is set if the request can wait for a replica.
 	mayQueue bool
 	// blockedByOlder is set if the request could be placed but for an older request.
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -46,6 +46,9 @@
 	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
 	}
+	if l.leavesLastSlots(now, req, candidates) {
+		return l.shareRefusal(req, len(candidates))
+	}
 	choose := l.choose
 	if isTrial {
 		choose = l.chooseForTrial
@@ -61,6 +64,7 @@
 	}
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
 	l.partSends.add(now, id, req.Parts)
+	l.chargeAccount(now, id, req)
 	if isTrial {
 		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "parts", formatParts(req.Parts), "replica", plan.Primary)
 	}
@@ -69,7 +73,7 @@
 	} else {
 		l.scheduleReport(reportSoon)
 	}
-	assignment := Assignment{ID: id, Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent}
+	assignment := Assignment{ID: id, Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent, AccountShare: l.accounts.share(now, req.Account)}
 	for _, h := range plan.Helpers {
 		assignment.Helpers = append(assignment.Helpers, target(l.replica(now, h.ID)))
 	}
@@ -213,6 +217,7 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
+	l.correctCharge(now, m)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(reportLater)
--- a/edge/control/queue.go
+++ b/edge/control/queue.go
@@ -41,6 +41,9 @@
 // it also refuses requests that would have to wait.
 func (l *Loop) tryPlaceWithDrainLimit(now time.Duration, req PlacementRequest) decision {
 	d := l.tryPlace(now, req)
+	if d.refusal.Reason != "" {
+		l.recordContention(now, req, &d.refusal)
+	}
 	if d.refusal.mayQueue && l.drainStartedAt > 0 && now-l.drainStartedAt >= l.config.DrainQueueTime {
 		return decision{refusal: Refusal{Reason: RefusedDraining, ReplicaCount: d.refusal.ReplicaCount}}
 	}
@@ -70,10 +73,14 @@
 	if len(l.queue) == 0 {
 		return 0
 	}
-	return max(time.Millisecond, now-l.queue[0].receivedAt)
+	oldest := l.queue[0].receivedAt
+	for _, m := range l.queue {
+		oldest = min(oldest, m.receivedAt)
+	}
+	return max(time.Millisecond, now-oldest)
 }
 
-// placeQueued places the queued requests that can be placed now. It refuses others that have
+// placeQueued places the queued requests that can be placed now, in the order of fairOrder. It refuses others that have
 // waited for maxQueueShare of their objective or can no longer be served in time, and drops
 // those whose context has ended.
 func (l *Loop) placeQueued(now time.Duration) {
@@ -84,7 +91,7 @@
 	oldestAtPeers := l.ledger.OldestPeerWait(now)
 	var prefillAhead time.Duration
 	remaining := l.queue[:0]
-	for _, m := range l.queue {
+	for _, m := range l.fairOrder(now, l.queue) {
 		if m.ctx.Err() != nil {
 			m.reply <- decision{}
 			l.scheduleReport(reportNow)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -126,6 +126,7 @@
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
+		FairShares: s.Placement.FairShares,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
