--- a/coord/fairshare/order.go
+++ b/coord/fairshare/order.go
@@ -18,14 +18,14 @@
 
 // settle brings the deficits of an account and of one of its classes up to date.
 func (t *Table) settle(now time.Duration, a *account, class Class) {
-	a.flow.settle(now, t.rounds, t.weight(now, a), t.waitsHere(now, a), t.config)
+	a.creditRounds(now, t.rounds, t.weight(now, a), t.waitsHere(now, a), t.config)
 	c := &a.classes[class]
-	c.settle(now, a.classRounds, t.classWeight(now, a, class), now-c.waitedAt < t.config.WaitTime, t.config)
+	c.creditRounds(now, a.classRounds, t.classWeight(now, a, class), now-c.waitedAt < t.config.WaitTime, t.config)
 }
 
-// settle credits the rounds that have passed since the last call. A flow without waiting requests
+// creditRounds credits the rounds that have passed since the last call. A flow without waiting requests
 // saves nothing up, but debt remains. Deficit and debt decay as usage does.
-func (f *flow) settle(now time.Duration, rounds, weight float64, waits bool, c Config) {
+func (f *flow) creditRounds(now time.Duration, rounds, weight float64, waits bool, c Config) {
 	if f.settledAt != now {
 		f.deficit *= Deficit(math.Exp(-float64(now-f.settledAt) / float64(c.TimeConstant)))
 		f.settledAt = now
