--- a/coord/fairshare/fairshare_test.go
+++ b/coord/fairshare/fairshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -89,6 +90,57 @@
 	}
 }
 
+// Load pattern: the requests of two accounts wait at a host, one of which uses most replicas through
+// another host. Guards against shares that each host computes for itself, and against requests that
+// are reordered or held back although no other account waits.
+func TestOrderAfterUseElsewhere(t *testing.T) {
+	elsewhere, table := New(DefaultConfig()), New(DefaultConfig())
+	elsewhere.Charge(0, "large", Short, 5*time.Second)
+	elsewhere.Charge(0, "idle", Short, time.Second)
+	elsewhere.Contended(0)
+	if err := table.Merge(0, "elsewhere", elsewhere.Append(0, nil)); err != nil {
+		t.Fatal(err)
+	}
+	now := 50 * time.Millisecond
+	waiting := []Waiting{{"large", Short, 2, 10}, {"large", Short, 1, 10}, {"large", Short, 3, 10}}
+	if got := table.Order(now, waiting); !reflect.DeepEqual(got, []int{1, 0, 2}) || table.OverShare(now, "large") {
+		t.Errorf("alone: order %v, over its share %t; want the order of arrival and no limit", got, table.OverShare(now, "large"))
+	}
+	waiting = append(waiting, Waiting{"other", Short, 4, 10}, Waiting{"other", Short, 5, 10}, Waiting{"other", Short, 6, 10})
+	table.Order(now, waiting)
+	now += minShareInterval
+	if got := table.Order(now, waiting); !reflect.DeepEqual(got, []int{1, 3, 4, 5, 0, 2}) || !table.OverShare(now, "large") {
+		t.Errorf("order %v, want 1, those of the other account, and the rest", got)
+	}
+}
+
+// Load pattern: at one host, requests of one account wait and are placed for a second, then many of
+// another arrive. Guards against an account that saves up turns while it sends nothing, and against
+// one whose requests were placed at once and that owes nothing for them.
+func TestIdleAccountSavesNothing(t *testing.T) {
+	table := New(DefaultConfig())
+	var waiting []Waiting
+	var now time.Duration
+	for ; now < time.Second; now += 10 * time.Millisecond {
+		table.RecordWait(now, "busy", Short)
+		table.Charge(now, "busy", Short, 10*time.Millisecond)
+	}
+	for i := range 40 {
+		account := "idle"
+		if i >= 30 {
+			account = "busy"
+		}
+		waiting = append(waiting, Waiting{Account: account, Since: now + time.Duration(i), Cost: 10 * time.Millisecond})
+	}
+	if got := slices.IndexFunc(table.Order(now, waiting), func(i int) bool { return i >= 30 }); got > 10 {
+		t.Errorf("%d requests of the returning account go first, want at most 10", got)
+	}
+	table.Charge(now, "placed", Short, 100*time.Millisecond)
+	if table.Compare(now, Waiting{Account: "placed", Since: 1}, Waiting{Account: "new", Since: 2}) <= 0 {
+		t.Error("an account that has just used the replicas goes before one that has not")
+	}
+}
+
 // Load pattern: two accounts at twice the load that fits, one of which is idle for 20 s and
 // returns. Guards against an account that has saved up its share and starves the other with it,
 // and against one that finds its share taken.
--- a/coord/fairshare/order.go
+++ b/coord/fairshare/order.go
@@ -20,7 +20,7 @@
 func (t *Table) settle(now time.Duration, a *account, class Class) {
 	a.creditRounds(now, t.rounds, t.weight(now, a), t.waitsHere(now, a), t.config)
 	c := &a.classes[class]
-	c.creditRounds(now, a.classRounds, t.classWeight(now, a, class), now-c.waitedAt < t.config.WaitTime, t.config)
+	c.creditRounds(now, a.classRounds, 1, now-c.waitedAt < t.config.WaitTime, t.config)
 }
 
 // creditRounds credits the rounds that have passed since the last call. A flow without waiting requests
@@ -54,7 +54,7 @@
 func (t *Table) chargeOrder(now time.Duration, a *account, class Class, cost float64) {
 	t.settle(now, a, class)
 	c := &a.classes[class]
-	a.classRounds += c.charge(cost, t.classWeight(now, a, class))
+	a.classRounds += c.charge(cost, 1)
 	c.creditedTo = a.classRounds
 	t.rounds += a.charge(cost, t.weight(now, a))
 	a.creditedTo = t.rounds
@@ -120,7 +120,7 @@
 		return float64(ahead)
 	}
 	t.settle(now, a, w.Class)
-	return RoundsToCover(float64(ahead), a.classes[w.Class].deficit, t.classWeight(now, a, w.Class))
+	return RoundsToCover(float64(ahead), a.classes[w.Class].deficit, 1)
 }
 
 // accountRounds returns the rounds between accounts until a request has its turn, behind others
--- a/coord/fairshare/shares.go
+++ b/coord/fairshare/shares.go
@@ -76,41 +76,14 @@
 // the account has used at all hosts.
 func (t *Table) weight(now time.Duration, a *account) float64 {
 	t.refreshShares(now)
-	if !t.isContended(now) {
-		return 1
-	}
-	return t.boundedWeight(sum(a.all), t.shares.level)
-}
-
-// classWeight returns the weight of a class in the round robin of its account. It corrects for
-// what the account has used for the class at all hosts.
-func (t *Table) classWeight(now time.Duration, a *account, class Class) float64 {
-	if !t.isContended(now) {
-		return 1
-	}
-	satisfied, classes, least := make([]float64, 0, classCount), 0, float64(minUsage)*t.scale(now)
-	for c, used := range a.all {
-		waits := now-a.classes[c].waitedAt < t.config.WaitTime
-		if used < least && !waits {
-			continue
-		}
-		classes++
-		if !waits {
-			satisfied = append(satisfied, used)
-		}
-	}
-	return t.boundedWeight(a.all[class], levelOf(sum(a.all), classes, satisfied))
-}
-
-// boundedWeight returns the weight of a flow that has used the given time of its share.
-func (t *Table) boundedWeight(used, share float64) float64 {
-	if share <= 0 {
+	if !t.isContended(now) || t.shares.level <= 0 {
 		return 1
 	}
-	if used*t.config.MaxWeight <= share {
+	used := sum(a.all)
+	if used*t.config.MaxWeight <= t.shares.level {
 		return t.config.MaxWeight
 	}
-	return max(share/used, 1/t.config.MaxWeight)
+	return max(t.shares.level/used, 1/t.config.MaxWeight)
 }
 
 // isContended reports whether requests have recently had to wait or were refused, at any host.
--- a/edge/control/accounts_test.go
+++ b/edge/control/accounts_test.go
@@ -35,8 +35,12 @@
 	}
 	addPeer(1)
 	var placed []Assignment
-	for range 15 {
-		d, ok := pollDecision(l.requestPlacement(time.Millisecond, promptOf(l, t, "large", 200)))
+	for i := range 15 {
+		account := "large"
+		if i == 0 {
+			account = "idle"
+		}
+		d, ok := pollDecision(l.requestPlacement(time.Millisecond, promptOf(l, t, account, 200)))
 		if !ok || d.refusal.Reason != "" {
 			t.Fatalf("refused without competition: %+v", d.refusal)
 		}
@@ -44,6 +48,7 @@
 	}
 	other := fairshare.New(fairshare.DefaultConfig())
 	other.RecordWait(0, "small", fairshare.Short)
+	other.Charge(0, "elsewhere", fairshare.Short, time.Second)
 	report := peerReport{name: "edge-2", incarnation: 1, sequence: 1, sections: []peer.Section{{Type: peer.SectionAccountUsage, Data: other.Append(0, nil)}}}
 	now := 50 * time.Millisecond
 	l.handle(now, report)
@@ -53,6 +58,9 @@
 	// The other host restarts, so that its request no longer waits.
 	addPeer(2)
 	l.handle(now, sendEnded{assignmentID: placed[0].ID, target: placed[0].Target, result: SendResult{Outcome: health.Served}})
+	if share := l.accounts.Share(now, "elsewhere"); share > 0 {
+		t.Errorf("share %.2f after the restart of the host that reported it, want none", share)
+	}
 	now += time.Second
 	placeAndCheckReason(t, l, now, promptOf(l, t, "large", 200), "")
 	l.endContention(now + 2*time.Second)
