--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -105,6 +105,8 @@
 	// Speeds learns the speeds of replicas and zones; nil if they are not to be learned. Its
 	// SpeedSection is to be one of Sections.
 	Speeds *replicaspeed.Tracker
+	// FairShares divides replica time between client accounts while requests compete for it.
+	FairShares bool
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
@@ -173,9 +175,11 @@
 	nextReport            time.Duration
 	reportUnchanged       bool
 	storeUnavailableSince time.Duration
-	// queue holds the requests that wait for a replica, oldest first.
+	// queue holds the requests that wait for a replica, oldest first or in the order of fairOrder.
 	queue         []placementMessage
 	lastQueueScan time.Duration
+	// accounts is nil without Config.FairShares.
+	accounts *accounts
 }
 
 // New returns a loop; Run starts it.
@@ -195,6 +199,10 @@
 	if c.CostPrediction {
 		l.enableCostPrediction()
 	}
+	if c.FairShares {
+		l.accounts = newAccounts()
+		l.config.Sections = append(slices.Clone(l.config.Sections), l.accounts)
+	}
 	l.view.Store(&View{})
 	return l
 }
@@ -327,6 +335,7 @@
 		now := bootclock.Now()
 		l.placeQueued(now)
 		l.placeWaitingForSlot(now)
+		l.endContention(now)
 		l.sendReportIfDue(now, timer)
 	}
 }
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -35,6 +35,9 @@
 	TriesParts bool
 	// Measured is set if the first event is to be reported with RecordFirstEvent.
 	Measured bool
+	// AccountShare is the part of all used replica time that the request's account has used, for
+	// the log.
+	AccountShare float64
 	// Load is the replica's load as known at the time of placement, for the log.
 	Load placement.Load
 	// Cost is the predicted cost, for the log; empty while predictions are off.
@@ -106,6 +109,9 @@
 	ReplicaCount int
 	// Part is the part of the prompt because of which the request was refused, or 0.
 	Part suspect.Part
+	// AccountShare is the part of all used replica time that the request's account has used, for
+	// the log.
+	AccountShare float64
 	// mayQueue is set if the request can wait for a replica.
 	mayQueue bool
 	// blockedByOlder is set if the request could be placed but for an older request.
--- a/edge/control/slots.go
+++ b/edge/control/slots.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"siskinstand.example/coord/fairshare"
 	"siskinstand.example/coord/placement"
 )
 
@@ -49,10 +50,22 @@
 	l.slotQueueChanged()
 }
 
-// sortSlotQueue orders the waiting prompts by the time at which they must have their first
-// event.
-func (l *Loop) sortSlotQueue(time.Duration) {
-	l.slotQueue.Sort(func(a, b waitingPrompt) int { return cmp.Compare(a.Since+a.Objective, b.Since+b.Objective) })
+// sortSlotQueue orders the waiting prompts by the shares of their accounts, if these count, and
+// by the time at which they must have their first event.
+func (l *Loop) sortSlotQueue(now time.Duration) {
+	l.slotQueue.Sort(func(a, b waitingPrompt) int {
+		if l.accounts != nil {
+			if order := l.accounts.Compare(now, l.waitingShare(a), l.waitingShare(b)); order != 0 {
+				return order
+			}
+		}
+		return cmp.Compare(a.Since+a.Objective, b.Since+b.Objective)
+	})
+}
+
+func (l *Loop) waitingShare(p waitingPrompt) fairshare.Waiting {
+	class, prefill, decode := l.requestCost(p.Value.request)
+	return fairshare.Waiting{Account: p.Value.request.Account, Class: class, Since: p.Since, Cost: prefill + decode}
 }
 
 // offerFreedSlot places a waiting prompt in the slot of a stream of this host that has ended.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -138,6 +138,7 @@
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placementPolicy(s), CostPrediction: s.Placement.CostPrediction, Scope: d.metrics.Scope,
 		ZoneDelays: s.Placement.ZoneDelays, Connections: connections, Speeds: speeds, Sections: sections,
+		FairShares: s.Placement.FairShares,
 	})
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
