edge/caller: hold what slow callers have not read, within limits

A caller that stopped reading stopped the reading from its replica, which cuts off a response that remains unread. A buffered response without a reader was held for ever.

The goroutine of a request now writes to the caller only if the socket is writable (one poll per write). Otherwise it holds the bytes, and a goroutine writes them as the caller reads. A response is cut off at [callers] max_unread_bytes, read_timeout, or when all callers' bytes exceed unread_share of the memory: then the one whose caller has read nothing for longest. The listener limits the send buffers and sets TCP_USER_TIMEOUT.

On the previous stream path all tests of slow_reader_test.go failed, for example TestCallerStopsReading: the replica cut the response off after 1 s.

--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -51,6 +52,13 @@
 	timeToFirstByte time.Duration
 	lastEventID     string
 	eventCount      int
+	// end ends the context of the request.
+	end context.CancelFunc
+	// socket is the socket of the caller's connection, set by pacer; backlog is nil until the
+	// caller falls behind.
+	socket     *callerSocket
+	socketRead bool
+	backlog    *backlog
 	// lastWrite and longestGap measure the gaps between writes of a stream.
 	lastWrite  time.Duration
 	longestGap time.Duration
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -65,7 +65,10 @@
 	if resp.Status >= 500 {
 		return outcome{response: buffered, health: health.Failed}
 	}
-	q.writeResponse(buffered)
+	// The replica has run the request, whatever the caller reads of the response.
+	if err := q.writeResponse(buffered); err != nil {
+		return outcome{err: err, health: health.Served, finished: success}
+	}
 	return outcome{health: health.Served, finished: success}
 }
 
@@ -133,8 +136,9 @@
 	return &bufferedResponse{status: resp.Status, headers: platform.CallerResponseHeaders(resp.Headers), body: body}, nil
 }
 
-// writeResponse writes a buffered response to the caller.
-func (q *request) writeResponse(resp *bufferedResponse) {
+// writeResponse writes a buffered response to the caller. The error states at which limit it
+// was cut off.
+func (q *request) writeResponse(resp *bufferedResponse) *verdict.Error {
 	q.status = resp.status
 	q.startResponse(resp.headers)
 	if resp.status != http.StatusNoContent && resp.status != http.StatusNotModified {
@@ -142,9 +146,19 @@
 	}
 	q.writer.WriteHeader(resp.status)
 	q.timeToFirstByte = bootclock.Now() - q.received
-	if _, err := q.writer.Write(resp.body); err != nil {
+	var err error
+	if q.canWrite(len(resp.body)) {
+		_, err = q.writer.Write(resp.body)
+	} else {
+		err = q.writeSlowly(resp.body)
+	}
+	if cutOff := q.readerError(); cutOff != nil {
+		return cutOff
+	}
+	if err != nil {
 		q.detail = q.disconnectCause() + ": " + err.Error()
 	}
+	return nil
 }
 
 // startResponse sets the headers of the response to the caller and marks the response as
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -67,6 +67,9 @@
 			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount)
 		last = q.send(ctx, assignment)
 		if last.err == nil && last.response == nil {
+			if err := q.awaitRead(); err != nil {
+				q.writeError(err)
+			}
 			return
 		}
 		if canRetry := q.recordFailure(ctx, assignment, last); !canRetry {
@@ -146,7 +149,9 @@
 // writeFailure writes the final response of a request that did not succeed.
 func (q *request) writeFailure(ctx context.Context, last outcome) {
 	if last.response != nil && !q.responseStarted {
-		q.writeResponse(last.response)
+		if err := q.writeResponse(last.response); err != nil {
+			q.writeError(err)
+		}
 		return
 	}
 	err := last.err
@@ -156,11 +161,15 @@
 	if q.mayHaveRun && err.Verdict == verdict.NotRun {
 		err = verdict.New(verdict.MayHaveRun, err.Reason, "%s", err.Message).WithCause(err.Err)
 	}
+	q.discardUnread()
 	q.writeError(err)
 }
 
 // contextError returns the error for a request whose context has ended.
 func (q *request) contextError(ctx context.Context) *verdict.Error {
+	if err := q.readerError(); err != nil {
+		return err
+	}
 	v := verdict.NotRun
 	if q.mayHaveRun {
 		v = verdict.MayHaveRun
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -32,7 +32,16 @@
 	// response is passed on only once it is complete; a larger one fails.
 	MaxAnswerBytes int64
 	BodyTimeout    time.Duration
-	Timeouts       http1.Timeouts
+	// MaxUnreadBytes is the maximum size of what is held of a stream for a caller that reads
+	// slowly, by default 1 MiB. ReadTimeout is how long a caller may read nothing of a response,
+	// by default 30 s.
+	MaxUnreadBytes int
+	ReadTimeout    time.Duration
+	// Unread limits the bytes held for all callers that read slowly; nil means no limit.
+	Unread ByteBudget
+	// OnCutOff is called with the name of the limit when a response is cut off; nil for none.
+	OnCutOff func(limit string)
+	Timeouts http1.Timeouts
 	// DrainAcceptTime is how long all requests are still accepted after draining has
 	// started. Later ones are accepted only if they are expected to finish before
 	// DrainDeadline, and after DrainNotice only if they are expected to with their longest
@@ -52,14 +61,26 @@
 	// maxProofAge is the age set by SetMaxProofAge, in nanoseconds.
 	maxProofAge atomic.Int64
 	metrics     metrics
+	unread      *unreadResponses
 	// ended is cancelled by EndRequests.
 	ended context.Context
 	end   context.CancelFunc
 }
 
+const (
+	defaultMaxUnreadBytes = 1 << 20
+	defaultReadTimeout    = 30 * time.Second
+)
+
 // New returns a server with the given configuration.
 func New(c Config) *Server {
-	s := &Server{config: c, metrics: newMetrics(c.Scope)}
+	if c.MaxUnreadBytes == 0 {
+		c.MaxUnreadBytes = defaultMaxUnreadBytes
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
+	s := &Server{config: c, metrics: newMetrics(c.Scope), unread: newUnreadResponses(c)}
 	s.ended, s.end = context.WithCancel(context.Background())
 	return s
 }
@@ -137,6 +158,7 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ended, cancel)
 	defer stop()
+	q.end = cancel
 	q.sendUntilAnswered(ctx)
 }
 
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -66,6 +66,9 @@
 				return q.brokenStreamOutcome(ctx, began, errNoEventIDs)
 			}
 			if writeErr := q.writeEvents(pending[:end]); writeErr != nil {
+				if cutOff := q.readerError(); cutOff != nil {
+					return outcome{err: cutOff, health: health.Served}
+				}
 				return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "%s", q.disconnectCause()).WithCause(writeErr), health: health.Served}
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -162,6 +165,9 @@
 		q.longestGap = max(q.longestGap, now-q.lastWrite)
 	}
 	q.lastWrite = now
+	if !q.canWrite(len(events)) {
+		return q.hold(events)
+	}
 	if _, err := q.writer.Write(events); err != nil {
 		return err
 	}
--- a/edge/caller/suspect_test.go
+++ b/edge/caller/suspect_test.go
@@ -53,12 +53,12 @@
 
 // startServer returns a server with one service, one replica of it at the given address,
 // and another host that sends reports.
-func startServer(t *testing.T, address string) (*Server, *control.Loop) {
+func startServer(t testing.TB, address string) (*Server, *control.Loop) {
 	t.Helper()
 	return startServerWithScope(t, address, tally.NoopScope)
 }
 
-func startServerWithScope(t *testing.T, address string, scope tally.Scope) (*Server, *control.Loop) {
+func startServerWithScope(t testing.TB, address string, scope tally.Scope) (*Server, *control.Loop) {
 	t.Helper()
 	configuration, err := platform.DecodeConfig([]byte(`{"version":1,"services":[{"name":"app"}],"routes":[
 		{"name":"r","hostname":"h.example","prefix":"/","route_type":"non_idempotent","backend":"app","timeout_ms":10000,"target_latency_ms":1000,"public":true},
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -130,7 +130,8 @@
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
 		MaxAnswerBytes: s.Callers.MaxAnswerBytes, BodyTimeout: s.Callers.BodyTimeout,
-		Timeouts:        http1.Timeouts{Header: s.Callers.HeaderTimeout, Idle: s.Callers.IdleTimeout},
+		Timeouts:       http1.Timeouts{Header: s.Callers.HeaderTimeout, Idle: s.Callers.IdleTimeout},
+		MaxUnreadBytes: int(s.Callers.MaxUnreadBytes), ReadTimeout: s.Callers.ReadTimeout, Unread: caller.NewByteBudget(unreadLimit(s)),
 		DrainAcceptTime: drainAcceptTime, DrainNotice: s.Bounds.Notice, DrainDeadline: s.Bounds.Shutdown - 2*shutdownMargin, Scope: d.metrics.Scope,
 	})
 	d.server.SetMaxProofAge(s.Bounds.KeyAge)
@@ -171,14 +172,14 @@
 	g.Add("control", d.loop.Run)
 	g.Add("peers", func(ctx context.Context) error { return d.socket.Run(ctx, d.loop) })
 	g.Add("store", watcher.Run)
-	g.Add("relay", listenAndServe(s.Peers.Address, &http.Server{Handler: relay.NewHandler(d.changes), ReadHeaderTimeout: s.Callers.HeaderTimeout}))
+	g.Add("relay", listenAndServe(&net.ListenConfig{}, s.Peers.Address, &http.Server{Handler: relay.NewHandler(d.changes), ReadHeaderTimeout: s.Callers.HeaderTimeout}))
 	g.Add("settings", d.watchSettings)
-	g.Add("ready", listenAndServe(s.Callers.ReadyAddress, &http.Server{Handler: readyMux, ReadHeaderTimeout: s.Callers.HeaderTimeout}))
-	g.Add("callers", listenAndServe(s.Callers.Address, callerServer))
+	g.Add("ready", listenAndServe(&net.ListenConfig{}, s.Callers.ReadyAddress, &http.Server{Handler: readyMux, ReadHeaderTimeout: s.Callers.HeaderTimeout}))
+	g.Add("callers", listenAndServe(caller.ListenConfig(s.Callers.ReadTimeout, s.Callers.SendBuffer), s.Callers.Address, callerServer))
 	if s.Admin.Address != "" {
 		adminMux := http.NewServeMux()
 		adminMux.Handle("GET /metrics", d.metrics.Handler)
-		g.Add("admin", listenAndServe(s.Admin.Address, &http.Server{Handler: adminMux, ReadHeaderTimeout: s.Callers.HeaderTimeout}))
+		g.Add("admin", listenAndServe(&net.ListenConfig{}, s.Admin.Address, &http.Server{Handler: adminMux, ReadHeaderTimeout: s.Callers.HeaderTimeout}))
 	}
 	g.Add("context", func(stopped context.Context) error {
 		select {
@@ -228,9 +229,9 @@
 
 // listenAndServe returns a function that listens on an address and serves until the
 // context ends.
-func listenAndServe(address string, server httpServer) func(context.Context) error {
+func listenAndServe(config *net.ListenConfig, address string, server httpServer) func(context.Context) error {
 	return func(ctx context.Context) error {
-		l, err := net.Listen("tcp4", address)
+		l, err := config.Listen(ctx, "tcp4", address)
 		if err != nil {
 			return eris.Wrap(err, "listen")
 		}
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -60,6 +60,8 @@
 	// Ended reports whether the replica has stopped working on the request,
 	// Completed whether it sent the complete response.
 	Ended, Completed bool
+	// Unread is set if the replica cut the response off; see ReplicaConfig.UnreadTimeout.
+	Unread bool
 }
 
 // ReplicaConfig holds the parameters of a replica.
@@ -71,6 +73,14 @@
 	StreamEvents int
 	// EventInterval is the pause after each event of a stream.
 	EventInterval time.Duration
+	// EventBytes is the size to which the data of each event is padded.
+	EventBytes int
+	// UnreadTimeout is the time after which the replica cuts off a response of which nothing
+	// more is read; 0 means never.
+	UnreadTimeout time.Duration
+	// MaxHeldBytes is the size of all request bodies at the replica above which it crashes; 0
+	// means no limit.
+	MaxHeldBytes int
 }
 
 // Replica is an HTTP server that implements the platform's protocol for replicas.
@@ -92,6 +102,8 @@
 	// refusals counts the connections of ResponseRepeatedRefusal.
 	refusals int
 	crashed  bool
+	// heldBytes is the size of the bodies of the running requests; see MaxHeldBytes.
+	heldBytes int
 	// advertised is the address in the replica's entry in the store.
 	advertised string
 }
@@ -103,7 +115,7 @@
 		return nil, err
 	}
 	r := &Replica{config: c, address: l.Addr().String(), reservations: map[string]int{}, advertised: l.Addr().String()}
-	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute, ConnContext: r.limitSendBuffer}
 	go func() { _ = r.server.Serve(l) }() // returns when the replica is closed
 	return r, nil
 }
@@ -254,6 +266,7 @@
 		return
 	}
 	run := r.recordRun(q, string(body))
+	defer r.hold(len(body))()
 	complete := false
 	defer func() {
 		r.mu.Lock()
@@ -326,34 +339,6 @@
 	return true
 }
 
-// streamEvents writes a stream, starting after Last-Event-Id, and reports whether
-// it is complete.
-func (r *Replica) streamEvents(w http.ResponseWriter, q *http.Request, mode ResponseMode) bool {
-	w.Header().Set("Content-Type", "text/event-stream")
-	first := 0
-	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil && mode != ResponseRestartedStream {
-		first = last + 1
-	}
-	control := http.NewResponseController(w)
-	for i := first; i < r.config.StreamEvents; i++ {
-		if mode == ResponseTruncated && i >= r.config.StreamEvents/2 {
-			fmt.Fprintf(w, "id: %d\nda", i)
-			_ = control.Flush() // the connection is closed next
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
-		if control.Flush() != nil {
-			return false
-		}
-		select {
-		case <-q.Context().Done():
-			return false
-		case <-time.After(r.config.EventInterval):
-		}
-	}
-	return true
-}
-
 // orderHandler makes or releases a reservation.
 func (r *Replica) orderHandler(w http.ResponseWriter, q *http.Request) {
 	var body struct {
