coord/inflight: limit the bytes that all hosts have at a replica

Nothing bounded the bytes of the requests at one replica, which crashes beyond its memory. With [placement] replica_memory, the hosts report their bytes at each replica in section 4, and place a body only within what is free there. What a host adds until the others know of it is limited: half of what is free is divided between all hosts, the other half between a few owners of the replica, for bodies beyond an equal share.

--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -82,7 +82,7 @@
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
-		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0,
+		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0, BodyBytes: int64(len(q.body)),
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(),
 	}
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -127,6 +127,9 @@
 		if c.Name != l.config.Name {
 			klog.V(1).InfoS("peer added or changed", "peer", c.Name, "address", c.Peer.Address)
 			if old, ok := l.peers[c.Name]; !ok || old != c.Peer {
+				if ok && old.Incarnation != c.Peer.Incarnation {
+					l.removeHostFromSections(c.Name)
+				}
 				l.peers[c.Name] = c.Peer
 				l.forwarding.isOutdated = true
 				delete(l.lastSequences, c.Name)
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -96,6 +96,9 @@
 	Placement    placement.Policy
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
+	// MaxReplicaBytes limits the bytes of the requests that all hosts have at one replica; 0
+	// means no limit.
+	MaxReplicaBytes int64
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
 	// leave or pause; nil for none.
 	Scope tally.Scope
@@ -116,10 +119,11 @@
 	// retainedVersion is the version of the directory at the last forgetRemovedReplicas.
 	retainedVersion uint64
 
-	health   *health.Tracker
-	ledger   *placement.Ledger
-	suspects *suspect.Tracker
-	parts    *suspect.PartTracker
+	health       *health.Tracker
+	ledger       *placement.Ledger
+	replicaBytes *replicaBytes // nil without a limit
+	suspects     *suspect.Tracker
+	parts        *suspect.PartTracker
 	// partSends holds the prompt parts of the requests that are at a replica and have received
 	// no event.
 	partSends      partSends
@@ -167,6 +171,9 @@
 		budgets: map[string]retry.Budget{}, coldPlacements: map[string][]time.Duration{}, brokenSends: map[string][]sendEnded{},
 		storedRequests: newStoredRequests(), peers: map[string]platform.Peer{}, lastSequences: map[string]uint32{}, models: map[string]placement.Model{},
 	}
+	if l.replicaBytes = newReplicaBytes(c); l.replicaBytes != nil {
+		l.config.Sections = append(slices.Clip(c.Sections), l.replicaBytes)
+	}
 	l.view.Store(&View{})
 	return l
 }
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -58,6 +58,8 @@
 	Parts []suspect.Part
 	// Excluded holds the IDs of replicas that this request has already tried.
 	Excluded []string
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// IsRetry is set if a replica may already have received the request. Retries use the
 	// retry budget.
 	IsRetry bool
@@ -117,6 +119,8 @@
 	// RefusedUnresolvedCrash means that replicas may have crashed while they ran the request,
 	// often enough to refuse it, and that a probe has yet to show whether they did.
 	RefusedUnresolvedCrash RefusalReason = "unresolved_crash"
+	// RefusedReplicaBytes means that the body might exceed the limit of every usable replica.
+	RefusedReplicaBytes RefusalReason = "replica_bytes"
 	// RefusedDraining means that the request would have to wait at a draining host.
 	RefusedDraining RefusalReason = "leaving"
 )
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -41,7 +41,7 @@
 	}
 	candidates := l.candidates(now, req)
 	if len(candidates) == 0 {
-		return decision{refusal: Refusal{Reason: RefusedNoReplica, RetryAfter: max(noReplicaRetryAfter, l.directory.PauseLeft(now, req.Service.Name))}}
+		return decision{refusal: l.refuseWithoutCandidates(now, req)}
 	}
 	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
@@ -60,6 +60,7 @@
 		l.coldPlacements[plan.Primary] = append(l.coldPlacements[plan.Primary], now)
 	}
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
+	l.addBytes(now, id, plan.Primary, req)
 	l.partSends.add(now, id, req.Parts)
 	if isTrial {
 		klog.V(1).InfoS("suspected part tried", "request_id", req.ID, "parts", formatParts(req.Parts), "replica", plan.Primary)
@@ -122,10 +123,15 @@
 func (l *Loop) candidates(now time.Duration, req PlacementRequest) []placement.Candidate {
 	loads := l.ledger.Loads(now)
 	l.candidateBuffer = l.candidateBuffer[:0]
-	for _, r := range l.rankedReplicas(now, req.Service.Name) {
+	l.prepareBytes()
+	list := l.rankedReplicas(now, req.Service.Name)
+	for i, r := range list {
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
 		}
+		if !l.hasRoomForBytes(now, list, i, req.BodyBytes) {
+			continue
+		}
 		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID]})
 	}
 	return l.candidateBuffer
@@ -213,6 +219,7 @@
 
 func (l *Loop) handleSendEnded(now time.Duration, m sendEnded) {
 	l.ledger.RemoveJob(now, m.assignmentID)
+	l.removeBytes(now, m.assignmentID)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(reportLater)
--- a/edge/unread.go
+++ b/edge/memory.go
@@ -22,3 +22,11 @@
 	}
 	return int64(s.Callers.UnreadShare * float64(memory))
 }
+
+// maxReplicaBytes returns the limit for the bodies at one replica, or 0 for none.
+func maxReplicaBytes(s config.Settings) int64 {
+	if !s.Placement.ReplicaMemory {
+		return 0
+	}
+	return s.Replicas.MaxBytes
+}
