edge/control: confirm large prompts before they are sent

Hosts that place long prompts before they know of each other's chose the same replica, and exceeded its memory.

With [placement] replica_memory, a prompt of more than 5% of the memory is reported at once and sent after the reporting delay, if the replica can hold what all hosts have placed there by then. A report that is lost within the delay is not covered.

--- a/edge/config/placement.go
+++ b/edge/config/placement.go
@@ -7,5 +7,5 @@
 	LearnedSpeeds  bool `ini:"learned_speeds" default:"no" help:"learn the speed of each replica and zone from results, and exchange it with other hosts"`
 	ZoneDelays     bool `ini:"zone_delays" default:"no" help:"prefer near replicas by the delays between zones in the operators' configuration"`
 	CostPrediction bool `ini:"cost_prediction" default:"no" help:"predict what each request costs from earlier ones"`
-	ReplicaMemory  bool `ini:"replica_memory" default:"no" help:"limit the bytes of the requests that all hosts have at one replica"`
+	ReplicaMemory  bool `ini:"replica_memory" default:"no" help:"limit the bytes and the tokens of the requests that all hosts have at one replica"`
 }
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -99,6 +99,9 @@
 	// MaxReplicaBytes limits the bytes of the requests that all hosts have at one replica; 0
 	// means no limit.
 	MaxReplicaBytes int64
+	// ConfirmMemory makes large prompts wait until the other hosts know of their placement, so
+	// that the prompts of all hosts stay within the memory of a replica.
+	ConfirmMemory bool
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
 	// leave or pause; nil for none.
 	Scope tally.Scope
@@ -313,6 +316,8 @@
 	switch m := m.(type) {
 	case placementMessage:
 		l.placeOrQueue(now, m)
+	case confirmationDue:
+		l.confirm(now, m)
 	case usableQuestion:
 		m.reply <- slices.ContainsFunc(l.directory.Usable(now, m.service), func(r directory.Replica) bool { return target(r) == m.target })
 	case responseStarted:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -63,6 +63,9 @@
 	// IsRetry is set if a replica may already have received the request. Retries use the
 	// retry budget.
 	IsRetry bool
+	// isReplaced is set if the request was placed before and that placement was given up. It
+	// has been counted in the retry budget.
+	isReplaced bool
 }
 
 // placementMessage asks the control goroutine to place a request.
@@ -75,6 +78,8 @@
 	// placeableSince is the time since which only an older request at another host has
 	// prevented the placement, or 0.
 	placeableSince time.Duration
+	// placements is the number of placements that were not confirmed.
+	placements int
 }
 
 // usableQuestion asks whether a replica may still get new requests.
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -43,7 +43,7 @@
 	if len(candidates) == 0 {
 		return decision{refusal: l.refuseWithoutCandidates(now, req)}
 	}
-	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
+	if req.IsRetry && !req.isReplaced && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
 	}
 	choose := l.choose
@@ -54,7 +54,9 @@
 	if refusal.Reason != placement.RefusedNone {
 		return decision{refusal: Refusal{Reason: RefusalReason(refusal.Reason), RetryAfter: refusal.RetryAfter, PredictedFirstEvent: refusal.PredictedFirstEvent, ReplicaCount: len(candidates), mayQueue: refusal.CanWait, blockedByOlder: refusal.BlockedByOlderPrompt}}
 	}
-	l.updateRetryBudget(req)
+	if !req.isReplaced {
+		l.updateRetryBudget(req)
+	}
 	primary := l.replica(now, plan.Primary)
 	if primary.ColdUntil > now {
 		l.coldPlacements[plan.Primary] = append(l.coldPlacements[plan.Primary], now)
--- a/edge/control/queue.go
+++ b/edge/control/queue.go
@@ -34,7 +34,7 @@
 		l.scheduleReport(reportNow)
 		return
 	}
-	m.reply <- d
+	l.answer(now, m, d)
 }
 
 // tryPlaceWithDrainLimit calls tryPlace. Once DrainQueueTime has passed at a draining host,
@@ -108,7 +108,7 @@
 			prefillAhead += l.prefillTime(m.request)
 			continue
 		}
-		m.reply <- d
+		l.answer(now, m, d)
 		l.scheduleReport(reportNow)
 	}
 	clear(l.queue[len(remaining):])
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -124,6 +124,7 @@
 		Name: s.Process.ID, Zone: s.Process.Zone, Regions: regions,
 		RetryLimits:       retryLimits(s),
 		MaxReplicaBytes:   maxReplicaBytes(s),
+		ConfirmMemory:     s.Placement.ReplicaMemory,
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
