edge/caller: test buffered responses that are read slowly

Guards against a complete response that is held for a caller that reads nothing, and against one that a steady reader does not get whole.

--- a/edge/caller/slow_reader_test.go
+++ b/edge/caller/slow_reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -65,13 +66,19 @@
 }
 
 func newSlowSite(t *testing.T, change func(*Config)) *slowSite {
+	t.Helper()
+	return newSlowSiteWith(t, "", change)
+}
+
+// newSlowSiteWith returns a slowSite with a replica at another address, if it is not empty.
+func newSlowSiteWith(t *testing.T, address string, change func(*Config)) *slowSite {
 	t.Helper()
 	r, err := platform.NewReplica(platform.ReplicaConfig{ID: "i-1", Service: "app", Zone: "z1", Slots: 64, StreamEvents: eventCount, EventBytes: eventBytes, EventInterval: time.Millisecond, UnreadTimeout: time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(r.Close)
-	s, _ := startServer(t, r.Address())
+	s, _ := startServer(t, cmp.Or(address, r.Address()))
 	site := &slowSite{t: t, replica: r, budget: &recordingBudget{limit: 64 << 20}}
 	s.config.MaxRequests, s.config.MaxUnreadBytes, s.config.ReadTimeout, s.config.Unread = 100, 4<<20, 2*time.Second, site.budget
 	change(&s.config)
@@ -88,8 +95,13 @@
 	return site
 }
 
-// call sends a request on a connection with a small receive buffer.
+// call sends a request for a stream on a connection with a small receive buffer.
 func (s *slowSite) call(id string) net.Conn {
+	s.t.Helper()
+	return s.callPath("/resumable/", id)
+}
+
+func (s *slowSite) callPath(path, id string) net.Conn {
 	s.t.Helper()
 	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
@@ -103,7 +115,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { c.Close() })
-	fmt.Fprintf(c, "POST /resumable/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nprompt", id)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nprompt", path, id)
 	return c
 }
 
@@ -261,3 +273,34 @@
 		t.Errorf("%d bytes held at most, want some and at most %d", s.budget.peak, limit)
 	}
 }
+
+// Guards against a complete response that is held for ever for a caller that reads nothing, one
+// that a steady reader does not get whole, and one that is sent again after it was cut off.
+func TestBufferedResponseIsReadSlowly(t *testing.T) {
+	body := strings.Repeat("0123456789abcde\n", 1<<16-1)
+	var sends atomic.Int64
+	address := serveEach(t, func() string {
+		sends.Add(1)
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", stampedHead, len(body), body)
+	})
+	var cut atomic.Value
+	s := newSlowSiteWith(t, address, func(c *Config) {
+		c.ReadTimeout = 500 * time.Millisecond
+		c.OnCutOff = func(limit string) { cut.Store(limit) }
+	})
+	if got, err := readSteadily(s.callPath("/x", "a1")); got != body || err != nil {
+		t.Errorf("%d bytes (%v), want all %d", len(got), err, len(body))
+	}
+	if s.budget.peak < len(body) {
+		t.Errorf("%d bytes counted, want the body of %d", s.budget.peak, len(body))
+	}
+	c := s.callPath("/x", "a1")
+	s.eventually("the response is cut off", func() bool { return cut.Load() == limitReadTimeout })
+	if got, err := readSteadily(c); err == nil {
+		t.Errorf("the response ended properly after %d bytes, want it cut off", len(got))
+	}
+	s.checkReturned()
+	if n := sends.Load(); n != 2 {
+		t.Errorf("%d sends of two requests", n)
+	}
+}
