--- a/coord/replicaspeed/sim_test.go
+++ b/coord/replicaspeed/sim_test.go
@@ -205,8 +205,8 @@
 		}
 		without, with, lossy := play(false, 0), play(true, 0), play(true, 0.5)
 		t.Logf("late of %d: %d without learning, %d with it, %d with half of the reports lost; %d bytes/s of sections from each host", 30*simRate, without, with, lossy, bytes)
-		if with > without/2 || lossy > without*3/4 {
-			t.Errorf("late first events: %d without learning, %d with it, %d with lost reports; want at most half, and three quarters with lost reports", without, with, lossy)
+		if with > without/2 || lossy > without/2 {
+			t.Errorf("late first events: %d without learning, %d with it, %d with lost reports; want at most half in both", without, with, lossy)
 		}
 	})
 }
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -67,6 +67,9 @@
 			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount, "account_share", assignment.AccountShare}, assignment.Cost.LogFields()...)...)
 		last = q.send(ctx, assignment)
 		if last.err == nil && last.response == nil {
+			if err := q.awaitRead(); err != nil {
+				q.writeError(err)
+			}
 			return
 		}
 		if canRetry := q.recordFailure(ctx, assignment, last); !canRetry {
@@ -79,7 +82,7 @@
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
-		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0,
+		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0, BodyBytes: int64(len(q.body)),
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(), Route: q.route.Name,
 	}
@@ -151,7 +154,9 @@
 // writeFailure writes the final response of a request that did not succeed.
 func (q *request) writeFailure(ctx context.Context, last outcome) {
 	if last.response != nil && !q.responseStarted {
-		q.writeResponse(last.response)
+		if err := q.writeResponse(last.response); err != nil {
+			q.writeError(err)
+		}
 		return
 	}
 	err := last.err
@@ -161,11 +166,15 @@
 	if q.mayHaveRun && err.Verdict == verdict.NotRun {
 		err = verdict.New(verdict.MayHaveRun, err.Reason, "%s", err.Message).WithCause(err.Err)
 	}
+	q.discardUnread()
 	q.writeError(err)
 }
 
 // contextError returns the error for a request whose context has ended.
 func (q *request) contextError(ctx context.Context) *verdict.Error {
+	if err := q.readerError(); err != nil {
+		return err
+	}
 	v := verdict.NotRun
 	if q.mayHaveRun {
 		v = verdict.MayHaveRun
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -109,6 +109,12 @@
 	FairShares bool
 	// Sections are the parts of the load report that features add to it.
 	Sections []ReportSection
+	// MaxReplicaBytes limits the bytes of the requests that all hosts have at one replica; 0
+	// means no limit.
+	MaxReplicaBytes int64
+	// ConfirmMemory makes large prompts wait until the other hosts know of their placement, so
+	// that the prompts of all hosts stay within the memory of a replica.
+	ConfirmMemory bool
 	// Scope receives the gauges of suspected and refused prompt parts, and of replicas that
 	// leave or pause; nil for none.
 	Scope tally.Scope
@@ -131,10 +137,11 @@
 
 	health *health.Tracker
 	ledger *placement.Ledger
-	// costs is nil while predictions are off.
-	costs    *costs
-	suspects *suspect.Tracker
-	parts    *suspect.PartTracker
+	// costs is nil while predictions are off, replicaBytes without a limit.
+	costs        *costs
+	replicaBytes *replicaBytes
+	suspects     *suspect.Tracker
+	parts        *suspect.PartTracker
 	// partSends holds the prompt parts of the requests that are at a replica and have received
 	// no event.
 	partSends      partSends
@@ -203,6 +210,9 @@
 		l.accounts = newAccounts()
 		l.config.Sections = append(slices.Clone(l.config.Sections), l.accounts)
 	}
+	if l.replicaBytes = newReplicaBytes(c); l.replicaBytes != nil {
+		l.config.Sections = append(slices.Clip(l.config.Sections), l.replicaBytes)
+	}
 	l.view.Store(&View{})
 	return l
 }
@@ -344,6 +354,8 @@
 	switch m := m.(type) {
 	case placementMessage:
 		l.placeOrQueue(now, m)
+	case confirmationDue:
+		l.confirm(now, m)
 	case usableQuestion:
 		m.reply <- slices.ContainsFunc(l.directory.Usable(now, m.service), func(r directory.Replica) bool { return target(r) == m.target })
 	case responseStarted:
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -70,9 +70,14 @@
 	Parts []suspect.Part
 	// Excluded holds the IDs of replicas that this request has already tried.
 	Excluded []string
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// IsRetry is set if a replica may already have received the request. Retries use the
 	// retry budget.
 	IsRetry bool
+	// isReplaced is set if the request was placed before and that placement was given up. It
+	// has been counted in the retry budget.
+	isReplaced bool
 }
 
 // placementMessage asks the control goroutine to place a request.
@@ -85,6 +90,8 @@
 	// placeableSince is the time since which only an older request at another host has
 	// prevented the placement, or 0.
 	placeableSince time.Duration
+	// placements is the number of placements that were not confirmed.
+	placements int
 }
 
 // usableQuestion asks whether a replica may still get new requests.
@@ -134,6 +141,8 @@
 	// RefusedUnresolvedCrash means that replicas may have crashed while they ran the request,
 	// often enough to refuse it, and that a probe has yet to show whether they did.
 	RefusedUnresolvedCrash RefusalReason = "unresolved_crash"
+	// RefusedReplicaBytes means that the body might exceed the limit of every usable replica.
+	RefusedReplicaBytes RefusalReason = "replica_bytes"
 	// RefusedDraining means that the request would have to wait at a draining host.
 	RefusedDraining RefusalReason = "leaving"
 )
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -41,9 +41,9 @@
 	}
 	candidates := l.candidates(now, req)
 	if len(candidates) == 0 {
-		return decision{refusal: Refusal{Reason: RefusedNoReplica, RetryAfter: max(noReplicaRetryAfter, l.directory.PauseLeft(now, req.Service.Name))}}
+		return decision{refusal: l.refuseWithoutCandidates(now, req)}
 	}
-	if req.IsRetry && !l.retryBudget(req.Service.Name).available() {
+	if req.IsRetry && !req.isReplaced && !l.retryBudget(req.Service.Name).available() {
 		return decision{refusal: Refusal{Reason: RefusedRetryBudget, ReplicaCount: len(candidates)}}
 	}
 	if l.leavesLastSlots(now, req, candidates) {
@@ -57,12 +57,15 @@
 	if refusal.Reason != placement.RefusedNone {
 		return decision{refusal: Refusal{Reason: RefusalReason(refusal.Reason), RetryAfter: refusal.RetryAfter, PredictedFirstEvent: refusal.PredictedFirstEvent, ReplicaCount: len(candidates), mayQueue: refusal.CanWait, blockedByOlder: refusal.BlockedByOlderPrompt, waitsForSlot: refusal.WaitsForSlot}}
 	}
-	l.updateRetryBudget(req)
+	if !req.isReplaced {
+		l.updateRetryBudget(req)
+	}
 	primary := l.replica(now, plan.Primary)
 	if primary.ColdUntil > now {
 		l.coldPlacements[plan.Primary] = append(l.coldPlacements[plan.Primary], now)
 	}
 	id := l.ledger.AddJob(placement.Job{Plan: plan, PartPrefill: plan.PartPrefill, Tokens: req.Request.PromptTokens + req.Request.OutputTokens, SentAt: now})
+	l.addBytes(now, id, plan.Primary, req)
 	l.partSends.add(now, id, req.Parts)
 	l.chargeAccount(now, id, req)
 	if isTrial {
@@ -130,10 +133,15 @@
 	loads := l.ledger.Loads(now)
 	l.candidateBuffer = l.candidateBuffer[:0]
 	speeds := l.learnedSpeeds(now)
-	for _, r := range l.rankedReplicas(now, req.Service.Name) {
+	l.prepareBytes()
+	list := l.rankedReplicas(now, req.Service.Name)
+	for i, r := range list {
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
 		}
+		if !l.hasRoomForBytes(now, list, i, req.BodyBytes) {
+			continue
+		}
 		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{
 			ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID],
 			Speed: speeds.factor(r.shortID), Delay: r.link.delay + speeds.addedDelay(r.Zone), Connected: r.link.isConnected(now),
@@ -231,6 +239,7 @@
 	l.observeCost(now, m)
 	l.endSpeedSample(m.assignmentID)
 	l.correctCharge(now, m)
+	l.removeBytes(now, m.assignmentID)
 	send := l.partSends.remove(m.assignmentID)
 	m.parts = send.parts
 	l.scheduleReport(l.endUrgency(now, service))
