edge: test crowds of hostile clients against a real process

Nothing tested that the process stays within the memory and the descriptors of its host while uncontrolled clients send bodies without their end, half headers, pipelined requests or read no answers. The tests start siskin-edge, built without the race detector, with memory_mb=96, descriptors=256 and a body limit of 1 MiB, and require that peak memory (VmHWM) and descriptors stay under these figures and that an ordinary request is served while the crowd is still connected. Load patterns and bounds are fixed here.

--- a/edge/process_test.go
+++ b/edge/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -21,8 +22,10 @@
 
 // edgeProcess runs siskin-edge as a separate process.
 type edgeProcess struct {
-	t             *testing.T
-	name          string
+	t    *testing.T
+	name string
+	// program is the path of the program, or empty to run the test binary as siskin-edge.
+	program       string
 	callerAddress string
 	readyAddress  string
 	settingsPath  string
@@ -80,7 +83,7 @@
 		return
 	}
 	defer log.Close()
-	cmd := exec.Command(os.Args[0], "--config", e.settingsPath)
+	cmd := exec.Command(cmp.Or(e.program, os.Args[0]), "--config", e.settingsPath)
 	// By default, the race detector waits for a second before the process exits.
 	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = log, log
--- a/edge/testsite_test.go
+++ b/edge/testsite_test.go
@@ -25,7 +25,9 @@
 	if _, err := logging.SetupAsync(logging.AsyncConfig{Verbosity: 1, LinesPerSecond: 1000}, io.Discard); err != nil {
 		panic(err)
 	}
-	os.Exit(m.Run())
+	status := m.Run()
+	removeEdgeProgram()
+	os.Exit(status)
 }
 
 // testSite is a fake platform store with fake replicas and one entry host, which runs in
