edge: charge callers' bytes to one budget and limit their connections

A crowd of clients could make the process use all memory: bodies were read into doubling buffers up to their limit for up to 1,500 requests at a time, answers waited without limit for callers that did not read, and connections had no bound.

coord/bytebudget decides which claim gets bytes and which gives way: stalled ones first, then younger large bodies; small requests have a reserve. Bodies are read in segments that grow with what has arrived, wait for memory without being read, and are passed to the replica without a copy. service/http1 limits connections and charges headers; a new connection takes the place of a stalled one. Limits, the Go memory limit and GC percentage are derived from the memory and descriptors of the host. A refused body is read for 2 MiB at most instead of 32 MiB, and Expect: 100-continue is answered by the refusal.

--- a/edge/caller/error_response.go
+++ b/edge/caller/error_response.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
+	q.limitRefusal()
 	q.writer.WriteHeader(q.status)
 	_, _ = q.writer.Write(data) // fails only if the caller has disconnected
 }
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -1,12 +1,9 @@
 package caller
 
 import (
-	"errors"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +16,7 @@
 	"siskinstand.example/edge/control"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
+	"siskinstand.example/service/membudget"
 )
 
 // request is the state of one request of a caller.
@@ -29,7 +27,12 @@
 	// received is the boot clock reading at the start of the request.
 	received time.Duration
 	headers  platform.CallerHeaders
-	body     []byte
+	// body holds the body in parts. bodyClaim is charged for it, and responseClaim for a
+	// buffered response. bodyRead is set once the body was read completely.
+	body          [][]byte
+	bodyClaim     *membudget.Claim
+	bodyRead      bool
+	responseClaim *membudget.Claim
 
 	view    *control.View
 	route   *catalog.Route
@@ -106,7 +109,7 @@
 	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since) {
 		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 	}
-	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body)
+	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body...)
 	if q.route.HasPrompt {
 		for _, p := range q.headers.SharedPromptParts {
 			q.parts = append(q.parts, suspect.Part(p))
@@ -277,47 +280,16 @@
 
 // fingerprint returns a hash that is equal for repetitions of a request: same method,
 // host, target, key and body.
-func fingerprint(r *http.Request, key string, body []byte) suspect.Fingerprint {
+func fingerprint(r *http.Request, key string, body ...[]byte) suspect.Fingerprint {
 	h := fnv.New64a()
 	for _, text := range []string{r.Method, r.Host, requestTarget(r), key} {
 		_, _ = h.Write([]byte(text))
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(body)
-	return suspect.Fingerprint(h.Sum64())
-}
-
-// maxDiscardBytes is how much more of an oversized body is read at most before the request
-// is refused.
-const maxDiscardBytes = 16 << 20
-
-func (q *request) readBody() *verdict.Error {
-	limit := q.server.config.MaxBodyBytes
-	if configured := q.view.Catalog.Limits().MaxBodyBytes; configured > 0 {
-		limit = min(limit, configured)
+	for _, part := range body {
+		_, _ = h.Write(part)
 	}
-	if q.httpRequest.Body == nil || q.httpRequest.Body == http.NoBody {
-		return nil
-	}
-	control := http.NewResponseController(q.writer)
-	// Connections without deadline support, as in tests, are read without a timeout.
-	_ = control.SetReadDeadline(time.Now().Add(min(q.server.config.BodyTimeout, q.timeLeft(bootclock.Now()))))
-	var err error
-	q.body, err = io.ReadAll(io.LimitReader(q.httpRequest.Body, limit+1))
-	switch {
-	case int64(len(q.body)) > limit:
-		q.body = nil
-		// Closing while the caller still writes would reset the connection before the
-		// caller has read the response.
-		_, _ = io.CopyN(io.Discard, q.httpRequest.Body, maxDiscardBytes)
-		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return verdict.New(verdict.NotRun, verdict.ReasonSlowCaller, "the body did not arrive in time").WithCause(err)
-	case err != nil:
-		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body did not arrive whole").WithCause(err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return nil
+	return suspect.Fingerprint(h.Sum64())
 }
 
 // recordCompletion records the metrics of the finished request and writes its log line.
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -15,15 +15,15 @@
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/edge/control"
 	"siskinstand.example/edge/replica"
-	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
+	"siskinstand.example/service/membudget"
 )
 
 // bufferedResponse is a complete response of a replica, held in memory.
 type bufferedResponse struct {
 	status  int
 	headers http.Header
-	body    []byte
+	body    [][]byte
 }
 
 // handleResponse reads a replica's response. It passes the response on to the caller unless
@@ -58,6 +58,9 @@
 			q.mayHaveRun = true
 			return outcome{err: q.contextError(ctx), health: health.Served}
 		}
+		if errors.Is(err, membudget.ErrExhausted) {
+			return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, "no memory for the answer").WithCause(err), health: health.Served, aborted: true, began: true}
+		}
 		o := brokenOutcome("the answer broke off", err)
 		o.mayHaveCrashed, o.aborted, o.began = true, !endedByReplica(err), true
 		return o
@@ -119,31 +122,21 @@
 
 var errResponseTooLong = errors.New("response exceeds max_answer_bytes")
 
-// bufferResponse reads the whole response before anything is passed on, so that the
-// request can be retried if the response is incomplete.
-func (q *request) bufferResponse(resp *replica.Response) (*bufferedResponse, error) {
-	limit := q.server.config.MaxAnswerBytes
-	body, err := io.ReadAll(io.LimitReader(resp, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errResponseTooLong
-	}
-	return &bufferedResponse{status: resp.Status, headers: platform.CallerResponseHeaders(resp.Headers), body: body}, nil
-}
-
 // writeResponse writes a buffered response to the caller.
 func (q *request) writeResponse(resp *bufferedResponse) {
+	defer func() { q.responseClaim.Close() }()
 	q.status = resp.status
 	q.startResponse(resp.headers)
 	if resp.status != http.StatusNoContent && resp.status != http.StatusNotModified {
-		q.writer.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		q.writer.Header().Set("Content-Length", strconv.Itoa(resp.length()))
 	}
 	q.writer.WriteHeader(resp.status)
 	q.timeToFirstByte = bootclock.Now() - q.received
-	if _, err := q.writer.Write(resp.body); err != nil {
-		q.detail = q.disconnectCause() + ": " + err.Error()
+	if err := q.writeBufferedBody(resp); err != nil {
+		q.detail = err.Error()
+		if !errors.Is(err, membudget.ErrEvicted) && !errors.Is(err, errNotRead) {
+			q.detail = q.disconnectCause() + ": " + q.detail
+		}
 	}
 }
 
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -289,9 +289,10 @@
 	if q.account != nil {
 		options.Account = q.account.Name
 	}
+	body, moreBody := q.firstBodyPart()
 	return replica.Request{
 		Address: assignment.Target.Address, Method: q.httpRequest.Method, Target: requestTarget(q.httpRequest), Host: q.httpRequest.Host,
-		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: q.body, AttemptID: q.headers.AttemptID,
+		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: body, MoreBody: moreBody, AttemptID: q.headers.AttemptID,
 		AtMostOnce: q.route.Repeat == catalog.RepeatNever,
 	}
 }
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -18,6 +18,7 @@
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
 	"siskinstand.example/service/http1"
+	"siskinstand.example/service/membudget"
 )
 
 // Config configures a Server.
@@ -41,6 +42,8 @@
 	DrainNotice     time.Duration
 	DrainDeadline   time.Duration
 	Scope           tally.Scope
+	// Memory is charged for the bodies of requests and buffered responses. It may be nil.
+	Memory *membudget.Budget
 }
 
 // Server is the HTTP handler for callers.
@@ -128,6 +131,10 @@
 	}
 	q := &request{server: s, writer: w, httpRequest: r, received: bootclock.Now(), headers: platform.ParseCallerHeaders(r.Header)}
 	defer q.recordCompletion()
+	defer func() {
+		q.bodyClaim.Close()
+		q.responseClaim.Close()
+	}()
 	if err := q.admit(); err != nil {
 		q.writeError(err)
 		return
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -37,6 +37,8 @@
 	Host    string
 	Headers http.Header
 	Body    []byte
+	// MoreBody are the further parts of the body after Body.
+	MoreBody [][]byte
 	// AttemptID is the attempt ID of the request. A response with another one belongs to
 	// another request.
 	AttemptID string
@@ -114,19 +116,19 @@
 func exchange(c *conn, r Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	var wire bytes.Buffer
-	wire.Grow(len(r.Body) + typicalHeadBytes)
+	length := r.bodyLength()
+	wire.Grow(min(length, maxJoinedBytes) + typicalHeadBytes)
 	// http.Request.Write would add headers and might change the target.
 	fmt.Fprintf(&wire, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	if err := r.Headers.Write(&wire); err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet {
-		fmt.Fprintf(&wire, "Content-Length: %d\r\n", len(r.Body))
+	if length > 0 || r.Method != http.MethodGet {
+		fmt.Fprintf(&wire, "Content-Length: %d\r\n", length)
 	}
 	wire.WriteString("\r\n")
-	wire.Write(r.Body)
 	c.recordSent(r)
-	if _, err := c.Write(wire.Bytes()); err != nil {
+	if err := writeBody(c, &wire, append([][]byte{r.Body}, r.MoreBody...)); err != nil {
 		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
 		if readErr != nil {
 			return nil, errors.Join(err, readErr)
@@ -137,6 +139,34 @@
 	return readOwnHead(c, req, r.AttemptID, time.Time{})
 }
 
+func (r Request) bodyLength() int {
+	length := len(r.Body)
+	for _, part := range r.MoreBody {
+		length += len(part)
+	}
+	return length
+}
+
+// maxJoinedBytes is the number of body bytes that are copied behind the head, so that one write
+// sends both. The rest is written from where it is, since a copy would double its memory.
+const maxJoinedBytes = 64 << 10
+
+func writeBody(c *conn, wire *bytes.Buffer, parts [][]byte) error {
+	for joined := 0; len(parts) > 0 && joined+len(parts[0]) <= maxJoinedBytes; parts = parts[1:] {
+		joined += len(parts[0])
+		wire.Write(parts[0])
+	}
+	if _, err := c.Write(wire.Bytes()); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if _, err := c.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readOwnHead reads the header of the response to the request with the given attempt ID. It
 // skips interim responses and late responses to earlier requests, unless the length of their
 // body is unknown because of a HEAD request. A response without an attempt ID is accepted only
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -25,17 +25,12 @@
 	"siskinstand.example/platform"
 	"siskinstand.example/service/http1"
 	"siskinstand.example/service/logging"
+	"siskinstand.example/service/membudget"
 	"siskinstand.example/service/metrics"
 	"siskinstand.example/service/rungroup"
 )
 
 const (
-	// memoryLimit is the soft memory limit of the Go runtime, above which the garbage
-	// collector runs more often. Entry hosts have 184 MB or more.
-	memoryLimit = 120 << 20
-	// gcPercent lets the heap grow to four times the live heap of a few MB, because CPU
-	// time is more expensive than memory on entry hosts.
-	gcPercent = 300
 	// shutdownMargin is the part of the shutdown time reserved for closing connections and
 	// exiting. Late requests are accepted only if they are expected to finish another
 	// margin earlier.
@@ -76,12 +71,15 @@
 	changes     *relay.Log
 	following   *relay.Client
 	server      *caller.Server
+	limits      resources
+	memory      *membudget.Budget
 	incarnation int64
 }
 
 func serve(s config.Settings, reload func() (config.Settings, error)) error {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	limits := newResources(s.Process)
+	debug.SetGCPercent(limits.gcPercent)
+	debug.SetMemoryLimit(limits.goMemoryLimit)
 	output, err := logging.SetupAsync(s.Log.Output(), os.Stdout)
 	if err != nil {
 		return eris.Wrap(err, "set up log output")
@@ -94,7 +92,8 @@
 		return err
 	}
 	defer d.close()
-	klog.InfoS("started", "host", s.Process.ID, "zone", s.Process.Zone, "callers", s.Callers.Address, "store", s.Store.Address, "boot", d.incarnation)
+	klog.InfoS("started", "host", s.Process.ID, "zone", s.Process.Zone, "callers", s.Callers.Address, "store", s.Store.Address, "boot", d.incarnation,
+		"memory_mb", limits.memoryBytes/mebibyte, "caller_bytes", limits.budget.Limit, "caller_reserve_bytes", limits.budget.Reserve, "max_connections", limits.maxConnections, "gc_percent", limits.gcPercent)
 	err = d.run()
 	klog.InfoS("stopped", "err", err)
 	return err
@@ -127,11 +126,14 @@
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
 	})
+	d.limits = newResources(s.Process)
+	d.memory = membudget.New(d.limits.budget, d.metrics.Scope)
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
 		MaxAnswerBytes: s.Callers.MaxAnswerBytes, BodyTimeout: s.Callers.BodyTimeout,
 		Timeouts:        http1.Timeouts{Header: s.Callers.HeaderTimeout, Idle: s.Callers.IdleTimeout},
 		DrainAcceptTime: drainAcceptTime, DrainNotice: s.Bounds.Notice, DrainDeadline: s.Bounds.Shutdown - 2*shutdownMargin, Scope: d.metrics.Scope,
+		Memory: d.memory,
 	})
 	d.server.SetMaxProofAge(s.Bounds.KeyAge)
 	return d, nil
@@ -154,7 +156,7 @@
 	s := d.settings
 	callerServer := http1.New(http1.Config{
 		Handler: d.server, MaxHeaderBytes: s.Callers.MaxHeaderBytes, Timeouts: d.server.Timeouts, OnReject: d.server.RecordRejection,
-		ErrorLog: klog.NewStandardLogger("WARNING"),
+		ErrorLog: klog.NewStandardLogger("WARNING"), MaxConnections: d.limits.maxConnections, Memory: d.memory,
 	})
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+platform.ReadyPath, d.server.ServeReady)
--- a/service/http1/conn.go
+++ b/service/http1/conn.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"siskinstand.example/coord/bytebudget"
+	"siskinstand.example/service/membudget"
 )
 
 // conn inspects the bytes of a request before net/http passes the request to the
@@ -32,6 +35,11 @@
 	isClosed atomic.Bool
 	// isReset is true if Close resets the connection.
 	isReset atomic.Bool
+	// drainsOnClose is true if Close drains the connection.
+	drainsOnClose atomic.Bool
+	// claim is charged for the connection, and for chargedBytes of the header.
+	claim        *membudget.Claim
+	chargedBytes int
 	// receivedBytes counts the bytes of the awaited request, and methodBytes those of
 	// its method.
 	receivedBytes    int
@@ -57,6 +65,8 @@
 	unusedSince time.Time
 	// isRetired is true if the connection is to be closed unless a request has arrived.
 	isRetired bool
+	// isCutOff is true if the caller gave way while its header was arriving.
+	isCutOff bool
 }
 
 // updateState is called when net/http changes the state of the connection. The state
@@ -65,6 +75,7 @@
 	switch state {
 	case http.StateActive:
 		c.awaitsHeader.Store(false)
+		c.keepRequest()
 		c.setBusy(true) // its bytes may have been read together with the previous request
 	case http.StateIdle:
 		c.isHandled.Store(false)
@@ -72,8 +83,11 @@
 		c.mayStartInside = !c.endsHeader
 		c.headerDeadline = time.Time{}
 		c.deadlineCalls = 0
+		c.releaseHeader()
+		c.drainsOnClose.Store(false)
 		c.awaitsHeader.Store(true)
 		c.setBusy(false)
+		_ = c.claim.SetPhase(bytebudget.PhaseArriving) // a claim in use does not give way
 	}
 }
 
@@ -168,6 +182,9 @@
 		if !c.mayBeRequest(p[:n]) {
 			return 0, c.reject(http.StatusBadRequest)
 		}
+		if !c.chargeHeader(n) {
+			return 0, c.reject(http.StatusServiceUnavailable)
+		}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.receivedBytes > 0 {
 		return 0, c.reject(http.StatusRequestTimeout)
@@ -190,7 +207,7 @@
 		if t = c.headerDeadline; t.IsZero() {
 			t = time.Now().Add(c.server.config.Timeouts().Idle)
 		}
-		if c.isRetired {
+		if c.isRetired || c.isCutOff {
 			t = time.Now()
 		}
 	}
--- a/service/http1/reject.go
+++ b/service/http1/reject.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -56,16 +54,9 @@
 // rejectWriteTimeout limits the time to write the response of a rejection.
 const rejectWriteTimeout = time.Second
 
-// reject reports a rejection and sends an error response without involving net/http.
-// It returns io.EOF, so that net/http stops reading.
+// reject sends an error response and returns io.EOF, so that net/http stops reading.
 func (c *conn) reject(status int) error {
-	c.awaitsHeader.Store(false)
-	c.isRejected.Store(true)
-	c.server.config.OnReject(Rejection{CallerAddress: c.RemoteAddr().String(), Status: status})
-	text := fmt.Sprintf("%d %s", status, http.StatusText(status))
-	_ = c.SetWriteDeadline(time.Now().Add(rejectWriteTimeout))
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", text, len(text), text) // the caller may have disconnected
-	_ = c.CloseWrite()
+	c.sendRejection(status, "")
 	return io.EOF
 }
 
@@ -86,9 +77,11 @@
 const (
 	// drainTimeout and maxDrainBytes limit how much is read from a caller that is
 	// still sending after it got its response. net/http keeps such a connection
-	// open for 0.5 s.
+	// open for 0.5 s. A caller that reads while it sends needs none of it, and one
+	// that sends all before it reads gets its response if it sends no more than this
+	// above the limit.
 	drainTimeout  = 500 * time.Millisecond
-	maxDrainBytes = 16 << 20
+	maxDrainBytes = 2 << 20
 )
 
 // CloseWrite closes the write side, discards further input until drainTimeout or
@@ -104,7 +97,13 @@
 		_ = halfCloser.CloseWrite() // if the connection is closed, the read below ends
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	limit := c.server.config.MaxConnections
+	if lingering := c.server.lingering.Add(1); limit > 0 && int(lingering) > max(1, limit/maxLingering) {
+		c.server.lingering.Add(-1)
+		return c.Conn.Close()
+	}
 	go func() {
+		defer c.server.lingering.Add(-1)
 		defer c.Conn.Close()
 		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes) // ends when the caller closes the connection or a limit is reached
 	}()
@@ -116,6 +115,10 @@
 func (c *conn) Close() error {
 	c.isClosed.Store(true)
 	c.server.track(c, false)
+	c.claim.Close()
+	if c.drainsOnClose.Load() {
+		return c.CloseWrite()
+	}
 	if c.isDraining.Load() {
 		return nil
 	}
--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -15,7 +15,10 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"siskinstand.example/service/membudget"
 )
 
 // Timeouts limits how long a caller may take.
@@ -44,6 +47,11 @@
 	// handler. It may be nil.
 	OnReject func(Rejection)
 	ErrorLog *log.Logger
+	// MaxConnections is the maximum number of open connections, or 0 for any number. A
+	// new connection beyond it takes the place of a stalled one or is refused with
+	// status 503. Memory is charged for connections and headers; it may be nil.
+	MaxConnections int
+	Memory         *membudget.Budget
 	// TLS makes Serve accept TLS connections if it is set. net/http has to handle
 	// TLS connections directly, so the additions of this package do not apply to
 	// them: they keep the timeouts that were current at the call of New, and OnReject
@@ -63,6 +71,8 @@
 	// acceptLoops counts the running accept loops. Each may have accepted a
 	// connection that is not in conns yet.
 	acceptLoops sync.WaitGroup
+	// lingering counts the connections that are being drained; see CloseWrite.
+	lingering atomic.Int64
 }
 
 type connKey struct{}
@@ -234,12 +244,18 @@
 }
 
 func (l trackingListener) Accept() (net.Conn, error) {
-	n, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: n, server: l.server, unusedSince: time.Now()}
-	c.awaitsHeader.Store(true)
-	l.server.track(c, true)
-	return c, nil
+	for {
+		n, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: n, server: l.server, unusedSince: time.Now()}
+		if !l.server.admit(c) {
+			l.server.refuse(c)
+			continue
+		}
+		c.awaitsHeader.Store(true)
+		l.server.track(c, true)
+		return c, nil
+	}
 }
