--- a/e2e/stack_test.go
+++ b/e2e/stack_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -61,9 +62,11 @@
 	engineAddresses []string
 	baseURL         string
 	client          openai.Client
+	gateway         *os.Process
 }
 
-func startStack(t *testing.T, memoryTokens int64) *stack {
+// startStack starts a stack. callerSettings are lines of the gateway's section [callers].
+func startStack(t *testing.T, memoryTokens int64, callerSettings ...string) *stack {
 	t.Helper()
 	dir := t.TempDir()
 	s := &stack{}
@@ -77,9 +80,9 @@
 	writeFile(t, dir, "pools.ini", fmt.Sprintf("[pool chat]\nkind = model\nservice = engine\nmodel = %s\n", model))
 	callerAddress, adminAddress := freeAddress(t), freeAddress(t)
 	settingsPath := writeFile(t, dir, "gateway.ini", fmt.Sprintf(
-		"[process]\nid = gateway-1\nzone = zone-a\n[callers]\naddress = %s\n[admin]\naddress = %s\n[tables]\nroutes = %s\npools = %s\n[platform]\nhost_list = http://%s\n[shutdown]\nnotice = 0s\n",
-		callerAddress, adminAddress, filepath.Join(dir, "routes.ini"), filepath.Join(dir, "pools.ini"), hostListServer.Address()))
-	startProgram(t, dir, "gateway", "gateway", settingsPath, adminAddress)
+		"[process]\nid = gateway-1\nzone = zone-a\n[callers]\naddress = %s\n%s[admin]\naddress = %s\n[tables]\nroutes = %s\npools = %s\n[platform]\nhost_list = http://%s\n[shutdown]\nnotice = 0s\n",
+		callerAddress, strings.Join(callerSettings, ""), adminAddress, filepath.Join(dir, "routes.ini"), filepath.Join(dir, "pools.ini"), hostListServer.Address()))
+	s.gateway = startProgram(t, dir, "gateway", "gateway", settingsPath, adminAddress)
 	s.baseURL = "http://" + callerAddress
 	s.client = openai.NewClient(option.WithBaseURL(s.baseURL+"/v1/"), option.WithAPIKey(token))
 	return s
@@ -137,7 +140,7 @@
 // startProgram starts a program and waits until it is ready. At the end of the
 // test it sends SIGTERM and fails the test if the program does not exit without
 // an error.
-func startProgram(t *testing.T, dir, program, name, settingsPath, adminAddress string) {
+func startProgram(t *testing.T, dir, program, name, settingsPath, adminAddress string) *os.Process {
 	t.Helper()
 	logPath := filepath.Join(dir, name+".log")
 	logFile, err := os.Create(logPath)
@@ -159,7 +162,7 @@
 		if err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				return
+				return cmd.Process
 			}
 		}
 		if time.Since(start) > readyTimeout {
