gateway: charge bodies as they arrive and let stalled callers give way

100 clients that announced bodies and did not send them, or opened connections without a header, kept the gateway from answering others: the announced length was reserved for 30 s, and the listener waited for a free connection.

The gateway uses coord/bytebudget through service/membudget: a body is charged as it arrives, small ones have a reserve, and a new connection beyond max_connections takes the place of the one that has been quiet for longest, at least 25 ms. A connection that is being drained no longer counts.

--- a/coord/bytebudget/bytebudget.go
+++ b/coord/bytebudget/bytebudget.go
@@ -48,9 +48,13 @@
 	// BodyShare is the share of Limit that all bodies may hold, so that the responses to requests
 	// that have run find memory.
 	BodyShare float64
+	// MaxClaimBytes is the size of the largest claim, which all shares allow.
+	MaxClaimBytes int64
 	// A claim has stalled if it made less progress than ProgressBytes for StallTime.
 	StallTime     time.Duration
 	ProgressBytes int64
+	// QuietTime is the time without a byte after which a claim gives way to a new connection.
+	QuietTime time.Duration
 	// MaxClaims is the maximum number of claims.
 	MaxClaims int
 }
@@ -66,6 +70,8 @@
 	// progressAt is the time of the last progress of ProgressBytes, and progress the bytes since.
 	progressAt time.Duration
 	progress   int64
+	// byteAt is the time of the last byte.
+	byteAt time.Duration
 	// isWaiting is set while the claim waits for the budget and not for its caller.
 	isWaiting bool
 	isEvicted bool
@@ -107,7 +113,7 @@
 	if len(b.claims) >= b.config.MaxClaims {
 		return nil
 	}
-	c := &Claim{Kind: kind, Source: source, Account: account, openedAt: now, progressAt: now, isOpen: true}
+	c := &Claim{Kind: kind, Source: source, Account: account, openedAt: now, progressAt: now, byteAt: now, isOpen: true}
 	b.claims[c] = struct{}{}
 	return c
 }
@@ -127,7 +133,7 @@
 	}
 	if b.fits(c, n) {
 		if c.isWaiting {
-			c.isWaiting, c.progressAt = false, now
+			c.isWaiting, c.progressAt, c.byteAt = false, now, now
 		}
 		b.add(c, n)
 		return Decision{Granted: true}
@@ -156,7 +162,7 @@
 func (b *Budget) excessOf(c *Claim, n int64) excess {
 	e := excess{source: b.overShare(b.sources, c.Source, b.largeGrowth(c, n)), account: b.overShare(b.accounts, c.Account, b.largeGrowth(c, n))}
 	if c.Kind == KindBody {
-		e.bodies = b.byKind[KindBody] + n - int64(b.config.BodyShare*float64(b.config.Limit))
+		e.bodies = b.byKind[KindBody] + n - b.shareOf(b.config.BodyShare)
 	}
 	return e
 }
@@ -175,7 +181,11 @@
 	if name == "" {
 		return 0
 	}
-	return held[name] + n - int64(b.config.Share*float64(b.config.Limit))
+	return held[name] + n - b.shareOf(b.config.Share)
+}
+
+func (b *Budget) shareOf(share float64) int64 {
+	return max(int64(share*float64(b.config.Limit)), b.config.MaxClaimBytes)
 }
 
 func (b *Budget) isOldestArriving(c *Claim) bool {
@@ -267,12 +277,17 @@
 	return c.phase != PhaseInUse && !c.isWaiting && now-c.progressAt >= b.config.StallTime
 }
 
-// EvictStalled evicts the claim that has been stalled for the longest time, for a new connection
-// beyond the maximum. It returns nil if none has stalled.
+// EvictStalled evicts the claim without any byte for the longest time, for a new connection beyond
+// the maximum. Connections are scarcer than bytes: a crowd that reconnects takes each free one at
+// once, so a claim gives way here after QuietTime. It returns nil if there is none.
 func (b *Budget) EvictStalled(now time.Duration) *Claim {
 	var longest *Claim
 	for c := range b.claims {
-		if !c.isEvicted && b.hasStalled(now, c) && (longest == nil || c.progressAt < longest.progressAt) {
+		if c.isEvicted || c.isWaiting || c.phase == PhaseInUse {
+			continue
+		}
+		isQuiet := now-c.byteAt >= b.config.QuietTime || b.hasStalled(now, c)
+		if isQuiet && (longest == nil || c.byteAt < longest.byteAt) {
 			longest = c
 		}
 	}
@@ -284,6 +299,9 @@
 
 // Progress records that n bytes came from the caller, or were read by it.
 func (b *Budget) Progress(now time.Duration, c *Claim, n int64) {
+	if n > 0 {
+		c.byteAt = now
+	}
 	if c.progress += n; c.progress >= b.config.ProgressBytes {
 		c.progress, c.progressAt = 0, now
 	}
@@ -291,7 +309,7 @@
 
 // SetPhase sets what the claim waits for, which counts as progress.
 func (b *Budget) SetPhase(now time.Duration, c *Claim, p Phase) {
-	c.phase, c.progressAt, c.progress, c.isWaiting = p, now, 0, false
+	c.phase, c.progressAt, c.byteAt, c.progress, c.isWaiting = p, now, now, 0, false
 }
 
 // Revive takes back the eviction of a claim whose caller made progress before it was cut off.
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -38,6 +38,9 @@
 	// stallTime and progressBytes define a stalled caller: one that is slower than 8 KB/s.
 	stallTime     = 500 * time.Millisecond
 	progressBytes = 4 << 10
+	// quietTime is the time without a byte after which a connection gives way to a new one. The
+	// platform's links have round trips of a few milliseconds.
+	quietTime = 25 * time.Millisecond
 
 	// callerDescriptorShare is the share of the descriptors for callers' connections. A request
 	// takes one more to a replica, and idle connections to replicas are kept.
@@ -60,7 +63,8 @@
 }
 
 // newResources derives the limits from the settings, or from the host where they are 0.
-func newResources(p config.Process) resources {
+func newResources(s config.Settings) resources {
+	p := s.Process
 	memory := int64(p.MemoryMB) * mebibyte
 	if memory == 0 {
 		memory = hostMemory(os.ReadFile)
@@ -76,8 +80,8 @@
 	}
 	r.gcPercent = int(min(max(r.goMemoryLimit*100/baseBytes-100, minGCPercent), maxGCPercent))
 	r.budget = bytebudget.Config{
-		Limit: share(callerShare), Reserve: share(reserveShare), SmallBytes: smallBytes, Share: ownerShare, BodyShare: bodyShare,
-		StallTime: stallTime, ProgressBytes: progressBytes, MaxClaims: claimsPerConnection * 2 * r.maxConnections,
+		Limit: share(callerShare), Reserve: share(reserveShare), SmallBytes: smallBytes, Share: ownerShare, BodyShare: bodyShare, MaxClaimBytes: min(s.Callers.MaxBodyBytes, share(callerShare)),
+		StallTime: stallTime, ProgressBytes: progressBytes, QuietTime: quietTime, MaxClaims: claimsPerConnection * 2 * r.maxConnections,
 	}
 	return r
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -77,7 +77,7 @@
 }
 
 func serve(s config.Settings, reload func() (config.Settings, error)) error {
-	limits := newResources(s.Process)
+	limits := newResources(s)
 	debug.SetGCPercent(limits.gcPercent)
 	debug.SetMemoryLimit(limits.goMemoryLimit)
 	output, err := logging.SetupAsync(s.Log.Output(), os.Stdout)
@@ -126,7 +126,7 @@
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placement.DefaultPolicy(), Scope: d.metrics.Scope,
 	})
-	d.limits = newResources(s.Process)
+	d.limits = newResources(s)
 	d.memory = membudget.New(d.limits.budget, d.metrics.Scope)
 	d.server = caller.New(caller.Config{
 		Loop: d.loop, Pool: d.pool, MaxBodyBytes: s.Callers.MaxBodyBytes, MaxRequests: s.Callers.MaxRequests,
--- a/gateway/httpapi/admit.go
+++ b/gateway/httpapi/admit.go
@@ -5,7 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,10 +14,13 @@
 
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/bytebudget"
 	"siskinstand.example/coord/config"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/control"
+	"siskinstand.example/service/http1"
 	"siskinstand.example/service/logging"
+	"siskinstand.example/service/membudget"
 )
 
 // Header names used in requests and responses.
@@ -35,6 +38,8 @@
 	// requests, for example during shutdown. By then, the load balancer may direct
 	// the caller to another gateway.
 	refusalRetryAfter = time.Second
+	// refusedBodyTimeout limits the time for the rest of the body of a refused request.
+	refusedBodyTimeout = 500 * time.Millisecond
 )
 
 // call holds the attributes of a request that are known before its body is read.
@@ -73,6 +78,8 @@
 			err = next(w, r, c)
 		}
 		if err != nil {
+			// net/http reads the rest of a small body before it keeps the connection.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(min(s.config.Limits.BodyTimeout, refusedBodyTimeout)))
 			s.writeError(w, err)
 		}
 		c.log(r.URL.Path, err)
@@ -170,47 +177,34 @@
 
 // readBody reads the request body within the size and memory limits. The returned
 // function releases the memory reserved for the body.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, account string) ([]byte, func(), error) {
 	limit := s.config.Limits.MaxBodyBytes
-	if r.ContentLength > limit {
-		return nil, nil, bodyTooLarge(limit)
+	control := http.NewResponseController(w)
+	source, _, _ := net.SplitHostPort(r.RemoteAddr)
+	claim := s.memory.Open(bytebudget.KindBody, source, account, func() { _ = control.SetReadDeadline(time.Now()) })
+	data, err := membudget.ReadJoined(r.Body, claim, r.ContentLength, limit, time.Now().Add(s.config.Limits.BodyTimeout))
+	if err == nil {
+		err = claim.Finish()
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !s.bodyMemory.TryAcquire(reserved) {
-		return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the gateway has no memory for another body").WithRetryAfter(refusalRetryAfter)
-	}
-	release := func() { s.bodyMemory.Release(reserved) }
-	data, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
-		release()
+		claim.Close()
 		w.Header().Set("Connection", "close")
+		http1.DrainOnClose(r)
 		return nil, nil, bodyError(err, limit)
 	}
 	// While the request runs, net/http reads in the background to detect that the
 	// caller disconnects. It would cancel the request at the read deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return data, release, nil
-}
-
-// readAll reads a body of known length into a single allocation, so that a long
-// prompt is in memory only once.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(r, data)
-	return data, err
+	_ = control.SetReadDeadline(time.Time{})
+	return data, claim.Close, nil
 }
 
 func bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.Is(err, membudget.ErrTooLarge) {
 		return bodyTooLarge(limit)
 	}
+	if errors.Is(err, membudget.ErrExhausted) || errors.Is(err, membudget.ErrEvicted) {
+		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the gateway has no memory for another body").WithCause(err).WithRetryAfter(refusalRetryAfter)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return verdict.New(verdict.NotRun, verdict.ReasonSlowCaller, "the body did not arrive in time").WithCause(err)
 	}
--- a/gateway/httpapi/completion.go
+++ b/gateway/httpapi/completion.go
@@ -87,7 +87,7 @@
 
 func (s *Server) handleCompletion(f format) callHandler {
 	return func(w http.ResponseWriter, r *http.Request, c *call) error {
-		data, release, err := s.readBody(w, r)
+		data, release, err := s.readBody(w, r, c.account.Name)
 		if err != nil {
 			return err
 		}
--- a/gateway/httpapi/server.go
+++ b/gateway/httpapi/server.go
@@ -14,14 +14,15 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/net/netutil"
-	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/bytebudget"
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/gateway/config"
 	"siskinstand.example/gateway/control"
 	"siskinstand.example/gateway/dispatch"
 	"siskinstand.example/service/http1"
+	"siskinstand.example/service/membudget"
 )
 
 // closeTimeout limits the time to close idle connections after the last request.
@@ -44,32 +45,58 @@
 
 // Server serves the gateway's HTTP API.
 type Server struct {
-	config     Config
-	http       *http1.Server
-	bodyMemory *semaphore.Weighted
-	estimator  estimator
-	metrics    tally.Scope
-	gate       gate
+	config    Config
+	http      *http1.Server
+	memory    *membudget.Budget
+	estimator estimator
+	metrics   tally.Scope
+	gate      gate
 }
 
 // New returns a server that is not listening yet.
 func New(c Config) *Server {
 	s := &Server{
-		config:     c,
-		bodyMemory: semaphore.NewWeighted(c.Limits.BodyMemoryBytes),
-		metrics:    c.Scope.SubScope("caller"),
-		gate:       gate{limit: c.Limits.MaxRequests},
+		config:  c,
+		memory:  membudget.New(budgetConfig(c.Limits), c.Scope.SubScope("caller")),
+		metrics: c.Scope.SubScope("caller"),
+		gate:    gate{limit: c.Limits.MaxRequests},
 	}
 	s.http = http1.New(http1.Config{
 		Handler: s.Handler(), MaxHeaderBytes: c.Limits.MaxHeaderBytes, TLS: c.TLS,
 		Timeouts: func() http1.Timeouts {
 			return http1.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
 		},
-		OnReject: s.recordRejection,
+		OnReject: s.recordRejection, MaxConnections: c.Limits.MaxConnections, Memory: s.memory,
 	})
 	return s
 }
 
+const (
+	// smallBytes is the size up to which a body is small, and reserveDivisor the part of
+	// body_memory_bytes that is reserved for small bodies in addition.
+	smallBytes     = 64 << 10
+	reserveDivisor = 8
+	// accountShare is the share of body_memory_bytes that one account or one address may hold.
+	accountShare = 0.5
+	// connectionBytes is what http1 charges for a connection with the largest part of its header.
+	connectionBytes = 32 << 10
+	// stallTime and progressBytes define a stalled caller, and quietTime one that gives way to a
+	// new connection beyond max_connections.
+	stallTime     = 500 * time.Millisecond
+	progressBytes = 4 << 10
+	quietTime     = 25 * time.Millisecond
+)
+
+// budgetConfig adds the memory for connections to body_memory_bytes.
+func budgetConfig(c config.Callers) bytebudget.Config {
+	limit := c.BodyMemoryBytes + int64(c.MaxConnections)*connectionBytes
+	return bytebudget.Config{
+		Limit: limit, Reserve: c.BodyMemoryBytes / reserveDivisor, SmallBytes: smallBytes,
+		Share: accountShare, BodyShare: float64(c.BodyMemoryBytes) / float64(limit), MaxClaimBytes: 2 * c.MaxBodyBytes,
+		StallTime: stallTime, ProgressBytes: progressBytes, QuietTime: quietTime, MaxClaims: 4 * max(c.MaxConnections, int(c.MaxRequests)),
+	}
+}
+
 // Handler returns the handler for all routes of the API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -83,7 +110,10 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	l = netutil.LimitListener(l, s.config.Limits.MaxConnections)
+	if s.config.TLS != nil {
+		// Connections with TLS are not counted by http1; further ones wait.
+		l = netutil.LimitListener(l, s.config.Limits.MaxConnections)
+	}
 	err := s.http.Serve(l)
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
--- a/gateway/httpapi/service.go
+++ b/gateway/httpapi/service.go
@@ -39,7 +39,7 @@
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "pool %s does not exist", route.Pool)
 	}
-	data, release, err := s.readBody(w, r)
+	data, release, err := s.readBody(w, r, c.account.Name)
 	if err != nil {
 		return err
 	}
--- a/service/http1/limits.go
+++ b/service/http1/limits.go
@@ -31,7 +31,7 @@
 // false if there is no room; the connection is then refused.
 func (s *Server) admit(c *conn) bool {
 	if limit := s.config.MaxConnections; limit > 0 {
-		open := s.openCount() + int(s.lingering.Load())
+		open := s.openCount()
 		if open >= limit && !s.config.Memory.EvictStalled() || open >= limit+limit/connectionMargin {
 			return false
 		}
--- a/service/http1/reject.go
+++ b/service/http1/reject.go
@@ -92,6 +92,9 @@
 	if !c.isDraining.CompareAndSwap(false, true) {
 		return nil
 	}
+	// net/http keeps the connection for another 0.5 s, in which it holds nothing.
+	c.server.track(c, false)
+	c.claim.Close()
 	// The connections of a netutil.LimitListener do not implement CloseWrite.
 	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite() // if the connection is closed, the read below ends
--- a/service/membudget/body.go
+++ b/service/membudget/body.go
@@ -55,6 +55,45 @@
 	}
 }
 
+// ReadJoined reads a body as ReadBody does, into one buffer that doubles in size. It ends with the
+// length of the body if that is announced.
+func ReadJoined(r io.Reader, c *Claim, announced, limit int64, deadline time.Time) ([]byte, error) {
+	if announced > limit {
+		return nil, ErrTooLarge
+	}
+	most := limit + 1
+	if announced >= 0 {
+		most = announced
+	}
+	var data []byte
+	for {
+		size := min(max(2*int64(len(data)), firstSegmentBytes), most)
+		if size <= int64(len(data)) {
+			return data, readEnd(r)
+		}
+		if err := c.Grow(size, deadline); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, size)
+		copy(grown, data)
+		c.Shrink(int64(len(data)))
+		n := len(data)
+		rest, err := fill(r, c, grown[n:])
+		switch data = grown[:n+len(rest)]; {
+		case int64(len(data)) > limit:
+			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF) && announced >= 0 && int64(len(data)) < announced:
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil && c.IsEvicted():
+			return nil, ErrEvicted
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // fill reads until the segment is full or the body ends.
 func fill(r io.Reader, c *Claim, segment []byte) ([]byte, error) {
 	for n := 0; ; {
