--- a/edge/memory.go
+++ b/edge/memory.go
@@ -18,7 +18,7 @@
 	// has not returned yet, and for the kernel's socket buffers.
 	goMemoryShare = 0.7
 	// callerShare is the share of the host's memory for callers' bytes, and reserveShare the share
-	// for small requests beyond that. Together with baseBytes they are at most 2/3 of goMemoryShare
+	// for small requests beyond that. Together with baseBytes they are at most 3/4 of goMemoryShare
 	// on a host of 184 MB, so that the collector never runs for a small gain.
 	callerShare  = 0.3
 	reserveShare = 0.08
