service/http1: admit a connection for the one that gave way at small limits

With fewer than 8 connections the margin for connections that are being closed was 0, so a new one was refused although a stalled one had been closed for it.

--- a/service/http1/limits.go
+++ b/service/http1/limits.go
@@ -32,7 +32,7 @@
 func (s *Server) admit(c *conn) bool {
 	if limit := s.config.MaxConnections; limit > 0 {
 		open := s.openCount()
-		if open >= limit && !s.config.Memory.EvictStalled() || open >= limit+limit/connectionMargin {
+		if open >= limit && !s.config.Memory.EvictStalled() || open >= limit+max(limit/connectionMargin, 1) {
 			return false
 		}
 	}
