Merge memory for callers' bytes

Bodies, buffered answers and headers of callers draw on one budget, derived from the memory of the host; buffered responses to slow callers use the writer of slow readers and are charged to the budget.

--- a/edge/caller/backlog.go
+++ b/edge/caller/backlog.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/service/bootclock"
+	"siskinstand.example/service/membudget"
 )
 
 const (
@@ -39,6 +40,8 @@
 	progressAt atomic.Int64
 	// failed is closed when the response is cut off.
 	failed chan struct{}
+	// claim is charged for a buffered response; nil for a stream.
+	claim *membudget.Claim
 
 	mu sync.Mutex
 	// pages are the pieces that are not written yet, oldest first. If they are slices of a
@@ -135,16 +138,22 @@
 
 // writeBuffered writes a complete body, in the goroutine of the request. The body is not
 // copied.
-func (b *backlog) writeBuffered(body []byte) error {
-	if !b.server.unread.reserve(b, len(body)) {
+func (b *backlog) writeBuffered(parts [][]byte) error {
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
+	if !b.server.unread.reserve(b, length) {
 		return errCutOff
 	}
 	b.mu.Lock()
-	b.shared, b.unread, b.done = true, len(body), make(chan struct{})
-	for rest := body; len(rest) > 0; {
-		n := min(len(rest), maxDirectBytes)
-		b.pages = append(b.pages, rest[:n])
-		rest = rest[n:]
+	b.shared, b.unread, b.done = true, length, make(chan struct{})
+	for _, part := range parts {
+		for rest := part; len(rest) > 0; {
+			n := min(len(rest), maxDirectBytes)
+			b.pages = append(b.pages, rest[:n])
+			rest = rest[n:]
+		}
 	}
 	done := b.done
 	b.mu.Unlock()
@@ -182,6 +191,9 @@
 		if err != nil {
 			b.fail("", err)
 		}
+		if b.claim != nil {
+			b.claim.Progress(int64(len(page)))
+		}
 	}
 }
 
@@ -223,6 +235,10 @@
 	queued := -1
 	for wait := minPollInterval; ; wait = min(2*wait, maxPollInterval) {
 		now := bootclock.Now()
+		if b.claim != nil && b.claim.IsEvicted() {
+			b.fail("", membudget.ErrEvicted)
+			return false
+		}
 		if b.socket.writable() {
 			b.progressAt.Store(int64(now))
 			return true
--- a/edge/caller/reader.go
+++ b/edge/caller/reader.go
@@ -36,9 +36,10 @@
 }
 
 // writeSlowly writes a complete body in pieces, as the caller reads it.
-func (q *request) writeSlowly(body []byte) error {
+func (q *request) writeSlowly(parts [][]byte) error {
 	q.backlog = newBacklog(q, q.socket)
-	return q.backlog.writeBuffered(body)
+	q.backlog.claim = q.responseClaim
+	return q.backlog.writeBuffered(parts)
 }
 
 // readerError returns the error of a response that was cut off because of its caller, or nil.
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -82,7 +82,7 @@
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
-		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0, BodyBytes: int64(len(q.body)),
+		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0, BodyBytes: q.bodyLength(),
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(), Route: q.route.Name,
 	}
@@ -304,9 +304,10 @@
 	if q.account != nil {
 		options.Account = q.account.Name
 	}
+	body, moreBody := q.firstBodyPart()
 	return replica.Request{
 		Address: assignment.Target.Address, Method: q.httpRequest.Method, Target: requestTarget(q.httpRequest), Host: q.httpRequest.Host,
-		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: q.body, AttemptID: q.headers.AttemptID,
+		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: body, MoreBody: moreBody, AttemptID: q.headers.AttemptID,
 		AtMostOnce: q.route.Repeat == catalog.RepeatNever,
 	}
 }
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -18,6 +18,7 @@
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
 	"siskinstand.example/service/http1"
+	"siskinstand.example/service/membudget"
 )
 
 // Config configures a Server.
@@ -50,6 +51,8 @@
 	DrainNotice     time.Duration
 	DrainDeadline   time.Duration
 	Scope           tally.Scope
+	// Memory is charged for the bodies of requests and buffered responses. It may be nil.
+	Memory *membudget.Budget
 }
 
 // Server is the HTTP handler for callers.
@@ -120,9 +123,13 @@
 }
 
 // RecordRejection records a response that was sent without calling ServeHTTP, because the
-// header of the request was invalid, too large or late.
+// header of the request was invalid, too large or late, or because of a lack of connections or memory.
 func (s *Server) RecordRejection(r http1.Rejection) {
-	s.metrics.recordResponse(r.Status, string(verdict.ReasonBadRequest))
+	reason := verdict.ReasonBadRequest
+	if r.Status == http.StatusServiceUnavailable {
+		reason = verdict.ReasonOverloaded
+	}
+	s.metrics.recordResponse(r.Status, string(reason))
 	klog.V(1).InfoS("request not readable", "caller", r.CallerAddress, "status", r.Status)
 }
 
@@ -150,6 +157,10 @@
 	}
 	q := &request{server: s, writer: w, httpRequest: r, received: bootclock.Now(), headers: platform.ParseCallerHeaders(r.Header)}
 	defer q.recordCompletion()
+	defer func() {
+		q.bodyClaim.Close()
+		q.responseClaim.Close()
+	}()
 	if err := q.admit(); err != nil {
 		q.writeError(err)
 		return
--- a/edge/process_test.go
+++ b/edge/process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -21,8 +22,10 @@
 
 // edgeProcess runs siskin-edge as a separate process.
 type edgeProcess struct {
-	t             *testing.T
-	name          string
+	t    *testing.T
+	name string
+	// program is the path of the program, or empty to run the test binary as siskin-edge.
+	program       string
 	callerAddress string
 	readyAddress  string
 	settingsPath  string
@@ -80,9 +83,13 @@
 		return
 	}
 	defer log.Close()
-	cmd := exec.Command(os.Args[0], "--config", e.settingsPath)
+	cmd := exec.Command(cmp.Or(e.program, os.Args[0]), "--config", e.settingsPath)
 	// By default, the race detector waits for a second before the process exits.
 	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "GORACE=atexit_sleep_ms=0")
+	if e.program != "" {
+		// Entry hosts have less than one processor; and other packages' tests run meanwhile.
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=2")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
