--- a/edge/caller/memory.go
+++ b/edge/caller/memory.go
@@ -103,13 +103,6 @@
 	return &bufferedResponse{status: resp.Status, headers: platform.CallerResponseHeaders(resp.Headers), body: body}, nil
 }
 
-const (
-	// responseTimeout limits the time without progress in writing a buffered response.
-	responseTimeout = 30 * time.Second
-	// responseStep is the number of bytes whose writing counts as progress.
-	responseStep = 16 << 10
-)
-
 // writeBufferedBody writes the body of a buffered response to the caller, who may read slowly. The
 // response gives way to others if the caller has stopped reading.
 func (q *request) writeBufferedBody(resp *bufferedResponse) error {
