--- a/coord/config/parse.go
+++ b/coord/config/parse.go
@@ -41,45 +41,65 @@
 // build validates parsed sections and returns their tables. routes and pools are
 // the file names for error messages.
 func build(routes string, routeSections []inifile.Section, pools string, poolSections []inifile.Section) (*Tables, error) {
-	t := &Tables{
-		accounts: map[string]Account{}, byToken: map[TokenHash]string{},
-		routes: map[routeKey][]Route{}, byName: map[string]Route{},
-		pools: map[string]Pool{}, zones: map[string]ZoneState{}, hosts: map[string]HostState{},
-	}
-	err := addSections(pools, poolSections, map[string]func(*sectionReader){"pool": t.addPool, "zone": t.addZone, "host": t.addHost})
-	if err != nil {
+	t := newTables()
+	if err := addSections(pools, poolSections, t.poolKinds()); err != nil {
 		return nil, err
 	}
-	err = addSections(routes, routeSections, map[string]func(*sectionReader){"account": t.addAccount, "route": t.addRoute})
-	if err != nil {
+	if err := addSections(routes, routeSections, t.routeKinds()); err != nil {
 		return nil, err
 	}
 	return t, nil
 }
 
+func newTables() *Tables {
+	return &Tables{
+		accounts: map[string]Account{}, byToken: map[TokenHash]string{},
+		routes: map[routeKey][]Route{}, byName: map[string]Route{},
+		pools: map[string]Pool{}, zones: map[string]ZoneState{}, hosts: map[string]HostState{},
+	}
+}
+
+func (t *Tables) poolKinds() map[string]func(*sectionReader) {
+	return map[string]func(*sectionReader){"pool": t.addPool, "zone": t.addZone, "host": t.addHost}
+}
+
+func (t *Tables) routeKinds() map[string]func(*sectionReader) {
+	return map[string]func(*sectionReader){"account": t.addAccount, "route": t.addRoute}
+}
+
 func addSections(file string, sections []inifile.Section, kinds map[string]func(*sectionReader)) error {
-	var accepted []string
-	for kind := range kinds {
-		accepted = append(accepted, "["+kind+" NAME]")
+	sortAccountsFirst(sections)
+	for _, s := range sections {
+		if err := addSection(file, s, kinds, nil); err != nil {
+			return err
+		}
 	}
-	slices.Sort(accepted)
-	// Accounts have to be added before the routes that refer to them.
+	return nil
+}
+
+// sortAccountsFirst moves accounts before the routes that refer to them.
+func sortAccountsFirst(sections []inifile.Section) {
 	slices.SortStableFunc(sections, func(a, b inifile.Section) int {
 		return boolToInt(strings.HasPrefix(b.Name, "account ")) - boolToInt(strings.HasPrefix(a.Name, "account "))
 	})
-	for _, s := range sections {
-		kind, name, ok := strings.Cut(s.Name, " ")
-		add := kinds[kind]
-		if !ok || add == nil || name == "" || strings.ContainsAny(name, " \t") {
-			return &inifile.Error{File: file, Line: s.Line, Section: s.Name, Message: "unknown section; accepted: " + strings.Join(accepted, ", ")}
-		}
-		r := &sectionReader{file: file, section: s, name: name}
-		add(r)
-		if err := r.finish(); err != nil {
-			return err
+}
+
+// addSection adds one section. If collect is set, errors of its keys go there;
+// otherwise the first one is returned.
+func addSection(file string, s inifile.Section, kinds map[string]func(*sectionReader), collect func(error)) error {
+	kind, name, ok := strings.Cut(s.Name, " ")
+	add := kinds[kind]
+	if !ok || add == nil || name == "" || strings.ContainsAny(name, " \t") {
+		var accepted []string
+		for kind := range kinds {
+			accepted = append(accepted, "["+kind+" NAME]")
 		}
+		slices.Sort(accepted)
+		return &inifile.Error{File: file, Line: s.Line, Section: s.Name, Message: "unknown section; accepted: " + strings.Join(accepted, ", ")}
 	}
-	return nil
+	r := &sectionReader{file: file, section: s, name: name, collect: collect}
+	add(r)
+	return r.finish()
 }
 
 func boolToInt(b bool) int {
@@ -96,6 +116,8 @@
 	name     string
 	readKeys []string
 	err      error
+	// collect receives every error instead of err, if it is set.
+	collect func(error)
 }
 
 func (r *sectionReader) fail(key, format string, args ...any) {
@@ -106,7 +128,12 @@
 	if e, ok := r.section.Lookup(key); ok {
 		line = e.Line
 	}
-	r.err = &inifile.Error{File: r.file, Line: line, Section: r.section.Name, Key: key, Message: fmt.Sprintf(format, args...)}
+	err := &inifile.Error{File: r.file, Line: line, Section: r.section.Name, Key: key, Message: fmt.Sprintf(format, args...)}
+	if r.collect != nil {
+		r.collect(err)
+		return
+	}
+	r.err = err
 }
 
 func (r *sectionReader) text(key, def string) string {
@@ -198,11 +225,12 @@
 
 func (t *Tables) addAccount(r *sectionReader) {
 	a := Account{Name: r.name, Weight: r.number("weight", 1, 0.01, 10_000)}
-	for _, text := range r.list("token_sha256") {
+	texts := r.list("token_sha256")
+	for _, text := range texts {
 		raw, err := hex.DecodeString(text)
 		if err != nil || len(raw) != len(TokenHash{}) {
 			r.fail("token_sha256", "%q is not accepted; accepted: 64 hexadecimal digits", text)
-			return
+			continue
 		}
 		hash := TokenHash(raw)
 		if other, taken := t.byToken[hash]; taken {
@@ -211,7 +239,7 @@
 		t.byToken[hash] = a.Name
 		a.Tokens = append(a.Tokens, hash)
 	}
-	if len(a.Tokens) == 0 {
+	if len(texts) == 0 {
 		r.fail("token_sha256", "required key is missing or empty")
 	}
 	t.accounts[a.Name] = a
