siskinctl: check a configuration completely

check stopped at the first error and accepted only the tables.

TestEditing passes with check of pools, JSON output and a document in go test ./siskinctl -run TestEditing.

--- a/siskinctl/app.go
+++ b/siskinctl/app.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -64,7 +65,7 @@
 		fmt.Fprintln(out, help.Message)
 		return exitOK
 	}
-	if err != nil && !errors.Is(err, errDiffers) && !errors.Is(err, errNotHealthy) {
+	if err != nil && !slices.ContainsFunc([]error{errDiffers, errNotHealthy, errInvalidConfig, errWarnings}, func(e error) bool { return errors.Is(err, e) }) {
 		fmt.Fprintln(errOut, "siskinctl:", err)
 	}
 	return exitCode(err)
--- a/siskinctl/check.go
+++ b/siskinctl/check.go
@@ -1,32 +1,129 @@
 package main
 
-import "fmt"
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/configcheck"
+	"siskinstand.example/platform"
+	"siskinstand.example/siskinctl/editor"
+)
+
+var (
+	errInvalidConfig = errors.New("the configuration is not valid")
+	errWarnings      = errors.New("the configuration has warnings")
+)
 
 type checkCommand struct {
 	app *app
 	fileOptions
+	Document    string   `long:"document" value-name:"FILE" description:"file of the users' JSON document, instead of the tables"`
+	Output      string   `long:"output" choice:"text" choice:"json" default:"text" description:"format of the findings"`
+	Strict      bool     `long:"strict" description:"fail with exit code 10 if there are warnings"`
+	Zones       []string `long:"zone" value-name:"NAME" description:"availability zone that exists; may be repeated; without it, names of zones are not checked"`
+	MemoryMB    int64    `long:"memory-mb" value-name:"MB" description:"memory of the smallest host"`
+	Descriptors int      `long:"descriptors" value-name:"NUMBER" description:"descriptors of the smallest host"`
+}
+
+// checkResult is the output of check. Differences are those from the store, if it was
+// read.
+type checkResult struct {
+	Valid       bool                  `json:"valid"`
+	Findings    []configcheck.Finding `json:"findings"`
+	Differences []rowDifference       `json:"differences"`
+}
+
+type rowDifference struct {
+	Table   config.Table `json:"table"`
+	Section string       `json:"section"`
+	Diff    string       `json:"diff"`
 }
 
 func newCheckCommand(a *app) subcommand {
-	return subcommand{"check", "Check tables without changing anything", "siskinctl check --routes routes.ini --pools pools.ini", &checkCommand{app: a}}
+	return subcommand{"check", "Check tables or a document without changing anything", "siskinctl check --routes routes.ini --pools pools.ini", &checkCommand{app: a}}
 }
 
-// Execute validates the files. It reads the store only if one of the two tables
-// has no file.
+// Execute checks the files and prints all findings. It reads the store if a table has
+// no file or if the settings name a store to compare with.
 func (c *checkCommand) Execute([]string) error {
+	hosts := configcheck.Hosts{Zones: c.Zones, MemoryBytes: c.MemoryMB << 20, Descriptors: c.Descriptors}
+	if c.Document == "" {
+		return c.checkTables(hosts)
+	}
+	if c.Routes != "" || c.Pools != "" {
+		return &usageError{eris.New("--document cannot be combined with --routes or --pools")}
+	}
+	data, err := os.ReadFile(c.Document)
+	if err != nil {
+		return &usageError{eris.Wrap(err, "read document")}
+	}
+	_, findings := platform.CheckConfig(c.Document, data, hosts)
+	return c.print(checkResult{Findings: findings})
+}
+
+func (c *checkCommand) checkTables(hosts configcheck.Hosts) error {
 	files, err := c.readFiles()
 	if err != nil {
 		return err
 	}
-	t := emptyTables()
-	if len(files) == 1 {
+	t, stored := emptyTables(), false
+	if len(files) == 1 || c.app.settings.Store.Address != "" {
 		if _, t, err = c.app.readTables(); err != nil {
 			return err
 		}
+		stored = true
 	}
-	if _, err := changedRows(t, files); err != nil {
-		return err
+	merged := mergeFiles(t, files)
+	routes, pools := merged[config.TableRoutes], merged[config.TablePools]
+	rows, errs := config.ParseAll(routes, pools)
+	result := checkResult{Findings: append(configcheck.FromErrors("", errs), configcheck.CheckTables(routes.Name, pools.Name, rows, hosts)...)}
+	if stored && len(errs) == 0 {
+		if result.Differences, err = differences(t, files); err != nil {
+			return err
+		}
+	}
+	return c.print(result)
+}
+
+func differences(t editor.Tables, files map[config.Table]config.File) ([]rowDifference, error) {
+	changed, err := changedRows(t, files)
+	var list []rowDifference
+	for _, r := range changed {
+		list = append(list, rowDifference{r.Table, r.Section, rowDiff(t, r)})
+	}
+	return list, err
+}
+
+func (c *checkCommand) print(r checkResult) error {
+	r.Valid = !configcheck.HasErrors(r.Findings)
+	if c.Output == "json" {
+		r.Findings, r.Differences = append([]configcheck.Finding{}, r.Findings...), append([]rowDifference{}, r.Differences...)
+		encoder := json.NewEncoder(c.app.out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(r); err != nil {
+			return eris.Wrap(err, "print findings")
+		}
+	} else {
+		for _, f := range r.Findings {
+			fmt.Fprintln(c.app.out, f)
+		}
+		for _, d := range r.Differences {
+			fmt.Fprint(c.app.out, d.Diff)
+		}
+		if r.Valid {
+			fmt.Fprintln(c.app.out, "valid")
+		}
+	}
+	switch {
+	case !r.Valid:
+		return errInvalidConfig
+	case c.Strict && len(r.Findings) > 0:
+		return errWarnings
 	}
-	fmt.Fprintln(c.app.out, "valid")
 	return nil
 }
--- a/siskinctl/exit.go
+++ b/siskinctl/exit.go
@@ -25,6 +25,7 @@
 	exitDiffers     = 7
 	exitNotHealthy  = 8
 	exitOlderStore  = 9
+	exitWarnings    = 10
 )
 
 const exitHelp = `
@@ -38,7 +39,8 @@
   6  store or fleet not reachable, nothing was changed
   7  diff found differences
   8  status found a process that is behind, unreachable or has an alarm
-  9  the store is older than the revision in force, nothing was changed`
+  9  the store is older than the revision in force, nothing was changed
+  10 check --strict found warnings`
 
 var (
 	errDiffers    = errors.New("the tables differ")
@@ -74,6 +76,10 @@
 	switch {
 	case err == nil:
 		return exitOK
+	case errors.Is(err, errInvalidConfig):
+		return exitInvalid
+	case errors.Is(err, errWarnings):
+		return exitWarnings
 	case errors.Is(err, errDiffers):
 		return exitDiffers
 	case errors.Is(err, errNotHealthy):
--- a/siskinctl/tables.go
+++ b/siskinctl/tables.go
@@ -45,13 +45,7 @@
 // changedRows validates the files, together with the stored rows of a table without
 // a file, and returns the rows in which the files differ from the store.
 func changedRows(t editor.Tables, files map[config.Table]config.File) ([]config.RowEdit, error) {
-	merged := map[config.Table]config.File{}
-	for _, table := range config.TableNames() {
-		merged[table] = t.Document.RenderFile(table)
-		if f, ok := files[table]; ok {
-			merged[table] = f
-		}
-	}
+	merged := mergeFiles(t, files)
 	if _, err := config.Parse(merged[config.TableRoutes], merged[config.TablePools]); err != nil {
 		return nil, err
 	}
@@ -68,6 +62,18 @@
 	return rows, nil
 }
 
+// mergeFiles returns the files, with the stored rows of a table without a file.
+func mergeFiles(t editor.Tables, files map[config.Table]config.File) map[config.Table]config.File {
+	merged := map[config.Table]config.File{}
+	for _, table := range config.TableNames() {
+		merged[table] = t.Document.RenderFile(table)
+		if f, ok := files[table]; ok {
+			merged[table] = f
+		}
+	}
+	return merged
+}
+
 // baseRevision returns the revision in the revision comments of the files.
 func baseRevision(files map[config.Table]config.File) (uint64, error) {
 	found, base := false, uint64(0)
