siskinctl: check files without the store

Two files were checked without the store before; a store that does not answer no longer prevents it.

--- a/siskinctl/check.go
+++ b/siskinctl/check.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -23,6 +24,7 @@
 	app *app
 	fileOptions
 	Document    string   `long:"document" value-name:"FILE" description:"file of the users' JSON document, instead of the tables"`
+	InForce     string   `long:"in-force" value-name:"FILE" description:"document in force, to compare --document with"`
 	Output      string   `long:"output" choice:"text" choice:"json" default:"text" description:"format of the findings"`
 	Strict      bool     `long:"strict" description:"fail with exit code 10 if there are warnings"`
 	Zones       []string `long:"zone" value-name:"NAME" description:"availability zone that exists; may be repeated; without it, names of zones are not checked"`
@@ -33,13 +35,15 @@
 // checkResult is the output of check. Differences are those from the store, if it was
 // read.
 type checkResult struct {
-	Valid       bool                  `json:"valid"`
+	Valid bool `json:"valid"`
+	// Compared reports whether Differences was determined.
+	Compared    bool                  `json:"compared"`
 	Findings    []configcheck.Finding `json:"findings"`
 	Differences []rowDifference       `json:"differences"`
 }
 
 type rowDifference struct {
-	Table   config.Table `json:"table"`
+	Table   config.Table `json:"table,omitempty"`
 	Section string       `json:"section"`
 	Diff    string       `json:"diff"`
 }
@@ -53,8 +57,15 @@
 func (c *checkCommand) Execute([]string) error {
 	hosts := configcheck.Hosts{Zones: c.Zones, MemoryBytes: c.MemoryMB << 20, Descriptors: c.Descriptors}
 	if c.Document == "" {
+		if c.InForce != "" {
+			return &usageError{eris.New("--in-force needs --document")}
+		}
 		return c.checkTables(hosts)
 	}
+	return c.checkDocument(hosts)
+}
+
+func (c *checkCommand) checkDocument(hosts configcheck.Hosts) error {
 	if c.Routes != "" || c.Pools != "" {
 		return &usageError{eris.New("--document cannot be combined with --routes or --pools")}
 	}
@@ -63,7 +74,23 @@
 		return &usageError{eris.Wrap(err, "read document")}
 	}
 	_, findings := platform.CheckConfig(c.Document, data, hosts)
-	return c.print(checkResult{Findings: findings})
+	result := checkResult{Findings: findings}
+	if c.InForce != "" && !configcheck.HasErrors(findings) {
+		before, err := os.ReadFile(c.InForce)
+		if err != nil {
+			return &usageError{eris.Wrap(err, "read document in force")}
+		}
+		diffs, err := platform.DiffConfig(before, data)
+		if err != nil {
+			return &usageError{eris.Wrap(err, c.InForce)}
+		}
+		result.Compared = true
+		for _, d := range diffs {
+			text := "[" + d.Section + "]\n" + strings.Join(d.Lines, "\n") + "\n"
+			result.Differences = append(result.Differences, rowDifference{Section: d.Section, Diff: text})
+		}
+	}
+	return c.print(result)
 }
 
 func (c *checkCommand) checkTables(hosts configcheck.Hosts) error {
@@ -73,10 +100,17 @@
 	}
 	t, stored := emptyTables(), false
 	if len(files) == 1 || c.app.settings.Store.Address != "" {
-		if _, t, err = c.app.readTables(); err != nil {
+		var inStore editor.Tables
+		_, inStore, err = c.app.readTables()
+		switch {
+		case err == nil:
+			t, stored = inStore, true
+		case len(files) == 1:
 			return err
+		default:
+			// Two files can be checked without the store.
+			fmt.Fprintln(c.app.errOut, "siskinctl: not compared with the store:", err)
 		}
-		stored = true
 	}
 	merged := mergeFiles(t, files)
 	routes, pools := merged[config.TableRoutes], merged[config.TablePools]
@@ -86,6 +120,7 @@
 		if result.Differences, err = differences(t, files); err != nil {
 			return err
 		}
+		result.Compared = true
 	}
 	return c.print(result)
 }
