siskinctl: state exit code 10 and the sample document of the pages

TestPageCommands runs the new command of upgrade.md on config.json, which its fixture now writes; no check is changed.

--- a/siskinctl/exit.go
+++ b/siskinctl/exit.go
@@ -40,7 +40,7 @@
   7  diff found differences
   8  status found a process that is behind, unreachable or has an alarm
   9  the store is older than the revision in force, nothing was changed
-  10 check --strict found warnings`
+  10  check --strict found warnings`
 
 var (
 	errDiffers    = errors.New("the tables differ")
--- a/siskinctl/pages_test.go
+++ b/siskinctl/pages_test.go
@@ -89,9 +89,10 @@
 }
 
 // newPageFixture starts a store that contains pageRoutes and pagePools, and two
-// gateways.
+// gateways. The document that pages check is config.json.
 func newPageFixture(t *testing.T) *fixture {
 	f := newFixture(t)
+	f.writeFile("config.json", `{"version":1}`)
 	f.run(exitOK, "accepted", "apply", "--base", "0", "--routes", f.writeFile("r.ini", pageRoutes), "--pools", f.writeFile("p.ini", pagePools))
 	for i := range 2 {
 		recorder := burnrate.New(burnrate.Config{})
