--- a/coord/configcheck/catalog.go
+++ b/coord/configcheck/catalog.go
@@ -83,9 +83,12 @@
 
 func checkRouteLimits(rep *report, r catalog.Route) {
 	section := SectionRoute + " " + r.Name
-	for key, v := range map[string]time.Duration{KeyTimeout: r.Timeout, KeyObjective: r.Objective, KeyGapObjective: r.GapObjective} {
-		if v < 0 {
-			rep.warn(section, key, "%v is negative", v)
+	for _, v := range []struct {
+		key  string
+		time time.Duration
+	}{{KeyTimeout, r.Timeout}, {KeyObjective, r.Objective}, {KeyGapObjective, r.GapObjective}} {
+		if v.time < 0 {
+			rep.warn(section, v.key, "%v is negative", v.time)
 		}
 	}
 	if r.MaxAttempts > 1 && !r.Repeatable() {
