--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -25,15 +25,6 @@
 	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n", token, fields)
 }
 
-func sendFiller(c net.Conn, total int) {
-	for sent := 0; sent < total; {
-		n, err := c.Write(crowdFiller[:min(len(crowdFiller), total-sent)])
-		if sent += n; err != nil {
-			return
-		}
-	}
-}
-
 // gatewayCrowds are the load patterns: 100 clients that stop and stay open.
 var gatewayCrowds = map[string]func(c net.Conn){
 	"bodies announced and not sent": func(c net.Conn) { sendHead(c, fmt.Sprintf("Content-Length: %d\r\n", crowdBodyLimit)) },
--- a/e2e/known_red_test.go
+++ b/e2e/known_red_test.go
@@ -16,3 +16,12 @@
 		sendFiller(c, crowdBodyLimit-1)
 	})
 }
+
+func sendFiller(c net.Conn, total int) {
+	for sent := 0; sent < total; {
+		n, err := c.Write(crowdFiller[:min(len(crowdFiller), total-sent)])
+		if sent += n; err != nil {
+			return
+		}
+	}
+}
