--- a/coord/placement/slots.go
+++ b/coord/placement/slots.go
@@ -132,9 +132,9 @@
 	return nil
 }
 
-// contendedAttemptShare is the number of prompts of all hosts together that try to get each free
-// slot in an attemptInterval, if more of them wait than there are slots.
 const (
+	// contendedAttemptShare is the number of prompts of all hosts together that try to get each
+	// free slot in an attemptInterval, if more of them wait than there are slots.
 	contendedAttemptShare = 0.06
 	attemptInterval       = 10 * time.Millisecond
 )
