review: two replicas that crash together make a repeated request refused for an hour (case 9)

Cause: two strikes refuse a request for an hour, without regard to the time between the crashes or to earlier answers, and all requests with the same path, caller and body count as one. Change: the case review/9. Two of 14 replicas crash once while an account polls one thing.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -30,6 +30,7 @@
 }
 
 var cases = map[string]func(*play) (int, error){
+	"crash":  playCrash,
 	"leak":   playLeak,
 	"limit":  playLimit,
 	"silent": playSilent,
