review: a replica that stops reading a body for a second loses the request (case 10)

Cause: the user timeout of 900 ms on channels to replicas also ends a channel whose replica acknowledges all and has closed its window. Replicas pause for 1.5 s in bodies of 1 MB.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -34,6 +34,7 @@
 	"leak":   playLeak,
 	"limit":  playLimit,
 	"silent": playSilent,
+	"upload": playUpload,
 }
 
 func main() {
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -22,6 +22,10 @@
 	conns                       atomic.Int64
 	mostConns, resets, runCount atomic.Int64
 	idle                        time.Duration
+	// readBuffer is the receive buffer of a channel, 0 for the usual one. The replica reads
+	// pauseAfter bytes of a body and then none for pause, if that is not 0.
+	readBuffer, pauseAfter int
+	pause                  time.Duration
 	// isQuiet leaves the single runs out of the record.
 	isQuiet bool
 	// run answers a request that has a slot.
@@ -125,6 +129,9 @@
 		} else if count > p.mostConns.Load() {
 			p.mostConns.Store(count)
 		}
+		if p.readBuffer > 0 {
+			_ = n.(*net.TCPConn).SetReadBuffer(p.readBuffer)
+		}
 		go p.serve(&replicaConn{Conn: n, replica: p})
 	}
 }
@@ -148,8 +155,9 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
-		body, err := io.ReadAll(r.Body)
+		body, err := p.readBody(r)
 		if err != nil {
+			p.record.add("replica %s got %d bytes of the body of %s, and then: %v", p.id, len(body), r.Header.Get("Attempt-Id"), err)
 			return
 		}
 		if id := r.Header.Get("Expect-Replica"); id != "" && id != p.id {
@@ -166,6 +174,20 @@
 	}
 }
 
+// readBody reads the body of a request, with a pause in a long one.
+func (p *replica) readBody(r *http.Request) ([]byte, error) {
+	if p.pause == 0 || r.ContentLength <= int64(p.pauseAfter) {
+		return io.ReadAll(r.Body)
+	}
+	first := make([]byte, p.pauseAfter)
+	if n, err := io.ReadFull(r.Body, first); err != nil {
+		return first[:n], err
+	}
+	time.Sleep(p.pause)
+	rest, err := io.ReadAll(r.Body)
+	return append(first, rest...), err
+}
+
 // reply writes an answer of known length.
 func (c *replicaConn) reply(status int, r *http.Request, stamp string, body []byte, headers ...string) {
 	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nAttempt-Id: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=%d\r\n", status, http.StatusText(status), r.Header.Get("Attempt-Id"), len(body), int(c.replica.idle.Seconds()))
