review: entries of another writer that lack fields hide replicas (case 8)

Cause: an entry without zone, version, cold_left_ms or seq counts as a replica, and of several replicas with one address only the latest is used. Change: the case review/8. Another writer writes such entries with the addresses of three replicas.

--- a/review/standins-2/crash.go
+++ b/review/standins-2/crash.go
@@ -136,7 +136,7 @@
 	}
 	close(stop)
 	clients.Wait()
-	return p.judgeStarved(accounts), nil
+	return p.judgeStarved("tenant", accounts), nil
 }
 
 // crash ends a replica without notice. Its entry expires after three reports.
@@ -146,16 +146,16 @@
 	p.store.remove("servers/" + r.id)
 }
 
-// judgeStarved applies the rule Starved: a tenant's requests are served less than a quarter as
-// often as all.
-func (p *play) judgeStarved(accounts map[string]*served) int {
+// judgeStarved applies the rule Starved: the requests of a tenant, or a kind of request, are served
+// less than a quarter as often as all.
+func (p *play) judgeStarved(what string, accounts map[string]*served) int {
 	var all served
 	for _, s := range accounts {
 		all.asked, all.served = all.asked+s.asked, all.served+s.served
 	}
 	code := exitHeld
 	for name, s := range accounts {
-		p.say("tenant %s: %d of %d requests served, %.2f times as often as all", name, s.served, s.asked, s.share()/all.share())
+		p.say("%s %s: %d of %d requests served, %.2f times as often as all", what, name, s.served, s.asked, s.share()/all.share())
 		if s.share() < all.share()/4 {
 			code = exitBroken
 		}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,6 +31,7 @@
 
 var cases = map[string]func(*play) (int, error){
 	"crash":  playCrash,
+	"entry":  playEntry,
 	"leak":   playLeak,
 	"limit":  playLimit,
 	"silent": playSilent,
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	open   map[net.Conn]bool
 	seq    int
+	born   int64
 	state  string
 	ended  chan struct{}
 	listen net.Listener
@@ -54,7 +55,7 @@
 	}
 	p := &replica{
 		store: s, record: rec, id: "i-" + newID()[:8], service: service, zone: zone, address: l.Addr().String(), slots: slots, maxConns: maxConns,
-		work: make(chan struct{}, slots), idle: 5 * time.Second, open: map[net.Conn]bool{}, state: "ready", ended: make(chan struct{}), listen: l,
+		work: make(chan struct{}, slots), idle: 5 * time.Second, open: map[net.Conn]bool{}, state: "ready", born: time.Now().UnixMilli(), ended: make(chan struct{}), listen: l,
 	}
 	return p, nil
 }
@@ -68,7 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seq++
-	return map[string]any{"backend": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state, "cold_left_ms": 0, "seq": p.seq}
+	return map[string]any{"backend": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state, "cold_left_ms": 0, "seq": p.seq, "born": p.born}
 }
 
 // heartbeat is the time between two reports of a replica.
