--- a/review/standins-2/limit.go
+++ b/review/standins-2/limit.go
@@ -30,7 +30,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			map[string]any{"name": "r-progress", "hostname": clientHost, "prefix": "/progress/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 1000, "target_gap_ms": 800, "priority": 1, "backend": "app", "max_attempts": 1, "public": true, "sticky": false, "resumable": false},
+			map[string]any{"name": "r-progress", "hostname": clientHost, "prefix": "/progress/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 1000, "target_gap_ms": 800, "priority": 1, "backend": "app", "max_attempts": 2, "public": true, "sticky": false, "resumable": true},
 			map[string]any{"name": "r-status", "hostname": clientHost, "prefix": "/status/", "route_type": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300, "priority": 2, "backend": callService, "max_attempts": 2, "public": true, "sticky": false},
 		},
 		"services": []any{plainService("app", maxConns), plainService("lookup", lookupConns)},
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -211,14 +212,16 @@
 	return !c.isOver
 }
 
-// stream answers with count events, the first one after the given time and then one every gap.
+// stream answers with count events, or with those after Last-Event-Id: the first one after the
+// given time and then one every gap.
 func (c *replicaConn) stream(r *http.Request, stamp string, first time.Duration, count int, gap time.Duration) bool {
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Stamp: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=%d\r\n\r\n", r.Header.Get("Attempt-Id"), stamp, int(c.replica.idle.Seconds())); err != nil {
 		c.isOver = true
 		return false
 	}
-	for i := 1; i <= count; i++ {
-		if i == 1 {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without one
+	for i := last + 1; i <= count; i++ {
+		if i == last+1 {
 			time.Sleep(first)
 		} else {
 			time.Sleep(gap)
