--- a/review/standins-2/limit.go
+++ b/review/standins-2/limit.go
@@ -61,7 +61,7 @@
 
 // playLimit shows what a replica at its limit of channels does to the streams that it runs. Two
 // hosts have long streams at the service app, and waves of short calls at the service lookup. A
-// config moves the calls to app, whose replicas then reset the channels beyond their limit.
+// config moves the calls to app, whose replicas then reach their limit.
 func playLimit(p *play) (int, error) {
 	zones := []string{"zone-a", "zone-b"}
 	p.store.put("op/config", limitConfig(3, "lookup"))
@@ -138,7 +138,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	for _, r := range app {
-		p.say("replica %s of app: at most %d of %d channels open, %d more reset, %d requests run", r.id, r.mostConns.Load(), r.maxConns, r.resets.Load(), r.runCount.Load())
+		p.say("replica %s of app: at most %d of %d channels open, %d times at the limit, %d requests run", r.id, r.mostConns.Load(), r.maxConns, r.atLimit.Load(), r.runCount.Load())
 	}
 	p.say("answers to calls by status: %v", calls)
 	return p.judgeLimit(streams, changedAt, ran), nil
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -13,16 +13,16 @@
 )
 
 // replica is a stand-in of a replica. It registers itself in the store, runs slots requests at a
-// time and queues the others, and accepts maxConns channels: it resets any beyond that.
+// time and queues the others, and accepts maxConns channels; any beyond that are reset.
 type replica struct {
-	store                       *store
-	record                      *record
-	id, service, zone, address  string
-	slots, maxConns             int
-	work                        chan struct{}
-	conns                       atomic.Int64
-	mostConns, resets, runCount atomic.Int64
-	idle                        time.Duration
+	store                        *store
+	record                       *record
+	id, service, zone, address   string
+	slots, maxConns              int
+	work                         chan struct{}
+	conns                        atomic.Int64
+	mostConns, atLimit, runCount atomic.Int64
+	idle                         time.Duration
 	// readBuffer is the receive buffer of a channel, 0 for the usual one. The replica reads
 	// pauseAfter bytes of a body and then none for pause, if that is not 0.
 	readBuffer, pauseAfter int
@@ -107,7 +107,7 @@
 // end ends the replica's process.
 func (p *replica) end() {
 	close(p.ended)
-	_ = p.listen.Close()
+	_ = p.listener().Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.open {
@@ -115,29 +115,59 @@
 	}
 }
 
+// accept accepts channels up to the limit. At the limit the replica does not listen, so that its
+// system resets further channels ("A port with no listener resets the channel").
 func (p *replica) accept() {
 	for {
-		n, err := p.listen.Accept()
+		n, err := p.listener().Accept()
 		if err != nil {
 			return
 		}
-		if count := p.conns.Add(1); count > int64(p.maxConns) {
-			p.conns.Add(-1)
-			p.resets.Add(1)
-			p.record.add("replica %s has %d channels and resets a new one", p.id, p.maxConns)
-			_ = n.(*net.TCPConn).SetLinger(0)
-			_ = n.Close()
-			continue
-		} else if count > p.mostConns.Load() {
+		count := p.conns.Add(1)
+		if count > p.mostConns.Load() {
 			p.mostConns.Store(count)
 		}
 		if p.readBuffer > 0 {
 			_ = n.(*net.TCPConn).SetReadBuffer(p.readBuffer)
 		}
 		go p.serve(&replicaConn{Conn: n, replica: p})
+		if count >= int64(p.maxConns) && !p.awaitChannel() {
+			return
+		}
 	}
 }
 
+func (p *replica) listener() net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listen
+}
+
+// awaitChannel stops to listen until the replica has fewer channels than its limit. It returns
+// false if the replica has ended.
+func (p *replica) awaitChannel() bool {
+	_ = p.listener().Close()
+	p.atLimit.Add(1)
+	p.record.add("replica %s has %d channels and takes no more", p.id, p.maxConns)
+	for p.conns.Load() >= int64(p.maxConns) {
+		select {
+		case <-p.ended:
+			return false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		p.record.add("replica %s can't listen again: %v", p.id, err)
+		return false
+	}
+	p.record.add("replica %s takes channels again", p.id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listen = l
+	return true
+}
+
 func (p *replica) serve(c *replicaConn) {
 	p.mu.Lock()
 	p.open[c.Conn] = true
