--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 # standard library.
 set -euo pipefail
 cd "$(dirname "$0")/standins-2"
-GOWORK=off go build -o ../../target/review-2/cases .
+mkdir -p ../../target/review-2
+GOWORK=off go test -c -o ../../target/review-2/cases .
--- a/review/standins-2/main.go
+++ b/review/standins-2/main_test.go
@@ -1,12 +1,15 @@
-// Command cases plays the cases of the second review that are scripts. It starts siskin-edge as
-// separate processes on loopback, with stand-ins of the platform's store, of replicas and of
-// clients, and checks one rule by what these have seen.
-package main
+// Package cases plays the cases of the second review. It starts siskin-edge as separate processes
+// on loopback, with stand-ins of the platform's store, of replicas and of clients, and checks one
+// rule by what these have seen. All of it is in test files, since it uses names of the platform.
+package cases
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"testing"
 	"time"
 )
 
@@ -38,12 +41,14 @@
 	"upload": playUpload,
 }
 
-func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases NAME FOLDER")
+// TestMain plays the case CASE and writes its record to FOLDER.
+func TestMain(*testing.M) {
+	name, folder := os.Getenv("CASE"), os.Getenv("FOLDER")
+	if cases[name] == nil || folder == "" {
+		fmt.Fprintln(os.Stderr, "usage: CASE=NAME FOLDER=FOLDER cases")
 		os.Exit(exitUnknown)
 	}
-	os.Exit(run(os.Args[1], os.Args[2]))
+	os.Exit(run(name, folder))
 }
 
 func run(name, folder string) int {
@@ -72,10 +77,18 @@
 	if p.store, err = newStore(); err != nil {
 		return fail(err)
 	}
-	defer func() {
+	stopHosts := func() {
 		for _, e := range p.hosts {
 			e.stop()
 		}
+	}
+	defer stopHosts()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		stopHosts()
+		os.Exit(exitUnknown)
 	}()
 	code, err := cases[name](p)
 	if err != nil {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store_test.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"encoding/json"
