responsehead, httpclient: reject responses with a status that is none

What callers saw: a replica whose status was 000 (or any below 100, such as "+20") made siskin-edge wait for another head on the same connection: callers got the bytes that followed as a 200, or 502 only after up to 2 s. Statuses from 600 and 101 were passed on as they were. siskin-gateway answered such a response of a plain service with 200, and a service that sent one counted as ready.

Cause: net/http reads any three characters that strconv.Atoi accepts as a status. siskin-edge took everything below 200 for an interim response, and plainSink replaced a status below 200 by 200.

Change: coord/responsehead checks the bytes of a head as they arrive and is the one place that decides; edge/replica uses it for replicas, and the transport of adapters/httpclient for the store, for other hosts, for engines, services, host list, key-value store, weight store and the load tool. The connection is closed and the request may have run. plainSink gives an error instead of a 200.

TestShutdownStoresResults: its sidecar answered a service call without a status, which no sidecar does and which is now refused; it sends 200 like sidecar/grpcserver. What the test checks is unchanged.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -13,10 +13,8 @@
 // newRunTransport returns a transport for requests that an engine runs. Each has a connection of
 // its own: responses have no ID, so one that an engine writes once more, or late, would be taken
 // for that to the next request on the connection.
-func newRunTransport(l Limits) *http.Transport {
-	t := httpjson.NewTransport(l.DialTimeout)
-	t.DisableKeepAlives = true
-	return t
+func newRunTransport(l Limits) http.RoundTripper {
+	return httpjson.NewTransport(httpjson.TransportConfig{DialTimeout: l.DialTimeout, DisableKeepAlives: true})
 }
 
 // maxIdleTime is how long a connection may have been idle to be reused. HTTP servers
@@ -24,10 +22,8 @@
 // that is sent meanwhile has run. New connections cost little on the same host.
 const maxIdleTime = 1500 * time.Millisecond
 
-func newTransport(l Limits) *http.Transport {
-	t := httpjson.NewTransport(l.DialTimeout)
-	t.IdleConnTimeout = maxIdleTime
-	return t
+func newTransport(l Limits) http.RoundTripper {
+	return httpjson.NewTransport(httpjson.TransportConfig{DialTimeout: l.DialTimeout, IdleTimeout: maxIdleTime})
 }
 
 // ErrStaleFence is returned for an order whose fencing number is lower than the
--- a/adapters/hostlist/client.go
+++ b/adapters/hostlist/client.go
@@ -40,7 +40,7 @@
 // NewClient returns a client for the host list at address: host and port, with or
 // without "http://".
 func NewClient(address string, limits Limits) *Client {
-	transport := httpjson.NewTransport(limits.DialTimeout)
+	transport := httpjson.NewTransport(httpjson.TransportConfig{DialTimeout: limits.DialTimeout})
 	return &Client{limits: limits, jsonClient: httpjson.New(httpjson.BaseURL(address), transport, httpjson.Limits{
 		CallTimeout: limits.CallTimeout, MaxResponseBytes: limits.MaxResponseBytes,
 	})}
--- /dev/null
+++ b/adapters/httpclient/transport_test.go
@@ -0,0 +1,116 @@
+package httpclient
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/coord/responsehead"
+	"siskinstand.example/coord/responsehead/headtest"
+)
+
+// serve answers a request with its body echoed, or with the text if its path is /broken. It
+// closes the connection after the text if closes is set.
+func serve(t *testing.T, text string, closes bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	handle := func(c net.Conn) {
+		defer c.Close()
+		for r := bufio.NewReader(c); ; {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(q.Body)
+			if err != nil {
+				return
+			}
+			if q.URL.Path != "/broken" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				continue
+			}
+			fmt.Fprint(c, text)
+			if closes {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func newClient(t *testing.T) *http.Client {
+	t.Helper()
+	transport := NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableCompression: true})
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 5 * time.Second}
+}
+
+func post(client *http.Client, url, body string) (string, error) {
+	response, err := client.Post(url, "text/plain", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return string(data), err
+}
+
+func checkEcho(t *testing.T, client *http.Client, url, body string) {
+	t.Helper()
+	if got, err := post(client, url, body); err != nil || got != body {
+		t.Errorf("response %q, %v, want %q", got, err, body)
+	}
+}
+
+// Guards against a head that net/http repairs, on a new and on a kept connection, and against
+// its remains in the response to the next call.
+func TestBrokenHead(t *testing.T) {
+	for _, tc := range headtest.Broken("X-Id: 1\r\n") {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/kept=%t", tc.Name, kept), func(t *testing.T) {
+				t.Parallel()
+				url, client := serve(t, tc.Text, false), newClient(t)
+				if kept {
+					checkEcho(t, client, url, "first")
+				}
+				if got, err := post(client, url+"/broken", "two"); !errors.Is(err, responsehead.ErrMalformed) {
+					t.Errorf("response %q, error %v, want ErrMalformed", got, err)
+				}
+				checkEcho(t, client, url, "next")
+			})
+		}
+	}
+}
+
+// Guards against strictness that costs servers that keep to HTTP/1.
+func TestSoundHead(t *testing.T) {
+	for _, tc := range headtest.Sound("X-Id: 1\r\n") {
+		t.Run(tc.Name, func(t *testing.T) {
+			t.Parallel()
+			url, client := serve(t, tc.Text, true), newClient(t)
+			checkEcho(t, client, url, "first")
+			if got, err := post(client, url+"/broken", "two"); err != nil || got != "whole" {
+				t.Errorf("response %q, %v, want %q", got, err, "whole")
+			}
+		})
+	}
+}
--- a/adapters/internal/httpjson/httpjson.go
+++ b/adapters/internal/httpjson/httpjson.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"siskinstand.example/adapters/httpclient"
 )
 
 // Limits restricts the duration and response size of a call.
@@ -52,18 +55,31 @@
 
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// defaultIdleTimeout is how long a connection stays open without a call.
+const defaultIdleTimeout = 60 * time.Second
+
+// TransportConfig configures a transport.
+type TransportConfig struct {
+	DialTimeout time.Duration
+	// IdleTimeout is how long a connection may have been idle to be reused, by default 60 s.
+	IdleTimeout time.Duration
+	// DisableKeepAlives gives each call a connection of its own.
+	DisableKeepAlives bool
+}
+
 // NewTransport returns a transport that ignores proxy settings, because the
 // external systems are on the deployment's own network.
-func NewTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
-	return &http.Transport{
+func NewTransport(c TransportConfig) http.RoundTripper {
+	dialer := &net.Dialer{Timeout: c.DialTimeout, KeepAlive: 15 * time.Second}
+	return httpclient.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
+		DisableKeepAlives:      c.DisableKeepAlives,
 		MaxIdleConns:           256,
 		MaxIdleConnsPerHost:    64,
-		IdleConnTimeout:        60 * time.Second,
+		IdleConnTimeout:        cmp.Or(c.IdleTimeout, defaultIdleTimeout),
 		MaxResponseHeaderBytes: 64 << 10,
-	}
+	})
 }
 
 // BaseURL returns the base URL for a host and port, with or without "http://".
--- a/adapters/kvstore/client.go
+++ b/adapters/kvstore/client.go
@@ -58,7 +58,7 @@
 // without "http://".
 func NewClient(address string, limits Limits) *Client {
 	baseURL := httpjson.BaseURL(address)
-	transport := httpjson.NewTransport(limits.DialTimeout)
+	transport := httpjson.NewTransport(httpjson.TransportConfig{DialTimeout: limits.DialTimeout})
 	return &Client{
 		baseURL:     baseURL,
 		limits:      limits,
--- a/adapters/weightstore/client.go
+++ b/adapters/weightstore/client.go
@@ -38,7 +38,7 @@
 // NewClient returns a client for the store at address: host and port, with or
 // without "http://".
 func NewClient(address string, limits Limits) *Client {
-	transport := httpjson.NewTransport(limits.DialTimeout)
+	transport := httpjson.NewTransport(httpjson.TransportConfig{DialTimeout: limits.DialTimeout})
 	return &Client{jsonClient: httpjson.New(httpjson.BaseURL(address), transport, httpjson.Limits{
 		CallTimeout: limits.CallTimeout, MaxResponseBytes: limits.MaxResponseBytes,
 	})}
--- a/edge/relay/client.go
+++ b/edge/relay/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinstand.example/adapters/httpclient"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
 )
@@ -47,14 +48,14 @@
 // Client asks watching hosts for changes.
 type Client struct {
 	config    ClientConfig
-	transport *http.Transport
+	transport *httpclient.Transport
 }
 
 // NewClient returns a client. It does not open a connection.
 func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, transport: &http.Transport{
+	return &Client{config: c, transport: httpclient.NewTransport(&http.Transport{
 		DialContext: platform.Dialer(c.Timeout).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, MaxIdleConns: 4, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // Timeout returns the time limit to connect and for a response.
--- a/edge/replica/head.go
+++ b/edge/replica/head.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"siskinstand.example/coord/responsehead"
 )
 
 const (
@@ -19,12 +21,14 @@
 
 var errHeadTooLong = errors.New("status line and headers of the response exceed 32 KiB")
 
-// budgetReader limits how many bytes are read while isLimited is set. A faulty replica may
-// send a head without end, which http.ReadResponse would keep in memory.
+// budgetReader limits how many bytes are read while isLimited is set, and checks them as the head
+// of a response. A faulty replica may send a head without end, which http.ReadResponse would keep
+// in memory, or one that http.ReadResponse repairs.
 type budgetReader struct {
 	source    io.Reader
 	isLimited bool
 	remaining int
+	head      responsehead.Checker
 	// total counts all bytes read.
 	total atomic.Int64
 }
@@ -41,9 +45,27 @@
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	r.total.Add(int64(n))
+	if r.head.Feed(p[:n]); r.head.Err() != nil {
+		err = r.head.Err()
+	}
 	return n, err
 }
 
+// beginHead limits and checks the bytes that follow. buffered are those of the head that have been
+// read before.
+func (r *budgetReader) beginHead(buffered []byte) error {
+	r.isLimited, r.remaining = true, maxHeadBytes
+	r.head.Reset()
+	r.head.Feed(buffered)
+	return r.head.Err()
+}
+
+// endHead ends the limit and returns why the head is not acceptable, or nil.
+func (r *budgetReader) endHead() error {
+	r.isLimited = false
+	return r.head.Err()
+}
+
 // readHead waits for the head of a response and reads it. The deadline, if it is not zero,
 // limits the wait for its first byte.
 func (c *conn) readHead(req *http.Request, deadline time.Time) (*http.Response, error) {
@@ -52,9 +74,14 @@
 		return nil, err
 	}
 	_ = c.SetReadDeadline(time.Now().Add(headTimeout))
-	c.budget.isLimited, c.budget.remaining = true, maxHeadBytes
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	if err := c.budget.beginHead(buffered); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.reader, req)
-	c.budget.isLimited = false
+	if headErr := c.budget.endHead(); headErr != nil {
+		return nil, headErr
+	}
 	_ = c.SetReadDeadline(time.Time{})
 	return resp, err
 }
--- a/gateway/daemon/failure_test.go
+++ b/gateway/daemon/failure_test.go
@@ -355,7 +355,18 @@
 // Guards against a gateway that stops before the result of a call is stored with its claim. A
 // caller that sends the call again would get may_have_run.
 func TestShutdownStoresResults(t *testing.T) {
-	f := startGateway(t, "", startSidecar(t, "e1", respondWith("{}"), nil))
+	answer := func(_ *pb.Offer, s *scriptedStream) error {
+		if err := s.sendAdmitted(false); err != nil {
+			return err
+		}
+		chunk := chunkEvent(0, "{}")
+		chunk.GetChunk().HttpStatus = http.StatusOK
+		if err := s.send(chunk); err != nil {
+			return err
+		}
+		return s.sendFinal(1)
+	}
+	f := startGateway(t, "", startSidecar(t, "e1", answer, nil))
 	f.claims.completeDelay = 1500 * time.Millisecond
 	if status, body, _ := f.call("POST", "/services/book/x", "{}", map[string]string{"Idempotency-Key": "k1", "Siskin-Deadline-Ms": "300"}); status != http.StatusOK {
 		t.Fatalf("response %d %s, want 200", status, body)
--- a/gateway/httpapi/service.go
+++ b/gateway/httpapi/service.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"siskinstand.example/coord/responsehead"
 	"siskinstand.example/coord/routing"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/gateway/dispatch"
@@ -102,11 +103,15 @@
 	started  bool
 }
 
-// Deliver buffers up to maxBufferedBytes and then writes directly to the caller.
+// Deliver buffers up to maxBufferedBytes and then writes directly to the caller. It fails if the
+// response does not begin with an acceptable status.
 func (s *plainSink) Deliver(p dispatch.ResponsePart) error {
 	if p.Status != 0 {
 		s.status, s.header = p.Status, p.Header
 	}
+	if !responsehead.IsFinalStatus(s.status) {
+		return s.invalidStatus()
+	}
 	s.buffered = append(s.buffered, p.Data...)
 	if len(s.buffered) <= maxBufferedBytes && !s.started {
 		return nil
@@ -134,12 +139,15 @@
 			s.w.Header().Add(name, h.GetValue())
 		}
 	}
-	if s.status < http.StatusOK || s.status > 999 {
-		s.status = http.StatusOK
-	}
 	s.w.WriteHeader(s.status)
 }
 
+// invalidStatus returns the error for a response that is none. The service may have run the
+// request.
+func (s *plainSink) invalidStatus() error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "the service answered with status %03d", s.status)
+}
+
 func (s *plainSink) flush() error {
 	controller := http.NewResponseController(s.w)
 	_ = controller.SetWriteDeadline(writeDeadline(s.timeout, s.deadline))
@@ -152,6 +160,9 @@
 }
 
 func (s *plainSink) finish() error {
+	if !responsehead.IsFinalStatus(s.status) {
+		return s.invalidStatus()
+	}
 	if !s.started && bodyAllowed(s.status) {
 		s.w.Header().Set("Content-Length", strconv.Itoa(len(s.buffered)))
 	}
--- a/loadgen/load/load.go
+++ b/loadgen/load/load.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"siskinstand.example/adapters/httpclient"
 	"siskinstand.example/loadgen/mix"
 )
 
@@ -173,7 +175,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(c Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	transport := httpclient.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 256, DisableCompression: true})
 	return &Client{config: c, http: &http.Client{Transport: transport}}
 }
 
