responsehead: reject fields without a proper name, folded lines and control bytes

What callers saw: a replica sent a head with a blank in the name of a field. Callers got it as an answer. Where the name was "Content-Length " or "Transfer-Encoding ", the body was not the replica's: the raw chunks, or the body with all that followed on the connection. Folded lines and a coding in a response of version 1.0 had the same effect, and control bytes in the reason were passed on.

Cause: net/http keeps a name with blanks as it is and ignores it for the framing, joins a line that begins with a blank to the one before, ignores Transfer-Encoding in version 1.0, and does not look at the reason.

Change: the checker accepts tokens as names (RFC 9110, section 5.6.2), text without control bytes as values and reasons, no folded lines (RFC 9112, section 5.2, lets a proxy answer with 502), no coding in version 1.0. It still accepts lines that end in LF, any token as a name, obs-text in values and a status line without a reason: headtest.Sound.

--- a/adapters/engine/broken_head_test.go
+++ b/adapters/engine/broken_head_test.go
@@ -1,10 +1,6 @@
 package engine
 
 import (
-	"bufio"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,37 +9,6 @@
 	"siskinstand.example/coord/verdict"
 )
 
-// serveText answers every request with a text and keeps the connection open.
-func serveText(t *testing.T, text string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; fmt.Fprint(c, text) {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, q.Body); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against the response of an engine or service without an acceptable head: callers of
 // the gateway got it as a 200, and a service that sends one counted as ready.
 func TestBrokenHead(t *testing.T) {
@@ -51,7 +16,7 @@
 	for _, tc := range headtest.Broken("Content-Type: application/json\r\n") {
 		t.Run(tc.Name, func(t *testing.T) {
 			t.Parallel()
-			address := serveText(t, tc.Text)
+			address := headtest.Serve(t, tc.Text)
 			deliver := func(c Chunk) error {
 				t.Errorf("delivered status %d, %q", c.HTTPStatus, c.Data)
 				return nil
--- a/coord/responsehead/checker.go
+++ b/coord/responsehead/checker.go
@@ -32,7 +32,10 @@
 	err  error
 	// count is the number of bytes of the current element.
 	count  int
+	minor  byte
 	status int
+	// isCoding is true while the bytes of a name are those of codingName.
+	isCoding bool
 }
 
 // step handles one byte of a head and returns the step for the next one, or nil if the head has
@@ -68,6 +71,7 @@
 	case at < len(versionPrefix) && b == versionPrefix[at]:
 		return (*Checker).version
 	case at == len(versionPrefix) && isDigit(b):
+		c.minor = b
 		return (*Checker).version
 	case at > len(versionPrefix) && b == ' ':
 		c.count, c.status = 0, 0
@@ -94,19 +98,31 @@
 func (c *Checker) statusEnd(b byte) step {
 	switch b {
 	case ' ':
-		return (*Checker).lineText
+		return (*Checker).text
 	case '\r', '\n':
-		return c.lineText(b)
+		return c.text(b)
 	}
 	return c.fail("byte %q after the status", b)
 }
 
-// lineText skips the rest of a line.
-func (c *Checker) lineText(b byte) step {
-	if b == '\n' {
+// text expects the reason or the value of a field, and the end of its line.
+func (c *Checker) text(b byte) step {
+	switch {
+	case b == '\n':
 		return (*Checker).lineStart
+	case b == '\r':
+		return (*Checker).lineEnd
+	case isText(b):
+		return (*Checker).text
+	}
+	return c.fail("byte %q in a reason or value", b)
+}
+
+func (c *Checker) lineEnd(b byte) step {
+	if b != '\n' {
+		return c.fail("byte %q after CR", b)
 	}
-	return (*Checker).lineText
+	return (*Checker).lineStart
 }
 
 // lineStart handles the first byte of a line after the status line.
@@ -117,7 +133,29 @@
 	case '\n':
 		return c.headEnd(b)
 	}
-	return (*Checker).lineText
+	c.count, c.isCoding = 0, true
+	return c.name(b)
+}
+
+// codingName is the name of the field that decides how a body is framed. It has no meaning in
+// version 1.0, where senders that use it disagree with readers on the end of the body.
+const codingName = "transfer-encoding"
+
+// name expects the name of a field and a colon. A line that begins with a blank, which once
+// continued the previous one (RFC 9112, section 5.2), has none.
+func (c *Checker) name(b byte) step {
+	if b == ':' && c.count > 0 {
+		if c.isCoding && c.count == len(codingName) && c.minor == '0' {
+			return c.fail("%s in version 1.0", codingName)
+		}
+		return (*Checker).text
+	}
+	if !tokenBytes[b] {
+		return c.fail("byte %q at %d in the name of a field", b, c.count)
+	}
+	c.isCoding = c.isCoding && c.count < len(codingName) && lower(b) == codingName[c.count]
+	c.count++
+	return (*Checker).name
 }
 
 // headEnd ends the head, or starts the next one after an interim response.
@@ -133,3 +171,21 @@
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isText reports whether a byte may be part of a reason or value (RFC 9110, section 5.5).
+func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
+func lower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
+// tokenBytes holds the bytes that a name may have (RFC 9110, section 5.6.2).
+var tokenBytes = func() (set [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		set[b] = true
+	}
+	return set
+}()
--- a/coord/responsehead/headtest/headtest.go
+++ b/coord/responsehead/headtest/headtest.go
@@ -26,14 +26,52 @@
 		{"head after blank lines", "\r\n\r\n" + sound},
 	}
 	for _, status := range []string{"000", "001", "099", "600", "999", "+20", "-20", "20", "2000", "20x"} {
+		cases = append(cases, Case{"status " + status, "HTTP/1.1 " + status + " Odd\r\n" + framed})
+	}
+	for _, status := range []string{"000", "999"} {
+		head := "HTTP/1.1 " + status + " Odd\r\n" + fields
+		cases = append(cases,
+			Case{"status " + status + " without a body, then a response", head + "\r\n" + sound},
+			Case{"status " + status + " and nothing more", head + "\r\n"},
+			Case{"status " + status + ", length 0, then a response", head + "Content-Length: 0\r\n\r\n" + sound},
+		)
+	}
+	for _, line := range []struct{ name, text string }{
+		{"blank in a name", "X A: x"},
+		{"blank before the colon", "X-A : x"},
+		{"tab in a name", "X\tA: x"},
+		{"NUL in a name", "X\x00A: x"},
+		{"control byte in a name", "X\x1fA: x"},
+		{"DEL in a name", "X\x7fA: x"},
+		{"byte beyond ASCII in a name", "X\xfcA: x"},
+		{"separator in a name", "X(A): x"},
+		{"no name", ": x"},
+		{"no colon", "nonsense"},
+		{"folded line", "X-A: x\r\n y"},
+		{"folded line without text", "X-A: x\r\n \t"},
+		{"NUL in a value", "X-A: a\x00b"},
+		{"control byte in a value", "X-A: a\x1bb"},
+		{"CR in a value", "X-A: a\rb"},
+		{"second head in a value", "X-A: a\r\rHTTP/1.1 200 OK"},
+	} {
 		cases = append(cases,
-			Case{"status " + status, "HTTP/1.1 " + status + " Odd\r\n" + framed},
-			Case{"status " + status + " without a body, then a response", "HTTP/1.1 " + status + " Odd\r\n" + fields + "\r\n" + sound},
-			Case{"status " + status + " and nothing more", "HTTP/1.1 " + status + " Odd\r\n" + fields + "\r\n"},
-			Case{"status " + status + ", length 0, then a response", "HTTP/1.1 " + status + " Odd\r\n" + fields + "Content-Length: 0\r\n\r\n" + sound},
+			Case{line.name, ok + line.text + "\r\n" + framed},
+			Case{line.name + " after the other fields", ok + fields + "Content-Length: 5\r\n" + line.text + "\r\n\r\n" + other},
+			Case{line.name + " of an interim response", "HTTP/1.1 103 Early Hints\r\n" + line.text + "\r\n\r\n" + sound},
 		)
 	}
-	return cases
+	return append(cases,
+		Case{"blank before the colon of the length", ok + fields + "Content-Length : 5\r\n\r\n" + other + sound},
+		Case{"blank before the colon of the coding", ok + fields + "Transfer-Encoding : chunked\r\n\r\n5\r\n" + other + "\r\n0\r\n\r\n"},
+		Case{"folded length", ok + fields + "X-A: x\r\n Content-Length: 5\r\n\r\n" + other + sound},
+		Case{"blank before the first name", ok + " X-A: x\r\n" + framed},
+		Case{"control byte in the reason", "HTTP/1.1 200 O\x07K\r\n" + framed},
+		Case{"CR in the reason", "HTTP/1.1 200 O\rK\r\n" + framed},
+		Case{"two blanks before the status", "HTTP/1.1  200 OK\r\n" + framed},
+		Case{"version 2.0", "HTTP/2.0 200 OK\r\n" + framed},
+		Case{"version in lower case", "http/1.1 200 OK\r\n" + framed},
+		Case{"chunks of version 1.0", "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + other + "\r\n0\r\n\r\n"},
+	)
 }
 
 // Sound returns responses with the body "whole" that a reader must accept.
--- a/edge/caller/broken_head_test.go
+++ b/edge/caller/broken_head_test.go
@@ -151,17 +151,22 @@
 // Guards against responses without an acceptable head: callers got them as answers, or the
 // response that followed them, or waited for one until their time limit.
 func TestBrokenHead(t *testing.T) {
-	for name, kind := range map[string]struct{ path, fields string }{
-		"answer":           {"/x", brokenFields},
-		"refusal":          {"/x", brokenFields + "Not-Executed: 1\r\n"},
-		"stream":           {"/stream/", brokenFields + "Content-Type: text/event-stream\r\n"},
-		"resumable stream": {"/resumable/", brokenFields + "Content-Type: text/event-stream\r\n"},
+	type situation struct{ kept, closes bool }
+	events := brokenFields + "Content-Type: text/event-stream\r\n"
+	for name, kind := range map[string]struct {
+		path, fields string
+		situations   []situation
+	}{
+		"answer":           {"/x", brokenFields, []situation{{false, false}, {true, false}, {true, true}}},
+		"refusal":          {"/x", brokenFields + "Not-Executed: 1\r\n", []situation{{true, false}}},
+		"stream":           {"/stream/", events, []situation{{true, false}}},
+		"resumable stream": {"/resumable/", events, []situation{{false, true}}},
 	} {
 		for _, tc := range headtest.Broken(kind.fields) {
-			for _, kept := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s/%s/kept=%t", tc.Name, name, kept), func(t *testing.T) {
+			for _, c := range kind.situations {
+				t.Run(fmt.Sprintf("%s/%s/kept=%t/closes=%t", tc.Name, name, c.kept, c.closes), func(t *testing.T) {
 					t.Parallel()
-					checkBroken(t, &brokenReplica{text: tc.Text}, kind.path, kept)
+					checkBroken(t, &brokenReplica{text: tc.Text, closes: c.closes}, kind.path, c.kept)
 				})
 			}
 		}
--- a/edge/relay/relay_test.go
+++ b/edge/relay/relay_test.go
@@ -14,6 +14,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"siskinstand.example/coord/responsehead"
+	"siskinstand.example/coord/responsehead/headtest"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
 )
@@ -243,3 +245,17 @@
 		t.Logf("%d questions answered, %d failed", answered.Load(), failed.Load())
 	}
 }
+
+// Guards against bytes that are no response and are taken for one of a watching host.
+func TestBrokenHead(t *testing.T) {
+	for _, tc := range headtest.Broken("Content-Type: application/json\r\n") {
+		t.Run(tc.Name, func(t *testing.T) {
+			t.Parallel()
+			c := NewClient(ClientConfig{Timeout: 5 * time.Second})
+			t.Cleanup(c.Close)
+			if changes, err := c.Watch(t.Context(), headtest.Serve(t, tc.Text), 1, 0); !errors.Is(err, responsehead.ErrMalformed) {
+				t.Errorf("changes %v, error %v, want ErrMalformed", changes, err)
+			}
+		})
+	}
+}
