edge/replica, httpclient: reject an early body without a length after a failed write

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a whole answer, a stream of which events were missing as a complete one, and a failure with a part of its text.

Cause: the write of the upload fails with the pending error of the socket, which the kernel reports once. The reads that follow return what has arrived and then the end of the connection, as after a proper close. edge/replica reads a response after a failed write on purpose, since replicas may refuse a body that they have not read. The transport of net/http, which the clients of engines and stores use, writes and reads at the same time, with the same effect.

Change: a body that ends with its connection is complete only if no write has failed. The conn of httpclient waits for a write in progress, so that its error is known. A refusal keeps its verdict, which its head states: one whose text is cut off gets 503 not_run, also where the replica's status was 400. Responses with a length or chunks, and those whose replica ends the answer and reads on, are accepted as before.

--- a/adapters/httpclient/transport.go
+++ b/adapters/httpclient/transport.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -55,15 +58,59 @@
 		}
 		return nil, headErr
 	}
+	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		response.Body = untilClose{response.Body, c}
+	}
 	return response, err
 }
 
+// untilClose is a body that ends with its connection.
+type untilClose struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// errRequestCut ends a body of which nothing tells whether it is complete.
+var errRequestCut = fmt.Errorf("body without a length on a connection that broke while the request was written: %w", io.ErrUnexpectedEOF)
+
+// Read returns io.EOF only if the server has closed the connection without a reset. A write that
+// fails takes the error of the connection, and a reset then looks like a proper end to reads.
+func (b untilClose) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.conn.isWriteBroken() {
+		return n, errRequestCut
+	}
+	return n, err
+}
+
 // conn checks the heads of the responses that it receives. The transport has one call at a time
 // on a connection.
 type conn struct {
 	net.Conn
 	mu   sync.Mutex
 	head responsehead.Checker
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeBroken is set if a write failed other than by Close.
+	writeBroken bool
+}
+
+// Write records a failure.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.writeBroken = c.writeBroken || err != nil && !errors.Is(err, net.ErrClosed)
+	return n, err
+}
+
+// isWriteBroken waits for a write in progress, which ends at the latest when the transport closes
+// the connection, and reports whether one has failed.
+func (c *conn) isWriteBroken() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeBroken
 }
 
 // beginHead expects the head of the next response.
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -61,6 +61,10 @@
 		if errors.Is(err, membudget.ErrExhausted) {
 			return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, "no memory for the answer").WithCause(err), health: health.Served, aborted: true, began: true}
 		}
+		if resp.Info.NotRun {
+			// The head alone says so. The rest of the refusal is lost.
+			return outcome{err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the refusal of the replica broke off").WithCause(err).WithRetryAfter(q.route.Objective), health: health.Broken}
+		}
 		o := brokenOutcome("the answer broke off", err)
 		o.mayHaveCrashed, o.aborted, o.began = true, !endedByReplica(err), true
 		return o
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -57,6 +57,9 @@
 	// EndsWithConnection is set if the body has neither a length nor chunks, so that a
 	// replica that has ended looks like the end of the body.
 	EndsWithConnection bool
+	// requestCut is set if the connection broke while the request was written. The failed write
+	// has taken the error of the connection, so that a reset looks like a proper end to reads.
+	requestCut bool
 
 	pool     *Pool
 	conn     *conn
@@ -89,7 +92,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Headers: resp.Header, Info: platform.ParseResponseHeaders(resp.StatusCode, resp.Header),
-		Length: resp.ContentLength, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total.Load(),
+		Length: resp.ContentLength, EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, requestCut: c.requestCut, pool: p, conn: c, resp: resp, stop: stop, ctx: ctx, headEnd: c.budget.total.Load(),
 	}, nil
 }
 
@@ -129,6 +132,7 @@
 	wire.WriteString("\r\n")
 	c.recordSent(r)
 	if err := writeBody(c, &wire, append([][]byte{r.Body}, r.MoreBody...)); err != nil {
+		c.requestCut = true
 		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
 		if readErr != nil {
 			return nil, errors.Join(err, readErr)
@@ -205,17 +209,25 @@
 	return nil, errUnmatchedResponse
 }
 
+// errRequestCut ends a body of which nothing tells whether it is complete.
+var errRequestCut = fmt.Errorf("body without a length on a connection that broke while the request was written: %w", io.ErrUnexpectedEOF)
+
 // Read reads the body. It returns io.EOF only if the body is complete. A body without a
-// length counts as complete when the replica closes the connection without a reset.
+// length counts as complete when the replica closes the connection without a reset, after the
+// request has been written.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.resp.Body.Read(b)
 	r.bodyBytes += int64(n)
 	if r.conn.budget.total.Load()-r.headEnd > maxWireFactor*r.bodyBytes+maxWireOverhead {
 		return n, errChunkOverhead
 	}
-	if errors.Is(err, io.EOF) {
-		r.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if r.EndsWithConnection && r.requestCut {
+		return n, errRequestCut
 	}
+	r.complete = true
 	return n, err
 }
 
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -67,6 +67,8 @@
 	// number of all of them.
 	sent      [maxSentIDs]string
 	sentCount int
+	// requestCut is set once the connection broke while a request was written.
+	requestCut bool
 	// carriesHead is set once a HEAD request was sent.
 	carriesHead bool
 	// idleSince is the time since which an idle connection has been idle, usableUntil the
