edge/caller, httpclient: test heads that are cut off

A replica that stops in the middle of its head and closes must not give callers a 200 with an empty or short body. This is handled already: http.ReadResponse fails at the end of the connection before the empty line. TestCutHead cuts the head at every fifth byte, at each line end and before each LF (in httpclient at every byte), on new and kept connections, with a close and with a reset.

--- a/adapters/httpclient/transport_test.go
+++ b/adapters/httpclient/transport_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Guards against the beginning of a head that counts as a response with an empty body.
+func TestCutHead(t *testing.T) {
+	for _, tc := range headtest.Cut("X-Id: 1\r\n") {
+		t.Run(tc.Name, func(t *testing.T) {
+			t.Parallel()
+			url, client := serve(t, tc.Text, true), newClient(t)
+			checkEcho(t, client, url, "first")
+			if got, err := post(client, url+"/broken", "two"); err == nil {
+				t.Errorf("response %q, want an error", got)
+			}
+		})
+	}
+}
+
 // Guards against strictness that costs servers that keep to HTTP/1.
 func TestSoundHead(t *testing.T) {
 	for _, tc := range headtest.Sound("X-Id: 1\r\n") {
--- a/coord/responsehead/headtest/headtest.go
+++ b/coord/responsehead/headtest/headtest.go
@@ -1,6 +1,8 @@
 // Package headtest has HTTP/1 responses for tests of everything that reads responses.
 package headtest
 
+import "fmt"
+
 // Case is a response as it is sent, up to the end of the connection.
 type Case struct {
 	Name string
@@ -74,6 +76,17 @@
 	)
 }
 
+// Cut returns the beginnings of a head, of each length, at whose end the server closes the
+// connection.
+func Cut(fields string) []Case {
+	head := ok + fields + "Content-Length: 0\r\n\r\n"
+	var cases []Case
+	for n := range len(head) - 1 {
+		cases = append(cases, Case{fmt.Sprintf("%d bytes of %d", n+1, len(head)), head[:n+1]})
+	}
+	return cases
+}
+
 // Sound returns responses with the body "whole" that a reader must accept.
 func Sound(fields string) []Case {
 	const body = "whole"
--- a/edge/caller/broken_head_test.go
+++ b/edge/caller/broken_head_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// Guards against the beginning of a head that callers get as a whole answer with an empty body.
+func TestCutHead(t *testing.T) {
+	for path, fields := range map[string]string{"/x": brokenFields, "/stream/": brokenFields + "Content-Type: text/event-stream\r\n"} {
+		for i, tc := range headtest.Cut(fields) {
+			if i%5 != 0 && !strings.HasSuffix(tc.Text, "\n") && !strings.HasSuffix(tc.Text, "\r") {
+				continue
+			}
+			t.Run(path+tc.Name, func(t *testing.T) {
+				t.Parallel()
+				checkBroken(t, &brokenReplica{text: tc.Text, closes: true, resets: i%2 == 1}, path, i%2 == 0)
+			})
+		}
+	}
+}
+
 // Guards against strictness that costs replicas that keep to HTTP/1.
 func TestSoundHead(t *testing.T) {
 	for _, tc := range headtest.Sound(brokenFields) {
