edge/replica: do not wait for the rest of a refusal

What callers saw: a replica refused a request (Not-Executed) and its text did not end. The request was not sent to another replica and got no answer until its time limit, although the head said that it had not run. A late response to an earlier request on a kept connection had the same effect.

Cause: the body was read to its end, or up to 1 MiB, only to use the connection again, without a limit in time.

Change: Response.Discard reads 64 KiB and 100 ms at most. The connection is closed if the body has not ended then.

--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -107,8 +107,7 @@
 // rejectedOutcome returns the outcome of a response that states that the request did not
 // run.
 func (q *request) rejectedOutcome(assignment control.Assignment, resp *replica.Response) outcome {
-	// The body must be read before the connection can be reused.
-	_, err := io.Copy(io.Discard, io.LimitReader(resp, q.server.config.MaxAnswerBytes))
+	err := resp.Discard()
 	e := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the replica answered %d without running", resp.Status).WithRetryAfter(max(q.route.Objective, min(resp.Info.Pause, q.timeLeft(bootclock.Now())/3)))
 	if err != nil {
 		e = e.WithCause(err)
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -21,8 +21,10 @@
 	maxUnmatchedResponses = 2
 	// typicalHeadBytes is the typical size of a request line with headers.
 	typicalHeadBytes = 1024
-	// maxDiscardBytes is how much is read at most of a response body that is not needed.
+	// maxDiscardBytes and discardTimeout limit how much is read of a response body that is not
+	// needed, only to use the connection again. Replicas send short bodies with the head.
 	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
 	// earlyResponseTimeout is the timeout for reading a response after writing the request
 	// failed. A replica may reject a long body before it has received all of it.
 	earlyResponseTimeout = 200 * time.Millisecond
@@ -200,15 +202,30 @@
 		if !c.reused || c.carriesHead {
 			return nil, errUnmatchedResponse
 		}
-		_ = c.SetReadDeadline(deadline) // a closed connection fails the read below
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
-		if err != nil || n == maxDiscardBytes || resp.Close {
+		if err := c.discard(resp.Body); err != nil || resp.Close {
 			return nil, errUnmatchedResponse
 		}
 	}
 	return nil, errUnmatchedResponse
 }
 
+var errLongDiscard = errors.New("the rest of the response is too long")
+
+// discard reads a body that is not needed to its end. It fails if that takes too long.
+func (c *conn) discard(body io.Reader) error {
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only for a closed connection, whose next read fails too
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	_ = c.SetReadDeadline(time.Time{})
+	if err == nil && n == maxDiscardBytes {
+		return errLongDiscard
+	}
+	return err
+}
+
+// Discard reads the rest of a response of which the head says all, so that the connection can be
+// used again. It fails if the rest does not arrive at once; Close then closes the connection.
+func (r *Response) Discard() error { return r.conn.discard(r) }
+
 // errRequestCut ends a body of which nothing tells whether it is complete.
 var errRequestCut = fmt.Errorf("body without a length on a connection that broke while the request was written: %w", io.ErrUnexpectedEOF)
 
--- a/edge/replica/unmatched_test.go
+++ b/edge/replica/unmatched_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -204,3 +205,27 @@
 		}
 	}
 }
+
+// Guards against a request that waits until its time limit for the rest of a response to an
+// earlier request.
+func TestLateResponseWithoutEnd(t *testing.T) {
+	s := serveRaw(t, func(s *rawServer, c net.Conn, r *bufio.Reader) {
+		for id, ok := s.readRequest(r); ok; id, ok = s.readRequest(r) {
+			if id == "first" {
+				fmt.Fprint(c, responseText(id, "good"))
+			} else {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nAttempt-Id: first\r\nReplica-Stamp: s\r\nContent-Length: 100\r\n\r\npart")
+			}
+		}
+	})
+	p := testPool(t)
+	sendAndRead(t, p, s.address, "first")
+	startedAt := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := p.Do(ctx, Request{Address: s.address, Method: http.MethodPost, Target: "/", Host: "h", AttemptID: "own"})
+	checkVerdict(t, err, verdict.MayHaveRun)
+	if d := time.Since(startedAt); d > time.Second {
+		t.Errorf("failed after %v, want at most 1s", d)
+	}
+}
