adapters/engine: hold at most 2 MiB of a report or other short response

What callers saw: a faulty engine that answers a question for its state or its load without end makes its sidecar hold up to 64 MiB, and allocate 236 MB for one answer; a sidecar's host has 216 MB and asks again every second. A sidecar that runs out of memory takes all requests of its host with it.

Cause: the limit of a whole response of Run, which is delivered as it arrives, was also that of the calls whose response is held.

Change: MaxReportBytes, 2 MiB, about 20,000 allocations.

Heads, chunk sizes, trailers and interim responses without end were bounded before.

--- a/adapters/engine/model.go
+++ b/adapters/engine/model.go
@@ -25,8 +25,11 @@
 	StallTimeout time.Duration
 	// MaxEventBytes limits one line of a stream, and thereby one event.
 	MaxEventBytes int
-	// MaxResponseBytes limits a whole response.
+	// MaxResponseBytes limits a whole response of Run, which is delivered as it arrives.
 	MaxResponseBytes int64
+	// MaxReportBytes limits the response of any other call, which is held in memory. An
+	// allocation takes about 100 bytes of it.
+	MaxReportBytes int64
 }
 
 // DefaultLimits returns limits for engines on the same host.
@@ -37,6 +40,7 @@
 		StallTimeout:     30 * time.Second,
 		MaxEventBytes:    1 << 20,
 		MaxResponseBytes: 64 << 20,
+		MaxReportBytes:   2 << 20,
 	}
 }
 
@@ -62,7 +66,7 @@
 		limits:       limits,
 		streamClient: &http.Client{Transport: newRunTransport(limits), CheckRedirect: noRedirect},
 		jsonClient: httpjson.New(baseURL, transport, httpjson.Limits{
-			CallTimeout: limits.CallTimeout, MaxResponseBytes: limits.MaxResponseBytes,
+			CallTimeout: limits.CallTimeout, MaxResponseBytes: limits.MaxReportBytes,
 		}),
 	}
 }
