edge/replica: an order whose response does not end has failed

A reservation counted as made when the response to its order went on beyond the 64 KiB that are read of it; the prompt was then sent with a ticket that may not exist. The order now fails like one without a response.

--- a/edge/caller/endless_test.go
+++ b/edge/caller/endless_test.go
@@ -80,6 +80,8 @@
 		"header lines":              {"/x", "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"},
 		"interim responses":         {"/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
 		"body without a length":     {"/x", stampedHead + "\r\n", "x"},
+		"failure without a length":  {"/x", strings.Replace(stampedHead, "200 OK", "500 Error", 1) + "\r\n", "x"},
+		"interim response":          {"/x", "HTTP/1.1 103 Early Hints\r\n", "X-Filler: x\r\n"},
 		"chunks":                    {"/x", stampedHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
 		"chunk size":                {"/x", stampedHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},
 		"chunk extension":           {"/x", stampedHead + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -209,13 +209,19 @@
 	return nil, errUnmatchedResponse
 }
 
-var errLongDiscard = errors.New("the rest of the response is too long")
+var errLongDiscard = errors.New("body that is not needed exceeds 64 KiB")
 
 // discard reads a body that is not needed to its end. It fails if that takes too long.
 func (c *conn) discard(body io.Reader) error {
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only for a closed connection, whose next read fails too
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	err := discardToEnd(body)
 	_ = c.SetReadDeadline(time.Time{})
+	return err
+}
+
+// discardToEnd reads a body to its end, which must come within maxDiscardBytes.
+func discardToEnd(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
 	if err == nil && n == maxDiscardBytes {
 		return errLongDiscard
 	}
--- a/edge/replica/reserve.go
+++ b/edge/replica/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -127,7 +126,7 @@
 	if resp.Info.Pause > 0 && target.OnPause != nil {
 		target.OnPause(resp.Info.Pause)
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxDiscardBytes)); err != nil {
+	if err := discardToEnd(resp); err != nil {
 		return eris.Wrap(err, "read response to memory order")
 	}
 	if resp.Status != http.StatusOK && resp.Status != http.StatusAccepted {
