edge/caller: refuse calls late in a shutdown that may not end in time

What callers saw: in a planned stop of one entry host, calls that were read late in the grace, such as those with a slow upload, were passed on and ended with 502 may_have_run at the end of the shutdown time. The caller of one that must not be repeated can't know whether it has run. Uploads that were still arriving then got a closed connection without an answer.

Cause: the host expected that a call ends within the objective of its route, which says nothing about how long it takes. The load of the chosen replica, and the time that a request waited or reserved memory before it was sent, were not taken into account. The read of a body was not ended.

Change: what is known is the time limit, by which every request ends, and the longest possible output of a stream. After the first quarter of the shutdown time, a call is accepted only if its time limit comes before the end, a stream also by its length. The same is checked once more right before the first send, with the predicted first event of the replica.

--- a/edge/caller/memory.go
+++ b/edge/caller/memory.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -45,7 +46,9 @@
 	deadline := time.Now().Add(min(q.server.config.BodyTimeout, q.timeLeft(bootclock.Now())))
 	// Connections without deadline support, as in tests, are read without a timeout.
 	_ = control.SetReadDeadline(deadline)
-	q.bodyClaim = q.openClaim(bytebudget.KindBody, func() { _ = control.SetReadDeadline(time.Now()) })
+	stopReading := func() { _ = control.SetReadDeadline(time.Now()) }
+	q.bodyClaim = q.openClaim(bytebudget.KindBody, stopReading)
+	defer context.AfterFunc(q.server.ended, stopReading)()
 	var err error
 	q.body, err = membudget.ReadBody(q.httpRequest.Body, q.bodyClaim, q.httpRequest.ContentLength, limit, deadline)
 	if err == nil {
@@ -70,6 +73,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, membudget.ErrEvicted), errors.Is(err, membudget.ErrExhausted):
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the memory for callers is in use").WithCause(err).WithRetryAfter(min(memoryRetryAfter, max(q.timeLeft(bootclock.Now())/3, 0)))
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.server.ended.Err() != nil:
+		return errLeaving()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return verdict.New(verdict.NotRun, verdict.ReasonSlowCaller, "the body did not arrive in time").WithCause(err)
 	}
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -123,8 +123,8 @@
 	if q.service == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "the route's service is not configured").WithRetryAfter(time.Second)
 	}
-	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since) {
-		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
+	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since, 0) {
+		return errLeaving()
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body...)
 	if q.route.HasPrompt {
@@ -135,6 +135,11 @@
 	return nil
 }
 
+// errLeaving returns the error for a request that can't end before this host does.
+func errLeaving() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
+}
+
 // maxConfigurationWait is the longest time that a request waits for the first
 // configuration after the start of the host. A configuration of 1 MB, the largest value
 // of the store, takes 0.56 s on a link of 20 Mbit/s. The load balancer uses a host that
@@ -169,22 +174,43 @@
 	tokenTimeFactor = 1.6
 )
 
-// fitsIntoDrain reports whether a request that arrives the given time after the start of
-// draining is to be accepted. After the notice time the load balancer sends new connections
-// to other hosts, so that only requests are accepted that finish in time whatever the
-// length of their output.
-func (q *request) fitsIntoDrain(since time.Duration) bool {
+// fitsIntoDrain reports whether a request is to be accepted the given time after the start of
+// draining. What is passed on to a replica later than DrainAcceptTime must end before this host
+// does, since its caller could not know whether it has run. lateness is how much later than its
+// objective the first event is predicted.
+func (q *request) fitsIntoDrain(since, lateness time.Duration) bool {
 	c := q.server.config
-	switch {
-	case since <= c.DrainAcceptTime:
+	return since <= c.DrainAcceptTime || since+q.longestDuration(since, lateness) <= c.DrainDeadline
+}
+
+// longestDuration returns how long a request may take at a host that has been draining for the
+// given time. Every request ends by its time limit. Only a stream tells more: the length of its
+// output and, once the load balancer sends new connections to other hosts, its longest possible
+// output.
+func (q *request) longestDuration(since, lateness time.Duration) time.Duration {
+	limit := q.timeLeft(bootclock.Now())
+	if q.route.Repeat != catalog.RepeatStream || q.service.Engine == nil || q.headers.MaxOutputTokens == 0 {
+		return limit
+	}
+	expected := q.durationFor(q.headers.MaxOutputTokens)
+	if since <= q.server.config.DrainNotice {
+		expected = q.estimateDuration()
+	}
+	return min(limit, lateness+expected)
+}
+
+// canEndBeforeShutdown reports whether a request that no replica has received yet may be sent to
+// the assigned one. More is known than when it was admitted: how long it has waited, and when that
+// replica is predicted to send the first event.
+func (q *request) canEndBeforeShutdown(a control.Assignment) bool {
+	since, draining := q.server.timeSinceDrain()
+	if !draining || q.sendCount > 0 || q.mayHaveRun {
 		return true
-	case since <= c.DrainNotice:
-		return since+q.estimateDuration() <= c.DrainDeadline
 	}
-	return since+q.durationFor(q.headers.MaxOutputTokens) <= c.DrainDeadline
+	return q.fitsIntoDrain(since, max(a.PredictedFirstEvent-q.route.Objective, 0))
 }
 
-// estimateDuration estimates how long the request takes until its response is complete.
+// estimateDuration estimates how long a stream takes until it is complete.
 func (q *request) estimateDuration() time.Duration {
 	if q.headers.OutputTokensHint > 0 {
 		return q.durationFor(outputHintFactor * q.headers.OutputTokensHint)
@@ -192,12 +218,8 @@
 	return q.durationFor(q.headers.MaxOutputTokens)
 }
 
-// durationFor returns how long the request takes if its output has the given length. The
-// length matters only for streams.
+// durationFor returns how long a stream takes if its output has the given length.
 func (q *request) durationFor(tokens int) time.Duration {
-	if q.route.Repeat != catalog.RepeatStream || q.service.Engine == nil {
-		return q.route.Objective
-	}
 	return q.route.Objective + time.Duration(tokenTimeFactor*float64(tokens)*float64(q.service.Engine.StepTime))
 }
 
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -132,7 +132,8 @@
 	if o.sent {
 		q.sendCount++
 	}
-	canRetry := ctx.Err() == nil && !q.cannotContinue() && v.CanRetry(q.route.Repeatable()) && q.sendCount < q.route.MaxAttempts && len(q.triedReplicas) < maxReplicasTried
+	isLeaving := o.err != nil && o.err.Reason == verdict.ReasonShuttingDown
+	canRetry := ctx.Err() == nil && !isLeaving && !q.cannotContinue() && v.CanRetry(q.route.Repeatable()) && q.sendCount < q.route.MaxAttempts && len(q.triedReplicas) < maxReplicasTried
 	cause := error(o.err)
 	if o.err == nil {
 		cause = errReplicaFailed
@@ -201,7 +202,7 @@
 	reason := verdict.ReasonOverloaded
 	switch r.Reason {
 	case control.RefusedDraining:
-		return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
+		return errLeaving()
 	case control.RefusedNoReplica:
 		reason = verdict.ReasonNoEndpoint
 	case control.RefusedCrashSuspect, control.RefusedSuspectedPart, control.RefusedUnresolvedCrash:
@@ -245,6 +246,10 @@
 			return o
 		}
 	}
+	if !q.canEndBeforeShutdown(assignment) {
+		o = outcome{err: errLeaving(), health: health.Served}
+		return o
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, err := q.server.config.Pool.Do(sendCtx, q.replicaRequest(assignment, helpers))
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -73,6 +73,8 @@
 	StreamEvents int
 	// EventInterval is the pause after each event of a stream.
 	EventInterval time.Duration
+	// AnswerDelay is the time that the replica takes for a response that is not a stream.
+	AnswerDelay time.Duration
 	// EventBytes is the size to which the data of each event is padded.
 	EventBytes int
 	// UnreadTimeout is the time after which the replica cuts off a response of which nothing
@@ -335,6 +337,11 @@
 		fmt.Fprint(w, "half")
 		panic(http.ErrAbortHandler)
 	}
+	select {
+	case <-time.After(r.config.AnswerDelay):
+	case <-q.Context().Done():
+		return false
+	}
 	fmt.Fprintf(w, "answer of %s", r.config.ID)
 	return true
 }
