--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -63,7 +63,7 @@
 		}
 		if resp.Info.NotRun {
 			// The head alone says so. The rest of the refusal is lost.
-			return outcome{err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the refusal of the replica broke off").WithCause(err).WithRetryAfter(q.route.Objective), health: health.Broken}
+			return outcome{err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the refusal of the replica broke off").WithCause(err).WithRetryAfter(q.route.Objective), health: health.Broken, fault: faultOf(err)}
 		}
 		o := brokenOutcome("the answer broke off", err)
 		o.mayHaveCrashed, o.aborted, o.began = true, !endedByReplica(err), true
@@ -81,7 +81,7 @@
 
 // brokenOutcome returns the outcome of a send whose response is incomplete or invalid.
 func brokenOutcome(message string, err error) outcome {
-	return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "%s", message).WithCause(err), health: connectionOutcome(err)}
+	return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonEngineFailed, "%s", message).WithCause(err), health: connectionOutcome(err), fault: faultOf(err)}
 }
 
 // endedByReplica reports whether reading a response failed because the connection ended, and
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -42,6 +42,8 @@
 	failedHelper control.Target
 	// sent is set if the replica may have received any part of the request.
 	sent bool
+	// fault says why the response is not acceptable, if it is not.
+	fault replica.Fault
 }
 
 // sendUntilAnswered sends the request to replicas until one responds or no further send
@@ -219,6 +221,7 @@
 	var o outcome
 	eventsBefore := q.eventCount
 	defer func() {
+		q.recordFault(ctx, assignment, o)
 		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished, Events: q.eventCount - eventsBefore}, q.fingerprint)
 		if o.failedHelper.ID != "" {
 			// Without an assignment ID, only the outcome for the helper is recorded.
@@ -347,5 +350,8 @@
 		return o
 	}
 	o.mayHaveCrashed, o.aborted = o.sent, !endedByReplica(err)
+	if o.sent {
+		o.fault = replica.FaultOf(err)
+	}
 	return o
 }
