edge, fakes: broken answers, slow uploads and restarts in series in the soak

An eighth of the calls pause in the middle of their body for up to 0.25 s. A planned change restarts hosts in series, sooner than each is ready again, with settings and configurations in between.

--- a/edge/soak_faults_test.go
+++ b/edge/soak_faults_test.go
@@ -42,6 +42,7 @@
 	soakResponseModes = []platform.ResponseMode{
 		platform.ResponseComplete, platform.ResponseAtCapacity, platform.ResponseServerError, platform.ResponseTruncated, platform.ResponseAborted,
 		platform.ResponseHang, platform.ResponseUnstamped, platform.ResponseWrongID, platform.ResponseDuplicated, platform.ResponseMalformed, platform.ResponseRepeatedRefusal,
+		platform.ResponseBrokenHead, platform.ResponseCutHead, platform.ResponseEndless, platform.ResponseEarlyReset, platform.ResponseSlowRefusal,
 	}
 	soakStoreFaults = []platform.Fault{platform.FaultHang, platform.FaultUnavailable, platform.FaultTooManyRequests, platform.FaultReset, platform.FaultLostAnswer}
 	soakLinkModes   = []faultproxy.Mode{faultproxy.Delay, faultproxy.Blackhole, faultproxy.ToServerOnly, faultproxy.ToClientOnly, faultproxy.Reset}
@@ -165,10 +166,25 @@
 	return fmt.Sprintf("%s is restarted (killed: %t)", e.name, kill)
 }
 
+// restartInSeries stops and starts hosts one after the other, sooner than each is ready again, and
+// makes other changes in between.
+func (s *soak) restartInSeries() string {
+	text := "restarts in series"
+	for _, i := range s.random.Perm(len(s.hosts))[:1+s.random.IntN(len(s.hosts))] {
+		text += ", " + s.restartHost(i, false)
+		randomItem(s.random, s.hosts).reloadSettings()
+		s.configure()
+		time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	}
+	return text
+}
+
 // plannedChange makes a random change that operators make in normal operation, and returns
 // its description.
 func (s *soak) plannedChange() string {
-	switch s.random.IntN(7) {
+	switch s.random.IntN(8) {
+	case 7:
+		return s.restartInSeries()
 	case 0:
 		s.setKeys(s.random.IntN(2) == 0)
 		return fmt.Sprintf("configuration with keys %v", s.keys)
--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -293,6 +293,10 @@
 // revokedKey is revoked and allowed again; platform.SampleAPIKey is always valid.
 const revokedKey = "key-2"
 
+// maxBodyPause is the longest pause in the body of a call, which leaves hosts a margin before
+// defaultBodyTimeout.
+const maxBodyPause = 250 * time.Millisecond
+
 func soakCall(random *rand.Rand) platform.Call {
 	c := streamCall()
 	switch random.IntN(4) {
@@ -306,6 +310,9 @@
 	if random.IntN(4) == 0 {
 		c.APIKey = revokedKey
 	}
+	if random.IntN(8) == 0 {
+		c.BodyPause = time.Duration(random.IntN(int(maxBodyPause)))
+	}
 	return c
 }
 
--- a/fakes/platform/client.go
+++ b/fakes/platform/client.go
@@ -8,12 +8,35 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // Call describes a request that a caller sends.
 type Call struct {
 	Host, Path, Method, APIKey, Body string
 	Header                           map[string]string
+	// BodyPause is a pause in the middle of the body.
+	BodyPause time.Duration
+}
+
+// slowReader reads a text with a pause in its middle.
+type slowReader struct {
+	text  string
+	first int
+	pause time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	switch {
+	case r.text == "":
+		return 0, io.EOF
+	case r.first == 0:
+		time.Sleep(r.pause)
+		r.first = len(r.text)
+	}
+	n := copy(p, r.text[:r.first])
+	r.text, r.first = r.text[n:], r.first-n
+	return n, nil
 }
 
 // Reply is a response with its body. Err is set if the call failed or the body is
@@ -74,10 +97,17 @@
 func (c *Client) Send(ctx context.Context, address string, call Call) Reply {
 	reply := Reply{AttemptID: fmt.Sprintf("a%d", attemptCount.Add(1))}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reply.Connected, reply.Reused = true, i.Reused }})
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, strings.NewReader(call.Body))
+	var body io.Reader = strings.NewReader(call.Body)
+	if call.BodyPause > 0 {
+		body = &slowReader{text: call.Body, first: len(call.Body) / 2, pause: call.BodyPause}
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, body)
 	if err != nil {
 		return Reply{Err: err}
 	}
+	if call.BodyPause > 0 {
+		req.ContentLength = int64(len(call.Body))
+	}
 	// Without GetBody the transport can't retry a call whose body it has begun to
 	// send.
 	req.GetBody = nil
@@ -97,8 +127,8 @@
 		return reply
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	reply.Status, reply.Body, reply.Err = resp.StatusCode, string(body), err
+	data, err := io.ReadAll(resp.Body)
+	reply.Status, reply.Body, reply.Err = resp.StatusCode, string(data), err
 	reply.Header, reply.ClosesConnection = resp.Header, resp.Close
 	return reply
 }
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -50,6 +50,20 @@
 	ResponseRepeatedRefusal ResponseMode = "refusal again"
 	// ResponseMalformed sends bytes that are not an HTTP response.
 	ResponseMalformed ResponseMode = "garbage"
+	// ResponseBrokenHead sends a response whose head is not acceptable, each time another one of
+	// headtest.Broken, and leaves the connection open.
+	ResponseBrokenHead ResponseMode = "broken head"
+	// ResponseCutHead closes the connection in the middle of the head, each time after another
+	// number of bytes.
+	ResponseCutHead ResponseMode = "cut head"
+	// ResponseEndless sends bytes until the connection is closed, each time in another part of
+	// the response.
+	ResponseEndless ResponseMode = "endless"
+	// ResponseEarlyReset sends a part of a response without a length before it reads the body of
+	// the request, and resets the connection.
+	ResponseEarlyReset ResponseMode = "early reset"
+	// ResponseSlowRefusal rejects a request without running it, with a text that does not end.
+	ResponseSlowRefusal ResponseMode = "slow refusal"
 )
 
 // Run records a request that a replica ran.
@@ -101,9 +115,10 @@
 	isLeaving          bool
 	pause              string
 	refusedAt          []time.Time
-	// refusals counts the connections of ResponseRepeatedRefusal.
-	refusals int
-	crashed  bool
+	// refusals counts the connections of ResponseRepeatedRefusal, broken the responses of
+	// brokenResponse.
+	refusals, broken int
+	crashed          bool
 	// heldBytes is the size of the bodies of the running requests; see MaxHeldBytes.
 	heldBytes int
 	// advertised is the address in the replica's entry in the store.
@@ -259,6 +274,18 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if mode == ResponseSlowRefusal {
+		r.refuseSlowly(w, q)
+		return
+	}
+	if mode == ResponseEarlyReset {
+		run := r.recordRun(q, "")
+		r.brokenResponse(w, q, mode)
+		r.mu.Lock()
+		run.Ended = true
+		r.mu.Unlock()
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -328,6 +355,9 @@
 		h.Set("Attempt-Id", "another")
 	case ResponseMalformed, ResponseDuplicated:
 		return r.respondRaw(w, q, mode)
+	case ResponseBrokenHead, ResponseCutHead, ResponseEndless:
+		r.brokenResponse(w, q, mode)
+		return false
 	}
 	if r.config.StreamEvents > 0 {
 		return r.streamEvents(w, q, mode)
