--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -34,8 +34,9 @@
 // crowdSite is a fake store, replicas that keep no request, and one siskin-edge process that is
 // built without the race detector, which multiplies the memory in use.
 type crowdSite struct {
-	t    *testing.T
-	edge *edgeProcess
+	t     *testing.T
+	store *platform.Store
+	edge  *edgeProcess
 }
 
 // edgeProgram is the path of siskin-edge, built once for all tests. TestMain removes it.
@@ -101,7 +102,7 @@
 	e.start()
 	t.Cleanup(e.kill)
 	eventually(t, "the entry host is ready", e.isReady)
-	s := &crowdSite{t: t, edge: e}
+	s := &crowdSite{t: t, store: store, edge: e}
 	eventually(t, "an ordinary request is served", s.isServed)
 	return s
 }
