--- a/edge/late_requests_test.go
+++ b/edge/late_requests_test.go
@@ -15,16 +15,12 @@
 	"siskinstand.example/fakes/platform"
 )
 
-const (
-	// lateAnswerDelay is how long the replica of startSlowHost takes for a call, and
-	// lateTimeLimit the time limit of the routes there.
-	lateAnswerDelay = 1200 * time.Millisecond
-	lateTimeLimit   = 4 * time.Second
-)
+// lateTimeLimit is the time limit of the routes of startSlowHost.
+const lateTimeLimit = 4 * time.Second
 
-// startSlowHost starts an entry host before a slow plain service, whose objective is much shorter
-// than its time limit.
-func startSlowHost(t *testing.T) (*edgeProcess, *platform.Replica) {
+// startSlowHost starts an entry host before a plain service that takes the given time for a call.
+// Its objective is much shorter than its time limit.
+func startSlowHost(t *testing.T, answerDelay time.Duration) (*edgeProcess, *platform.Replica) {
 	t.Helper()
 	store := platform.NewStore()
 	t.Cleanup(store.Close)
@@ -35,7 +31,7 @@
 		route.(map[string]any)["target_latency_ms"] = 150
 	}
 	store.Put(platform.ConfigKey, c)
-	r, err := platform.NewReplica(platform.ReplicaConfig{ID: "i-app", Service: "app", Zone: "z1", Slots: 400, AnswerDelay: lateAnswerDelay})
+	r, err := platform.NewReplica(platform.ReplicaConfig{ID: "i-app", Service: "app", Zone: "z1", Slots: 400, AnswerDelay: answerDelay})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,8 +48,8 @@
 	id string
 }
 
-// begin sends the head of a call with a body of two bytes.
-func beginUpload(t *testing.T, e *edgeProcess, id string) slowUpload {
+// beginUpload sends the head of a call with a body of two bytes, and the first of them.
+func beginUpload(t *testing.T, e *edgeProcess, id string, timeLimit time.Duration) slowUpload {
 	t.Helper()
 	c, err := net.Dial("tcp4", e.callerAddress)
 	if err != nil {
@@ -61,7 +57,7 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	fmt.Fprintf(c, "POST /non_idempotent/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\nx",
-		platform.PlainHost, id, lateTimeLimit.Milliseconds(), platform.SampleAPIKey)
+		platform.PlainHost, id, timeLimit.Milliseconds(), platform.SampleAPIKey)
 	return slowUpload{c, id}
 }
 
@@ -86,48 +82,52 @@
 // Guards against calls that are read late in a planned stop, passed on, and ended at the end of
 // the shutdown time without the replica's answer: the caller of one that must not be repeated
 // can't know whether it has run. The host knows how long such a call may take, and refuses it
-// at once if that is too long.
+// at once if that is too long. It also guards against refusals of calls that end in time.
 func TestCallsLateInShutdown(t *testing.T) {
-	e, r := startSlowHost(t)
 	const (
 		count = 24
-		// firstEnd and lastEnd are when uploads end, counted from SIGTERM. Of shutdownTime, 3 s,
-		// a quarter is the time in which everything is accepted.
+		// firstEnd is when the first upload ends, counted from SIGTERM. Of shutdownTime, 3 s, a
+		// quarter is the time in which everything is accepted.
 		firstEnd = 800 * time.Millisecond
-		lastEnd  = 2200 * time.Millisecond
 		// maxRefusalTime is how soon a call that can't end in time is refused.
 		maxRefusalTime = 500 * time.Millisecond
 	)
-	startedAt := time.Now()
-	ended := make(chan error, 1)
-	var wg sync.WaitGroup
-	for i := range count {
-		end := firstEnd + (lastEnd-firstEnd)*time.Duration(i)/count
-		wg.Go(func() {
-			time.Sleep(time.Until(startedAt.Add(testNotice / 2))) // the host listens until the notice time is over
-			u := beginUpload(t, e, fmt.Sprintf("late-%d", i))
-			time.Sleep(time.Until(startedAt.Add(end)))
-			sentAt := time.Now()
-			status, body, err := u.finish()
-			took := time.Since(sentAt)
-			switch {
-			case err != nil:
-				t.Errorf("upload that ended %v after SIGTERM: %v", end, err)
-			case status == http.StatusOK && strings.HasPrefix(body, "answer of"):
-			case status == http.StatusServiceUnavailable && strings.Contains(body, `"not_run"`) && took < maxRefusalTime:
-				if ranAt(r, u.id) {
-					t.Errorf("upload that ended %v after SIGTERM: answer %d %s, but the replica has run it", end, status, body)
-				}
-			default:
-				t.Errorf("upload that ended %v after SIGTERM: answer %d %s after %v, want the replica's, or a refusal at once", end, status, body, took)
+	for name, tc := range map[string]struct {
+		answerDelay, timeLimit, lastEnd time.Duration
+		wantStatus                      int
+	}{
+		"limit after the end":  {1200 * time.Millisecond, lateTimeLimit, 2200 * time.Millisecond, http.StatusServiceUnavailable},
+		"limit before the end": {100 * time.Millisecond, 1900 * time.Millisecond, 1400 * time.Millisecond, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, r := startSlowHost(t, tc.answerDelay)
+			startedAt := time.Now()
+			ended := make(chan error, 1)
+			var wg sync.WaitGroup
+			for i := range count {
+				end := firstEnd + (tc.lastEnd-firstEnd)*time.Duration(i)/count
+				wg.Go(func() {
+					time.Sleep(time.Until(startedAt.Add(testNotice / 2))) // the host listens until the notice time is over
+					u := beginUpload(t, e, fmt.Sprintf("late-%d", i), tc.timeLimit)
+					time.Sleep(time.Until(startedAt.Add(end)))
+					sentAt := time.Now()
+					status, body, err := u.finish()
+					took := time.Since(sentAt)
+					isAnswer := status == http.StatusOK && strings.HasPrefix(body, "answer of")
+					isRefusal := status == http.StatusServiceUnavailable && strings.Contains(body, `"not_run"`) && took < maxRefusalTime && !ranAt(r, u.id)
+					if err != nil || status != tc.wantStatus || !isAnswer && !isRefusal {
+						t.Errorf("upload that ended %v after SIGTERM: answer %d %s, error %v, after %v, run %t; want status %d, from the replica or at once",
+							end, status, body, err, took, ranAt(r, u.id), tc.wantStatus)
+					}
+				})
+			}
+			go func() { ended <- e.terminate() }()
+			wg.Wait()
+			if err := <-ended; err != nil {
+				t.Errorf("the process ended with %v, want exit status 0", err)
 			}
 		})
 	}
-	go func() { ended <- e.terminate() }()
-	wg.Wait()
-	if err := <-ended; err != nil {
-		t.Errorf("the process ended with %v, want exit status 0", err)
-	}
 }
 
 func ranAt(r *platform.Replica, attemptID string) bool {
@@ -142,13 +142,13 @@
 // Guards against callers that get no answer from a host whose shutdown time is over: those of
 // requests that a replica still runs, and those whose body is still arriving.
 func TestAnswersAtEndOfShutdown(t *testing.T) {
-	e, r := startSlowHost(t)
+	e, r := startSlowHost(t, 0)
 	r.SetResponseMode(platform.ResponseHang)
 	const running, arriving = 300, 20
 	var wg sync.WaitGroup
 	for i := range running {
 		wg.Go(func() {
-			u := beginUpload(t, e, fmt.Sprintf("running-%d", i))
+			u := beginUpload(t, e, fmt.Sprintf("running-%d", i), lateTimeLimit)
 			status, body, err := u.finish()
 			if err != nil || status != http.StatusBadGateway || !strings.Contains(body, `"may_have_run"`) {
 				t.Errorf("request that the replica runs: answer %d %s, %v; want 502 may_have_run", status, body, err)
@@ -158,7 +158,7 @@
 	eventually(t, "the replica runs the requests", func() bool { return len(r.Runs()) == running })
 	for i := range arriving {
 		wg.Go(func() {
-			u := beginUpload(t, e, fmt.Sprintf("arriving-%d", i))
+			u := beginUpload(t, e, fmt.Sprintf("arriving-%d", i), lateTimeLimit)
 			status, body, err := u.read()
 			if err != nil || status != http.StatusServiceUnavailable || !strings.Contains(body, `"not_run"`) {
 				t.Errorf("request that is not read: answer %d %s, %v; want 503 not_run", status, body, err)
