edge/caller: hold requests that a replica refused to the end of the shutdown

A call that a replica had refused late in a shutdown was sent to another one whatever its time limit, and could be ended with 502 although its refusal was still true. Only requests that may have run are sent again without regard to the end. TestSendsWhileDraining failed in the case "late, after a refusal".

--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -199,12 +199,12 @@
 	return min(limit, lateness+expected)
 }
 
-// canEndBeforeShutdown reports whether a request that no replica has received yet may be sent to
-// the assigned one. More is known than when it was admitted: how long it has waited, and when that
-// replica is predicted to send the first event.
+// canEndBeforeShutdown reports whether a request may be sent to the assigned replica. More is known
+// than when it was admitted: how long it has waited, and when that replica is predicted to send the
+// first event. If the request may have run already, another send can only help its caller.
 func (q *request) canEndBeforeShutdown(a control.Assignment) bool {
 	since, draining := q.server.timeSinceDrain()
-	if !draining || q.sendCount > 0 || q.mayHaveRun {
+	if !draining || q.mayHaveRun {
 		return true
 	}
 	return q.fitsIntoDrain(since, max(a.PredictedFirstEvent-q.route.Objective, 0))
--- a/edge/caller/request_test.go
+++ b/edge/caller/request_test.go
@@ -7,6 +7,7 @@
 
 	"siskinstand.example/coord/catalog"
 	"siskinstand.example/coord/verdict"
+	"siskinstand.example/edge/control"
 	"siskinstand.example/platform"
 	"siskinstand.example/service/bootclock"
 )
@@ -73,6 +74,38 @@
 	}
 }
 
+// Guards against a request that has waited, or was refused by a replica, and is sent so late that
+// the host stops before its answer.
+func TestSendsWhileDraining(t *testing.T) {
+	call := &catalog.Route{Repeat: catalog.RepeatNever, Objective: 150 * time.Millisecond}
+	stream := &catalog.Route{Repeat: catalog.RepeatStream, Objective: 300 * time.Millisecond}
+	for name, test := range map[string]struct {
+		route      *catalog.Route
+		since      time.Duration
+		predicted  time.Duration
+		sendCount  int
+		mayHaveRun bool
+		want       bool
+	}{
+		"at first":                       {call, time.Second, 0, 0, false, true},
+		"late":                           {call, 6 * time.Second, 0, 0, false, false},
+		"late, after a refusal":          {call, 6 * time.Second, 0, 1, false, false},
+		"late, after a run":              {call, 6 * time.Second, 0, 1, true, true},
+		"stream at a free replica":       {stream, 3 * time.Second, 300 * time.Millisecond, 0, false, true},
+		"stream at a replica with a lot": {stream, 3 * time.Second, 4 * time.Second, 0, false, false},
+	} {
+		s := &Server{config: Config{DrainAcceptTime: 2 * time.Second, DrainNotice: 2500 * time.Millisecond, DrainDeadline: 7200 * time.Millisecond}}
+		s.drainStartedAt.Store(int64(bootclock.Now() - test.since))
+		q := &request{
+			server: s, route: test.route, service: &catalog.Service{Engine: &catalog.Engine{StepTime: time.Millisecond}}, headers: platform.CallerHeaders{MaxOutputTokens: 1000},
+			received: bootclock.Now(), timeout: 10 * time.Second, sendCount: test.sendCount, mayHaveRun: test.mayHaveRun,
+		}
+		if got := q.canEndBeforeShutdown(control.Assignment{PredictedFirstEvent: test.predicted}); got != test.want {
+			t.Errorf("%s: sent %t, want %t", name, got, test.want)
+		}
+	}
+}
+
 func TestStatusCode(t *testing.T) {
 	// Guards against a wrong status: 503 guarantees that a request has not run and never will.
 	for name, test := range map[string]struct {
