--- a/edge/soak_faults_test.go
+++ b/edge/soak_faults_test.go
@@ -53,8 +53,8 @@
 func (s *soak) injectFault() string {
 	hostIndex := s.random.IntN(len(s.hosts))
 	e := s.hosts[hostIndex]
-	switch s.random.IntN(14) {
-	case 0, 1:
+	switch s.random.IntN(16) {
+	case 0, 1, 14, 15:
 		responseMode, r := randomItem(s.random, soakResponseModes), s.randomReplica()
 		r.SetPause(randomItem(s.random, []string{"", "0.5", "1", "soon"}))
 		r.SetResponseMode(responseMode)
