--- a/adapters/engine/endless_test.go
+++ b/adapters/engine/endless_test.go
@@ -1,51 +1,15 @@
 package engine
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
-)
 
-// serveEndless sends a prefix to each request and then repeats a filler until the connection is
-// closed. The counter is the number of bytes sent.
-func serveEndless(t *testing.T, prefix, filler string) (address string, sent *atomic.Int64) {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	sent = &atomic.Int64{}
-	block := strings.Repeat(filler, max(1, 16<<10/len(filler)))
-	serve := func(c net.Conn) {
-		defer c.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		n, err := io.WriteString(c, prefix)
-		for err == nil {
-			sent.Add(int64(n))
-			n, err = io.WriteString(c, block)
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String(), sent
-}
+	"siskinstand.example/coord/responsehead/headtest"
+)
 
 // Guards against an engine that sends bytes without end: a sidecar that keeps them runs out of
 // memory, and all requests on its host end with it.
@@ -79,8 +43,8 @@
 	} {
 		for call, do := range calls {
 			t.Run(name+"/"+call, func(t *testing.T) {
-				address, sent := serveEndless(t, tc.prefix, tc.filler)
-				client := NewModelClient(address, DefaultLimits())
+				var sent atomic.Int64
+				client := NewModelClient(headtest.ServeEndless(t, tc.prefix, tc.filler, func(n int) { sent.Add(int64(n)) }), DefaultLimits())
 				var before, after runtime.MemStats
 				runtime.ReadMemStats(&before)
 				startedAt := time.Now()
--- a/adapters/httpclient/transport_test.go
+++ b/adapters/httpclient/transport_test.go
@@ -19,23 +19,13 @@
 // closes the connection after the text if closes is set.
 func serve(t *testing.T, text string, closes bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	handle := func(c net.Conn) {
-		defer c.Close()
+	return "http://" + headtest.Listen(t, func(c net.Conn) {
 		for r := bufio.NewReader(c); ; {
-			q, err := http.ReadRequest(r)
-			if err != nil {
+			q, body, err := headtest.ReadRequest(r)
+			switch {
+			case err != nil:
 				return
-			}
-			body, err := io.ReadAll(q.Body)
-			if err != nil {
-				return
-			}
-			if q.URL.Path != "/broken" {
+			case q.URL.Path != "/broken":
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 				continue
 			}
@@ -44,17 +34,7 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go handle(c)
-		}
-	}()
-	return "http://" + l.Addr().String()
+	})
 }
 
 func newClient(t *testing.T) *http.Client {
--- a/edge/caller/broken_head_test.go
+++ b/edge/caller/broken_head_test.go
@@ -34,32 +34,13 @@
 
 func (r *brokenReplica) start(t *testing.T) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	r.address = l.Addr().String()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(c)
-		}
-	}()
+	r.address = headtest.Listen(t, r.serve)
 }
 
 func (r *brokenReplica) serve(c net.Conn) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for n := 0; ; n++ {
-		q, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(q.Body)
+		q, body, err := headtest.ReadRequest(reader)
 		if err != nil {
 			return
 		}
--- a/edge/caller/refusal_body_test.go
+++ b/edge/caller/refusal_body_test.go
@@ -10,44 +10,27 @@
 	"strings"
 	"testing"
 	"time"
+
+	"siskinstand.example/coord/responsehead/headtest"
 )
 
 // serveRefusals refuses each request with the given rest of a response, and then repeats the
 // filler, if there is one, at an interval.
 func serveRefusals(t *testing.T, rest, filler string, interval time.Duration) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	serve := func(c net.Conn) {
-		defer c.Close()
+	return headtest.Listen(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
-		q, err := http.ReadRequest(r)
+		q, _, err := headtest.ReadRequest(r)
 		if err != nil {
 			return // a probe
 		}
-		if _, err := io.Copy(io.Discard, q.Body); err != nil {
-			return
-		}
 		_, err = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\n%s", q.Header.Get("Attempt-Id"), rest)
 		for err == nil && filler != "" {
 			time.Sleep(interval)
 			_, err = io.WriteString(c, filler)
 		}
 		_, _ = r.ReadByte() // the host closes the connection
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a refusal whose text does not end: the head alone says that the request was not
--- a/edge/replica/reserve_test.go
+++ b/edge/replica/reserve_test.go
@@ -1,11 +1,7 @@
 package replica
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,19 +45,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var sent atomic.Int64
-			s := serveRaw(t, func(s *rawServer, c net.Conn, r *bufio.Reader) {
-				if _, ok := s.readRequest(r); !ok {
-					return
-				}
-				block := strings.Repeat(tc.filler, max(1, 16<<10/len(tc.filler)))
-				n, err := io.WriteString(c, tc.prefix)
-				for err == nil {
-					sent.Add(int64(n))
-					n, err = io.WriteString(c, block)
-				}
-			})
+			address := headtest.ServeEndless(t, tc.prefix, tc.filler, func(n int) { sent.Add(int64(n)) })
 			startedAt := time.Now()
-			_, err := testPool(t).Reserve(t.Context(), "e1", []ReservationTarget{{ID: "i-1", Address: s.address, Tokens: 1}})
+			_, err := testPool(t).Reserve(t.Context(), "e1", []ReservationTarget{{ID: "i-1", Address: address, Tokens: 1}})
 			if err == nil {
 				t.Error("memory counts as reserved")
 			}
