httpclient: do not let net/http send a call again after a broken head

A call without a body whose response on a kept connection had a broken head was sent to the server once more: the conn hid the bytes from net/http, which then took the connection for one that had closed before any answer.

TestBrokenHeadIsNotAskedAgain failed in 78 of 78 cases ("2 calls arrived") and passes in 3 runs with the race detector.

--- a/adapters/httpclient/transport.go
+++ b/adapters/httpclient/transport.go
@@ -127,7 +127,8 @@
 }
 
 // Read fails as soon as a byte of a head is not acceptable, so that the call does not wait for
-// the rest of it.
+// the rest of it. It returns the bytes, too: net/http sends some requests again if no byte of a
+// response has arrived.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -136,7 +137,7 @@
 		return n, err
 	}
 	if c.head.Feed(p[:n]); c.head.Err() != nil {
-		return 0, c.head.Err()
+		return n, c.head.Err()
 	}
 	return n, err
 }
--- a/adapters/httpclient/transport_test.go
+++ b/adapters/httpclient/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +109,38 @@
 		})
 	}
 }
+
+// Guards against a call without a body that net/http sends again, unnoticed, because the response
+// on a kept connection is broken.
+func TestBrokenHeadIsNotAskedAgain(t *testing.T) {
+	for _, tc := range headtest.Broken("X-Id: 1\r\n") {
+		t.Run(tc.Name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			url := "http://" + headtest.Listen(t, func(c net.Conn) {
+				for r := bufio.NewReader(c); ; {
+					q, _, err := headtest.ReadRequest(r)
+					switch {
+					case err != nil:
+						return
+					case q.URL.Path == "/broken":
+						calls.Add(1)
+						fmt.Fprint(c, tc.Text)
+					default:
+						fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+					}
+				}
+			})
+			client := newClient(t)
+			for _, path := range []string{"/", "/broken"} {
+				response, err := client.Get(url + path)
+				if err == nil {
+					response.Body.Close()
+				}
+			}
+			if n := calls.Load(); n != 1 {
+				t.Errorf("%d calls arrived, want 1", n)
+			}
+		})
+	}
+}
