--- /dev/null
+++ b/e2e/broken_service_test.go
@@ -0,0 +1,102 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinstand.example/adapters/hostlist"
+	"siskinstand.example/coord/config"
+	"siskinstand.example/coord/responsehead/headtest"
+	fakehosts "siskinstand.example/fakes/hostlist"
+)
+
+// serviceTimeLimit is the time limit of the calls to the service of startServiceStack.
+const serviceTimeLimit = 5 * time.Second
+
+// startServiceStack starts a gateway and a sidecar beside the plain service at an address, and
+// returns the address of the gateway.
+func startServiceStack(t *testing.T, service string) string {
+	t.Helper()
+	dir := t.TempDir()
+	listen, sidecarAdmin := freeAddress(t), freeAddress(t)
+	settings := writeFile(t, dir, "host-1.ini", fmt.Sprintf(
+		"[endpoint]\nname = host-1\nzone = zone-a\nkind = plain\n[listen]\naddress = %s\n[admin]\naddress = %s\n[engine]\naddress = %s\n", listen, sidecarAdmin, service))
+	startProgram(t, dir, "sidecar", "host-1", settings, sidecarAdmin)
+	hosts := startServer(t, fakehosts.New([]hostlist.Host{{
+		Name: "host-1", Zone: "zone-a", Role: hostlist.RoleEndpoint, Service: "app", Address: listen, Incarnation: 1, State: hostlist.StateLive,
+	}}, fakehosts.Switches{}).Handler())
+	tokenHash := config.HashToken(token)
+	routes := writeFile(t, dir, "routes.ini", fmt.Sprintf("[account e2e]\ntoken_sha256 = %s\n[route app]\naccounts = e2e\nservice = app\npool = app\nrepeatable = yes\ntimeout_ms = %d\n", hex.EncodeToString(tokenHash[:]), serviceTimeLimit.Milliseconds()))
+	pools := writeFile(t, dir, "pools.ini", "[pool app]\nkind = plain\nservice = app\n")
+	callers, admin := freeAddress(t), freeAddress(t)
+	settings = writeFile(t, dir, "gateway.ini", fmt.Sprintf(
+		"[process]\nid = gateway-1\nzone = zone-a\n[callers]\naddress = %s\n[admin]\naddress = %s\n[tables]\nroutes = %s\npools = %s\n[platform]\nhost_list = http://%s\n[shutdown]\nnotice = 0s\n",
+		callers, admin, routes, pools, hosts.Address()))
+	startProgram(t, dir, "gateway", "gateway", settings, admin)
+	return callers
+}
+
+// Guards against a broken response of a plain service that callers of the gateway get as an
+// answer.
+func TestBrokenServiceResponse(t *testing.T) {
+	const fields = "Content-Type: text/plain\r\n"
+	cases := append(headtest.Broken(fields), headtest.Cut(fields)[40])
+	service := headtest.Listen(t, func(c net.Conn) {
+		for r := bufio.NewReader(c); ; {
+			q, _, err := headtest.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			var n int
+			if _, err := fmt.Sscanf(q.URL.Path, "/broken/%d", &n); err == nil {
+				fmt.Fprint(c, cases[n].Text)
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+		}
+	})
+	gateway := startServiceStack(t, service)
+	call := func(path string) (int, string) {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+gateway+"/services/app"+path, strings.NewReader("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Header.Set("Authorization", "Bearer "+token)
+		response, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+		return response.StatusCode, string(body)
+	}
+	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		status, body := call("/sound")
+		if status == http.StatusOK && body == "whole" {
+			break
+		}
+		if time.Since(start) > serviceTimeLimit {
+			t.Fatalf("answer %d %s of the sound service", status, body)
+		}
+	}
+	for n, tc := range cases {
+		t.Run(tc.Name, func(t *testing.T) {
+			if status, body := call(fmt.Sprintf("/broken/%d", n)); status != http.StatusBadGateway || !strings.Contains(body, `"may_have_run"`) {
+				t.Errorf("answer %d %s, want 502 may_have_run", status, body)
+			}
+			if status, body := call("/sound"); status != http.StatusOK || body != "whole" {
+				t.Errorf("answer %d %s of the sound service", status, body)
+			}
+		})
+	}
+}
