--- a/edge/caller/memory.go
+++ b/edge/caller/memory.go
@@ -74,7 +74,7 @@
 	case errors.Is(err, membudget.ErrEvicted), errors.Is(err, membudget.ErrExhausted):
 		return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the memory for callers is in use").WithCause(err).WithRetryAfter(min(memoryRetryAfter, max(q.timeLeft(bootclock.Now())/3, 0)))
 	case errors.Is(err, os.ErrDeadlineExceeded) && q.server.ended.Err() != nil:
-		return errLeaving()
+		return leavingError()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return verdict.New(verdict.NotRun, verdict.ReasonSlowCaller, "the body did not arrive in time").WithCause(err)
 	}
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -124,7 +124,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonUnknownService, "the route's service is not configured").WithRetryAfter(time.Second)
 	}
 	if since, draining := q.server.timeSinceDrain(); draining && !q.fitsIntoDrain(since, 0) {
-		return errLeaving()
+		return leavingError()
 	}
 	q.fingerprint = fingerprint(q.httpRequest, q.headers.Key, q.body...)
 	if q.route.HasPrompt {
@@ -135,8 +135,8 @@
 	return nil
 }
 
-// errLeaving returns the error for a request that can't end before this host does.
-func errLeaving() *verdict.Error {
+// leavingError returns the error for a request that can't end before this host does.
+func leavingError() *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.ReasonShuttingDown, "this host is leaving").WithRetryAfter(otherHostRetryAfter)
 }
 
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -204,7 +204,7 @@
 	reason := verdict.ReasonOverloaded
 	switch r.Reason {
 	case control.RefusedDraining:
-		return errLeaving()
+		return leavingError()
 	case control.RefusedNoReplica:
 		reason = verdict.ReasonNoEndpoint
 	case control.RefusedCrashSuspect, control.RefusedSuspectedPart, control.RefusedUnresolvedCrash:
@@ -250,7 +250,7 @@
 		}
 	}
 	if !q.canEndBeforeShutdown(assignment) {
-		o = outcome{err: errLeaving(), health: health.Served}
+		o = outcome{err: leavingError(), health: health.Served}
 		return o
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
