responsehead: decide in one place when a body is complete

edge/replica and httpclient had the rule for a body that ends with its connection twice. EndOfBody has it once; 2 readers use it. No change in behaviour: TestEarlyAnswer and TestEarlyResponse pass as before.

--- a/adapters/httpclient/transport.go
+++ b/adapters/httpclient/transport.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -70,15 +69,11 @@
 	conn *conn
 }
 
-// errRequestCut ends a body of which nothing tells whether it is complete.
-var errRequestCut = fmt.Errorf("body without a length on a connection that broke while the request was written: %w", io.ErrUnexpectedEOF)
-
-// Read returns io.EOF only if the server has closed the connection without a reset. A write that
-// fails takes the error of the connection, and a reset then looks like a proper end to reads.
+// Read returns io.EOF only if the body is complete.
 func (b untilClose) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.conn.isWriteBroken() {
-		return n, errRequestCut
+	if errors.Is(err, io.EOF) {
+		err = responsehead.EndOfBody(true, b.conn.isWriteBroken())
 	}
 	return n, err
 }
--- a/coord/responsehead/checker.go
+++ b/coord/responsehead/checker.go
@@ -1,6 +1,7 @@
-// Package responsehead decides which bytes are an acceptable head of an HTTP/1 response. It is
-// stricter than net/http, which is lenient with faulty servers: what it reads there depends on
-// how it repairs the head, and a proxy would pass the result on as the server's response.
+// Package responsehead decides which bytes are an acceptable head of an HTTP/1 response, and when
+// a body that ends with its connection is complete. It is stricter than net/http, which is lenient
+// with faulty servers: what it reads there depends on how it repairs the head, and a proxy would
+// pass the result on as the server's response.
 package responsehead
 
 import (
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/responsehead"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform"
 )
@@ -59,8 +60,7 @@
 	// EndsWithConnection is set if the body has neither a length nor chunks, so that a
 	// replica that has ended looks like the end of the body.
 	EndsWithConnection bool
-	// requestCut is set if the connection broke while the request was written. The failed write
-	// has taken the error of the connection, so that a reset looks like a proper end to reads.
+	// requestCut is set if the connection broke while the request was written.
 	requestCut bool
 
 	pool     *Pool
@@ -232,9 +232,6 @@
 // used again. It fails if the rest does not arrive at once; Close then closes the connection.
 func (r *Response) Discard() error { return r.conn.discard(r) }
 
-// errRequestCut ends a body of which nothing tells whether it is complete.
-var errRequestCut = fmt.Errorf("body without a length on a connection that broke while the request was written: %w", io.ErrUnexpectedEOF)
-
 // Read reads the body. It returns io.EOF only if the body is complete. A body without a
 // length counts as complete when the replica closes the connection without a reset, after the
 // request has been written.
@@ -247,10 +244,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if r.EndsWithConnection && r.requestCut {
-		return n, errRequestCut
-	}
-	r.complete = true
+	err = responsehead.EndOfBody(r.EndsWithConnection, r.requestCut)
+	r.complete = errors.Is(err, io.EOF)
 	return n, err
 }
 
