--- a/edge/soak_faults_test.go
+++ b/edge/soak_faults_test.go
@@ -48,6 +48,9 @@
 	soakLinkModes   = []faultproxy.Mode{faultproxy.Delay, faultproxy.Blackhole, faultproxy.ToServerOnly, faultproxy.ToClientOnly, faultproxy.Reset}
 )
 
+// soakAnswerDelays are the times that replicas take for a call.
+var soakAnswerDelays = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
+
 // injectFault injects a random fault, or makes a planned change, and returns its
 // description.
 func (s *soak) injectFault() string {
--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -180,6 +180,8 @@
 	c := platform.ReplicaConfig{ID: fmt.Sprintf("i-%s-%d", service, s.replicaCount), Service: service, Zone: fmt.Sprintf("z%d", s.replicaCount%2+1), Slots: 16, EventInterval: soakEventInterval}
 	if service == "llm" {
 		c.StreamEvents = soakEvents
+	} else {
+		c.AnswerDelay = soakAnswerDelays[s.replicaCount%len(soakAnswerDelays)]
 	}
 	r, err := platform.NewReplica(c)
 	if err != nil {
