coord/inflight: keep to the limit of a replica when requests come slowly

What callers saw: with [placement] replica_memory, one host admitted more bytes to a replica than [replicas] max_bytes, the replica crashed, and all its requests got 502 (TestReplicaMemory: 10 requests of 900 KiB at a limit of 8 MiB).

Cause: requests that other hosts may not know of are admitted by two rules, each up to half of what is free. As they become known, less is free and both halves shrink, but what one rule had admitted before still counted against its own half only, so that the other rule could exceed the sum.

Change: a request is also refused if it exceeds the sum of both parts.

TestLimitOverTime has no network and failed for steps of 29 ms and others (9216000 bytes of 8388608). A first guess, that replicas hold requests for a moment after they were cut off, was tried and refuted: 12 of 40 failed.

--- a/coord/inflight/admit.go
+++ b/coord/inflight/admit.go
@@ -42,10 +42,17 @@
 func (t *Tracker) Admit(now time.Duration, r Replica, bytes int64, hosts Hosts) Admission {
 	byShare, byOwnership := t.recent(now, r.ID, hosts.Delay)
 	half := (t.config.MaxBytes - (t.Bytes(now, r.ID) - byShare - byOwnership)) / 2
-	if byShare+bytes <= half/int64(max(1, hosts.Count)) {
-		return ByShare
+	share, owned := half/int64(max(1, hosts.Count)), int64(0)
+	if owners, isOwner := hosts.owners(r); isOwner {
+		owned = half / int64(owners)
 	}
-	if owners, isOwner := hosts.owners(r); isOwner && byOwnership+bytes <= half/int64(owners) {
+	switch {
+	case byShare+byOwnership+bytes > share+owned:
+		// What was admitted by one rule, when more was free, may exceed its part by now.
+		return Refused
+	case byShare+bytes <= share:
+		return ByShare
+	case byOwnership+bytes <= owned:
 		return ByOwnership
 	}
 	return Refused
--- a/coord/inflight/tracker_test.go
+++ b/coord/inflight/tracker_test.go
@@ -197,3 +197,27 @@
 		t.Error("half an entry was accepted")
 	}
 }
+
+// Guards against requests that exceed the limit of a replica because they come about as slowly as
+// the other hosts learn of them: as the earlier ones become known, the two halves of what is free
+// shrink, and one of them may hold more than that already.
+func TestLimitOverTime(t *testing.T) {
+	const maxBytes, bytes, delay = 8 << 20, 900 << 10, 200 * time.Millisecond
+	for _, hosts := range []int{1, 2, 5} {
+		for step := time.Millisecond; step <= delay; step += time.Millisecond {
+			tracker := New(Config{MaxBytes: maxBytes, Expiry: time.Hour})
+			var held int64
+			for i := range 200 {
+				now := time.Second + time.Duration(i)*step
+				r := Replica{ID: 1, Count: 1}
+				if by := tracker.Admit(now, r, bytes, Hosts{Count: hosts, Delay: delay}); by != Refused {
+					tracker.Add(now, uint64(i), r.ID, bytes, by)
+					held += bytes
+				}
+			}
+			if held > maxBytes {
+				t.Errorf("%d hosts, a request every %v: %d bytes admitted, want at most %d", hosts, step, held, maxBytes)
+			}
+		}
+	}
+}
