service/http1: keep a refused connection open for callers that still send

Callers that were refused while they sent a long body, as with a 413, got "broken pipe" instead of the refusal. After the response the server read 2 MiB more and then closed the connection at once, which resets it; a caller whose write fails before its reader has run reports the failed write.

The connection now stays open, without being read further, until drainTimeout (0.5 s) is over, as net/http does for a body that it does not read. The limit of such connections closes the oldest instead of the newest, whose caller has had no time to read.

--- a/service/http1/limits.go
+++ b/service/http1/limits.go
@@ -22,9 +22,6 @@
 	// connectionMargin is the divisor for how far the number of connections may exceed
 	// MaxConnections while stalled ones are being closed.
 	connectionMargin = 8
-	// maxLingering is the divisor for how many of MaxConnections may be drained at a time after
-	// their last response. Further ones are closed at once.
-	maxLingering = 4
 )
 
 // admit charges a new connection and makes room for it by cutting off a stalled one. It returns
@@ -101,14 +98,6 @@
 	}
 }
 
-// DrainOnClose makes the server close the connection of a request without resetting it after the
-// response, so that a caller that is still sending its body receives the response.
-func DrainOnClose(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-		c.drainsOnClose.Store(true)
-	}
-}
-
 // sendRejection reports a rejection and sends an error response without involving net/http.
 func (c *conn) sendRejection(status int, fields string) {
 	c.awaitsHeader.Store(false)
--- a/service/http1/limits_test.go
+++ b/service/http1/limits_test.go
@@ -17,13 +17,17 @@
 	"siskinstand.example/service/membudget"
 )
 
-// Guards against idle connections that keep new ones out, against running requests that are cut
-// off for new ones, and against refusals that do not arrive.
-func TestMaxConnections(t *testing.T) {
-	memory := membudget.New(bytebudget.Config{
+func newTestMemory() *membudget.Budget {
+	return membudget.New(bytebudget.Config{
 		Limit: 1 << 20, Reserve: 1 << 20, SmallBytes: 64 << 10, Share: 1, BodyShare: 1,
 		StallTime: time.Minute, ProgressBytes: 1, QuietTime: 20 * time.Millisecond, MaxClaims: 100,
 	}, tally.NoopScope)
+}
+
+// Guards against idle connections that keep new ones out, against running requests that are cut
+// off for new ones, and against refusals that do not arrive.
+func TestMaxConnections(t *testing.T) {
+	memory := newTestMemory()
 	release := make(chan struct{})
 	server := New(Config{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/service/http1/reject.go
+++ b/service/http1/reject.go
@@ -74,45 +74,6 @@
 	return status
 }
 
-const (
-	// drainTimeout and maxDrainBytes limit how much is read from a caller that is
-	// still sending after it got its response. net/http keeps such a connection
-	// open for 0.5 s. A caller that reads while it sends needs none of it, and one
-	// that sends all before it reads gets its response if it sends no more than this
-	// above the limit.
-	drainTimeout  = 500 * time.Millisecond
-	maxDrainBytes = 2 << 20
-)
-
-// CloseWrite closes the write side, discards further input until drainTimeout or
-// maxDrainBytes is reached, and then closes the connection. It does not wait for that.
-// Closing a connection with unread input resets it, and the caller may lose the
-// response.
-func (c *conn) CloseWrite() error {
-	if !c.isDraining.CompareAndSwap(false, true) {
-		return nil
-	}
-	// net/http keeps the connection for another 0.5 s, in which it holds nothing.
-	c.server.track(c, false)
-	c.claim.Close()
-	// The connections of a netutil.LimitListener do not implement CloseWrite.
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite() // if the connection is closed, the read below ends
-	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
-	limit := c.server.config.MaxConnections
-	if lingering := c.server.lingering.Add(1); limit > 0 && int(lingering) > max(1, limit/maxLingering) {
-		c.server.lingering.Add(-1)
-		return c.Conn.Close()
-	}
-	go func() {
-		defer c.server.lingering.Add(-1)
-		defer c.Conn.Close()
-		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes) // ends when the caller closes the connection or a limit is reached
-	}()
-	return nil
-}
-
 // Close closes the connection. A connection that is being drained is closed later, at
 // the end of the drain.
 func (c *conn) Close() error {
--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"siskinstand.example/service/membudget"
@@ -71,8 +70,7 @@
 	// acceptLoops counts the running accept loops. Each may have accepted a
 	// connection that is not in conns yet.
 	acceptLoops sync.WaitGroup
-	// lingering counts the connections that are being drained; see CloseWrite.
-	lingering atomic.Int64
+	lingering   lingerList
 }
 
 type connKey struct{}
