service/http1: wait in Shutdown for refused callers that still send

A caller that was refused without net/http (an invalid request, a header that came too late, a connection beyond the maximum) while it was still sending got a failed write instead of the refusal if the process stopped within 0.5 s: Shutdown did not count connections whose write side was closed, and the exit of the process reset them. Shutdown now waits for them within its context.

--- a/service/http1/linger.go
+++ b/service/http1/linger.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -45,6 +46,26 @@
 	}
 }
 
+func (l *lingerList) isEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) == 0
+}
+
+// wait returns when no connection is left, or with the error of ctx.
+func (l *lingerList) wait(ctx context.Context) error {
+	ticker := time.NewTicker(shutdownPollInterval)
+	defer ticker.Stop()
+	for !l.isEmpty() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // DrainOnClose makes the server close the connection of a request without resetting it after the
 // response, so that a caller that is still sending its body receives the response.
 func DrainOnClose(r *http.Request) {
--- a/service/http1/linger_test.go
+++ b/service/http1/linger_test.go
@@ -36,10 +36,10 @@
 }
 
 // sendLongBody sends a request with a long body. The error of the write arrives on the channel.
-func (c testClient) sendLongBody() <-chan error {
+func (c testClient) sendLongBody(method string) <-chan error {
 	written := make(chan error, 1)
 	go func() {
-		_, err := fmt.Fprintf(c.Conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", longBodyBytes)
+		_, err := fmt.Fprintf(c.Conn, "%s / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", method, longBodyBytes)
 		part := make([]byte, 64<<10)
 		for n := 0; n < longBodyBytes && err == nil; n += len(part) {
 			_, err = c.Write(part)
@@ -59,21 +59,25 @@
 		// earlier is the number of other callers that do not read their response.
 		earlier int
 		act     func(s *Server) <-chan error
+		method  string
+		status  int
+		body    string
 	}{
-		"alone":           {maxConnections: 0},
-		"after others":    {maxConnections: 2 * maxLingering, earlier: 3},
-		"during shutdown": {act: func(s *Server) <-chan error { return shutDownThenClose(t.Context(), s) }},
+		"alone":                            {method: "POST", status: 413, body: "refused"},
+		"after others":                     {maxConnections: 2 * maxLingering, earlier: 3, method: "POST", status: 413, body: "refused"},
+		"during shutdown":                  {act: shutDown, method: "POST", status: 413, body: "refused"},
+		"during shutdown, invalid request": {act: shutDown, method: "\x01", status: 400, body: "400 Bad Request"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			server, address := startRefusing(t, tc.maxConnections)
 			s := &testServer{t: t, address: address}
 			for range tc.earlier {
-				s.dial().sendLongBody()
+				s.dial().sendLongBody(tc.method)
 				time.Sleep(20 * time.Millisecond)
 			}
 			c := s.dial()
-			written := c.sendLongBody()
+			written := c.sendLongBody(tc.method)
 			time.Sleep(20 * time.Millisecond)
 			var result <-chan error
 			if tc.act != nil {
@@ -89,17 +93,22 @@
 				t.Fatalf("Shutdown = %v before the response was read", err)
 			default:
 			}
-			c.expectResponse(http.StatusRequestEntityTooLarge, "refused")
+			c.expectResponse(tc.status, tc.body)
 			if err := <-written; err == nil {
 				t.Error("the whole body was read, want it to exceed maxDrainBytes")
 			}
+			if tc.act != nil {
+				if err := <-result; err != nil {
+					t.Errorf("Shutdown = %v", err)
+				}
+			}
 		})
 	}
 }
 
-// shutDownThenClose does what a process does before it exits.
-func shutDownThenClose(ctx context.Context, s *Server) <-chan error {
+// shutDown does what a process does before it exits.
+func shutDown(s *Server) <-chan error {
 	result := make(chan error, 1)
-	go func() { result <- errors.Join(s.Shutdown(ctx), s.Close()) }()
+	go func() { result <- errors.Join(s.Shutdown(context.Background()), s.Close()) }()
 	return result
 }
--- a/service/http1/server.go
+++ b/service/http1/server.go
@@ -172,9 +172,10 @@
 	retireTimeout = 4 * shutdownPollInterval
 )
 
-// Shutdown stops accepting connections and waits for running requests until ctx is
-// done. A request of which the server has read the first byte still gets a response,
-// whereas the Shutdown of net/http reads it and closes the connection.
+// Shutdown stops accepting connections and waits until ctx is done for running requests and
+// for callers that are still sending after their last response; see CloseWrite. A request of
+// which the server has read the first byte still gets a response, whereas the Shutdown of
+// net/http reads it and closes the connection.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.isClosing = true
@@ -189,7 +190,7 @@
 	if err := s.httpServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	return nil
+	return s.lingering.wait(ctx)
 }
 
 // retireConns retires connections until none is left. If ctx ends first, it retires all
