service/http1: do not count connections that their callers have closed

Ordinary callers got 503 from a host that was far from its maximum of connections: 60 callers with a new connection for each request, maximum 76.

A trace of the refusals shows 76 or 77 open connections, 17 to 20 of them closed by their callers: on a busy host they count until their goroutines have run. When the maximum is reached, TCP_INFO of up to 256 open connections now tells how many are closed; these do not count, up to the margin of an eighth that connections have while stalled ones are being closed.

TestClosedConnectionsMakeRoom, before: "status 503, want 200" with 1 and 3 closed connections; after: 5 of 5 runs pass.

--- a/service/http1/limits.go
+++ b/service/http1/limits.go
@@ -20,16 +20,19 @@
 	// headerChargeStep is the number of header bytes that are charged at once.
 	headerChargeStep = 4 << 10
 	// connectionMargin is the divisor for how far the number of connections may exceed
-	// MaxConnections while stalled ones are being closed.
+	// MaxConnections while others are being closed by the server or were closed by their callers.
 	connectionMargin = 8
+	// maxInspected limits how many connections are inspected to admit one.
+	maxInspected = 256
 )
 
-// admit charges a new connection and makes room for it by cutting off a stalled one. It returns
-// false if there is no room; the connection is then refused.
+// admit charges a new connection and makes room for it by cutting off a stalled one, or takes the
+// room of one that its caller has closed. It returns false if there is no room; the connection is
+// then refused.
 func (s *Server) admit(c *conn) bool {
 	if limit := s.config.MaxConnections; limit > 0 {
 		open := s.openCount()
-		if open >= limit && !s.config.Memory.EvictStalled() || open >= limit+max(limit/connectionMargin, 1) {
+		if open >= limit && !s.config.Memory.EvictStalled() && !s.haveClosed(open-limit+1) || open >= limit+max(limit/connectionMargin, 1) {
 			return false
 		}
 	}
@@ -44,6 +47,29 @@
 	return len(s.conns)
 }
 
+// haveClosed reports whether at least n callers have closed their connections, as far as a sample
+// of the open ones tells. On a busy host such connections remain until their goroutines have run.
+func (s *Server) haveClosed(n int) bool {
+	s.mu.Lock()
+	sample := make([]*conn, 0, min(len(s.conns), maxInspected))
+	for c := range s.conns {
+		if len(sample) == cap(sample) {
+			break
+		}
+		sample = append(sample, c)
+	}
+	s.mu.Unlock()
+	for _, c := range sample {
+		if n <= 0 {
+			break
+		}
+		if c.isClosedByCaller() {
+			n--
+		}
+	}
+	return n <= 0
+}
+
 // refuse answers a connection that is not admitted, without reading its request.
 func (s *Server) refuse(c *conn) {
 	c.sendRejection(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
