gateway/dispatch: refuse a prompt for good only if the whole pool is too small

A gateway that had just started answered a completion that needs two engines with 400, after which clients do not try again. Two ways to 400 prompt_too_long are shown by a test: endpoints that have not reported the size of their memory counted as having none, and with no report at all the word of a single endpoint was passed on. Endpoints out of service were not counted either.

The refusal is now final only if all endpoints of the pool have reported and their memory together is too small. Otherwise it is 503 no_endpoint, not_run, with Retry-After.

TestPromptBeyondKnownMemory, before: 400 prompt_too_long in all 3 cases; after: 503, then 200 once all have reported, and 400 for a prompt beyond the pool. All tests of the gateway pass.

--- a/gateway/dispatch/execution.go
+++ b/gateway/dispatch/execution.go
@@ -71,6 +71,7 @@
 			result.Attempts = x.attempts
 			return result, nil
 		}
+		failure = x.checkTooLong(t, failure)
 		x.recordFailure(t, failure)
 		if !x.awaitRetry(ctx, failure) {
 			return Result{}, failure
--- a/gateway/dispatch/group.go
+++ b/gateway/dispatch/group.go
@@ -54,7 +54,7 @@
 	left := need
 	for _, i := range pool.Routing.Ranked(x.request.Keys.Fingerprint, skip) {
 		e := pool.Endpoints[i]
-		available := int64(float64(e.LastLoad().GetMemoryTotalTokens()) * x.dispatcher.config.GroupShare)
+		available := x.groupTokens(e)
 		if available <= 0 {
 			continue
 		}
@@ -68,7 +68,52 @@
 	if len(x.failedEndpoints) > 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "too few endpoints of pool %s remain for a prompt of %d tokens", x.request.Pool.Name, x.request.PromptTokens)
 	}
-	return nil, verdict.New(verdict.NotRun, verdict.ReasonPromptTooLong, "%d tokens of prompt and output exceed the memory of pool %s by %d tokens", need, x.request.Pool.Name, left)
+	return nil, x.exceedsUsable(pool, need)
+}
+
+// groupTokens returns the memory that a group may take of an endpoint, or 0 if the endpoint has
+// not reported its memory.
+func (x *execution) groupTokens(e *sidecar.Endpoint) int64 {
+	return int64(float64(e.LastLoad().GetMemoryTotalTokens()) * x.dispatcher.config.GroupShare)
+}
+
+// exceedsUsable refuses a request that exceeds the memory of all usable endpoints together. The
+// refusal is final only if the request exceeds the memory of the whole pool.
+func (x *execution) exceedsUsable(pool *control.PoolView, need int64) *verdict.Error {
+	if !isMemoryKnown(pool) {
+		return x.unknownMemory()
+	}
+	total := int64(0)
+	for _, e := range pool.Endpoints {
+		total += x.groupTokens(e)
+	}
+	if total >= need {
+		return verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "too few endpoints of pool %s are in service for a prompt of %d tokens", x.request.Pool.Name, x.request.PromptTokens)
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonPromptTooLong, "%d tokens of prompt and output exceed the memory of pool %s by %d tokens", need, x.request.Pool.Name, need-total)
+}
+
+// isMemoryKnown reports whether all endpoints of the pool have reported the size of their memory.
+// After a start of the gateway it takes some milliseconds.
+func isMemoryKnown(pool *control.PoolView) bool {
+	return !slices.ContainsFunc(pool.Endpoints, func(e *sidecar.Endpoint) bool { return e.LastLoad().GetMemoryTotalTokens() <= 0 })
+}
+
+func (x *execution) unknownMemory() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "not all endpoints of pool %s have reported the size of their memory", x.request.Pool.Name)
+}
+
+// checkTooLong replaces the refusal of an endpoint that is too small for the request, if a group
+// was not considered because the memory of the pool is not known yet.
+func (x *execution) checkTooLong(t target, failure *verdict.Error) *verdict.Error {
+	if failure.Reason != verdict.ReasonPromptTooLong || failure.Verdict != verdict.NotRun || t.group != nil || x.request.Route.Model == "" {
+		return failure
+	}
+	pool, ok := x.dispatcher.config.Control.View().Pools[x.request.Pool.Name]
+	if !ok || isMemoryKnown(pool) {
+		return failure
+	}
+	return x.unknownMemory().WithCause(failure)
 }
 
 // exceedsEveryEndpoint reports whether the request needs more memory than any
