edge/replica: keep requests when another connection to their replica fails

Cause: a dial that failed for any reason but a shortage on this host closed all connections to the address that had received nothing since it began, also when a probe dialed. A refusal takes under a millisecond and comes from a machine that works; an opening without an answer may be a full accept queue. And max_conns was not applied: nothing bounded the connections of a host to one replica.

What a failed connection says is now decided by coord/connfault, with the signs of life on the other connections. A request ends by what happens on its own connection. One that may run again leaves a silent replica once another replica has accepted it and a connection to that one is open. Hosts keep to their share of max_conns; other requests wait in order of arrival, go to a replica with room, or are refused at once with the time at which a connection is expected. Idle connections stay within the share and are closed after idle_timeout. A request of which nothing was written goes to another connection instead of 502.

Evidence: on the code before, with the fields that the tests need, TestTurnedAwayConnectionKeepsOthers fails ("use of closed network connection"), TestRequestsWaitForConnections (48 of 48 requests), TestHopelessWaitIsRefusedAtOnce, TestConnectionsAreGivenInOrder, TestIdleConnectionsAreLimited (12 open, 3 wanted), TestCutOffReplicaIsUnreachable and TestSilentStreamStays ("unexpected EOF"). TestEndedReplicaIsUnreachable and TestSilentStreamMoves hold before and after: a replica that died or is cut off is found as before.

TestFailedDialKeepsWorkingConnections required that a silent request at a replica with a full accept queue is closed, which is the fault. TestFailedDialKeepsConnections replaces it: in the same situations, the response must be whole, the request must be offered to move exactly where it was closed before, and the state of the replica is checked. TestFailedDialKeepsNewConnections checks the offer in place of the close. The case "no descriptors, probe" is TestProbeWithoutDescriptors.

--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -62,6 +62,9 @@
 	return l
 }
 
+// Accepted returns how many connections to the host the replica is known to accept.
+func (l Limit) Accepted() int { return l.openThen }
+
 // IsLearned reports whether a connection was turned away within Memory.
 func (l Limit) IsLearned(now time.Duration) bool { return l.isSet && now-l.refused < Memory }
 
--- a/coord/health/health.go
+++ b/coord/health/health.go
@@ -35,6 +35,12 @@
 	NoHelp Outcome = "no_help"
 	// Replaced means that another replica responded at the address.
 	Replaced Outcome = "replaced"
+	// AtLimit means that the replica accepts no further connections, while it
+	// works on those that it has.
+	AtLimit Outcome = "at_limit"
+	// Moved means that the request was ended here since it runs at another
+	// replica.
+	Moved Outcome = "moved"
 )
 
 // Policy holds the tuning constants of ejection.
@@ -108,6 +114,8 @@
 	case Full:
 		s.ejectedUntil = max(s.ejectedUntil, now+t.policy.FullPause)
 		return false
+	case AtLimit, Moved:
+		return false
 	case Replaced:
 		s.replaced = true
 		return true
--- a/coord/placement/choose.go
+++ b/coord/placement/choose.go
@@ -22,6 +22,8 @@
 	Delay time.Duration
 	// Connected is set if this host has an idle connection to the replica.
 	Connected bool
+	// IsFull is set if a request would probably wait for a connection to the replica.
+	IsFull bool
 }
 
 // Request describes a prompt to be placed.
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -57,6 +58,8 @@
 	timeToFirstByte time.Duration
 	lastEventID     string
 	eventCount      int
+	// lacksEventID is set while the caller has events none of which has an ID.
+	lacksEventID atomic.Bool
 	// end ends the context of the request.
 	end context.CancelFunc
 	// socket is the socket of the caller's connection, set by pacer; backlog is nil until the
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/catalog"
+	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/retry"
@@ -50,24 +51,19 @@
 // is allowed, and writes the final response.
 func (q *request) sendUntilAnswered(ctx context.Context) {
 	var last outcome
+	var next *destination
 	for {
-		assignment, refusal, err := q.server.config.Loop.Place(ctx, q.placementRequest())
-		if err != nil {
-			last.err = q.contextError(ctx)
-			break
-		}
-		if refusal.Reason != "" {
-			q.refusedPart = refusal.Part
-			klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "part", formatPart(refusal.Part), "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
-				"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount, "account_share", refusal.AccountShare)
-			if last.err == nil {
-				last.err = q.refusalError(refusal)
+		if next == nil {
+			var err *verdict.Error
+			if next, err = q.place(ctx); err != nil {
+				if last.err == nil || ctx.Err() != nil {
+					last.err = err
+				}
+				break
 			}
-			break
 		}
-		klog.V(1).InfoS("placed", append([]any{"request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
-			"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount, "account_share", assignment.AccountShare}, assignment.Cost.LogFields()...)...)
-		last = q.send(ctx, assignment)
+		assignment := next.assignment
+		last, next = q.send(ctx, *next)
 		if last.err == nil && last.response == nil {
 			if err := q.awaitRead(); err != nil {
 				q.writeError(err)
@@ -75,12 +71,30 @@
 			return
 		}
 		if canRetry := q.recordFailure(ctx, assignment, last); !canRetry {
+			q.giveUp(next)
 			break
 		}
 	}
 	q.writeFailure(ctx, last)
 }
 
+// place asks for a replica for the next send.
+func (q *request) place(ctx context.Context) (*destination, *verdict.Error) {
+	assignment, refusal, err := q.server.config.Loop.Place(ctx, q.placementRequest())
+	if err != nil {
+		return nil, q.contextError(ctx)
+	}
+	if refusal.Reason != "" {
+		q.refusedPart = refusal.Part
+		klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "part", formatPart(refusal.Part), "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
+			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount, "account_share", refusal.AccountShare)
+		return nil, q.refusalError(refusal)
+	}
+	klog.V(1).InfoS("placed", append([]any{"request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
+		"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount, "account_share", assignment.AccountShare}, assignment.Cost.LogFields()...)...)
+	return &destination{assignment: assignment}, nil
+}
+
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
@@ -215,10 +229,10 @@
 	return verdict.New(verdict.NotRun, reason, "%s", r.Reason).WithRetryAfter(max(wait, 0))
 }
 
-// send sends the request to one replica.
-func (q *request) send(ctx context.Context, assignment control.Assignment) outcome {
-	loop := q.server.config.Loop
-	var o outcome
+// send sends the request to one replica. It returns another destination if the request is to move
+// there because the replica is silent.
+func (q *request) send(ctx context.Context, d destination) (o outcome, next *destination) {
+	loop, assignment := q.server.config.Loop, d.assignment
 	eventsBefore := q.eventCount
 	defer func() {
 		q.recordFault(ctx, assignment, o)
@@ -236,32 +250,48 @@
 		reservation, err := q.reserve(ctx, assignment, helpers)
 		if err != nil {
 			o = outcome{err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "memory is not free").WithCause(err).WithRetryAfter(time.Second), health: health.Served}
-			return o
+			return o, nil
 		}
 		defer reservation.Release()
 		usable, err := loop.IsUsable(ctx, q.service.Name, assignment.Target)
 		switch {
 		case err != nil:
 			o = outcome{err: q.contextError(ctx), health: health.Served}
-			return o
+			return o, nil
 		case !usable:
 			o = outcome{err: verdict.New(verdict.NotRun, verdict.ReasonNoEndpoint, "the replica left while memory was reserved").WithRetryAfter(q.route.Objective), health: health.Served}
-			return o
+			return o, nil
 		}
 	}
 	if !q.canEndBeforeShutdown(assignment) {
 		o = outcome{err: leavingError(), health: health.Served}
-		return o
+		return o, nil
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := q.server.config.Pool.Do(sendCtx, q.replicaRequest(assignment, helpers))
+	m := q.newMove(ctx, assignment, cancel)
+	r := q.replicaRequest(assignment, helpers)
+	r.Connection, r.OnSilence = d.connection, m.offer
+	o = q.exchange(ctx, sendCtx, assignment, r)
+	if next = m.end(); next != nil {
+		if o.err == nil {
+			q.giveUp(next) // the response ended as the move began
+			return o, nil
+		}
+		o.health = health.Moved
+	}
+	return o, next
+}
+
+// exchange sends the request in sendCtx, which ends before ctx if the request moves to another
+// replica, and passes on the response.
+func (q *request) exchange(ctx, sendCtx context.Context, assignment control.Assignment, r replica.Request) outcome {
+	resp, err := q.server.config.Pool.Do(sendCtx, r)
 	if err != nil {
-		o = q.noResponseOutcome(ctx, err)
-		return o
+		return q.noResponseOutcome(ctx, err)
 	}
 	defer resp.Close()
-	o = q.handleResponse(ctx, assignment, resp)
+	o := q.handleResponse(ctx, assignment, resp)
 	o.sent = true
 	return o
 }
@@ -316,10 +346,32 @@
 	return replica.Request{
 		Address: assignment.Target.Address, Method: q.httpRequest.Method, Target: requestTarget(q.httpRequest), Host: q.httpRequest.Host,
 		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: body, MoreBody: moreBody, AttemptID: q.headers.AttemptID,
-		AtMostOnce: q.route.Repeat == catalog.RepeatNever,
+		AtMostOnce: q.route.Repeat == catalog.RepeatNever, Kind: q.route.Name, Connections: assignment.Connections, MaxConnectionWait: q.connectionWait(),
 	}
 }
 
+const (
+	// connectionWaitShare is the share of its latency objective for which a request may wait for
+	// a connection, counted from its arrival.
+	connectionWaitShare = 0.85
+	// lateWaitDivisor gives the wait of a request that has missed its objective, as a part of the
+	// time left. maxWaitDivisor limits all waits, so that another replica can follow.
+	lateWaitDivisor = 10
+	maxWaitDivisor  = 3
+	// maxConnectionWait is the longest wait. A replica that begins to leave or asks for a pause
+	// meanwhile may still get the request within 0.5 s.
+	maxConnectionWait = 400 * time.Millisecond
+)
+
+// connectionWait returns how long the request may wait for a connection to a replica that
+// accepts no further one.
+func (q *request) connectionWait() time.Duration {
+	now := bootclock.Now()
+	left := q.timeLeft(now)
+	wait := time.Duration(connectionWaitShare*float64(q.route.Objective)) - (now - q.received)
+	return max(0, min(max(wait, left/lateWaitDivisor), left/maxWaitDivisor, maxConnectionWait))
+}
+
 // carriesKey reports whether the request has the key of a client account, also on a route that
 // requires none. Other credentials are the application's own.
 func (q *request) carriesKey() bool {
@@ -329,17 +381,15 @@
 
 // noResponseOutcome returns the outcome of a send that got no response.
 func (q *request) noResponseOutcome(ctx context.Context, err error) outcome {
-	o := outcome{health: connectionOutcome(err), sent: true}
+	o := outcome{health: sendFailureOutcome(err), sent: true}
 	var failure *verdict.Error
 	if !errors.As(err, &failure) {
 		failure = verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "the send failed").WithCause(err)
 	}
 	o.err = failure
 	if failure.Verdict == verdict.NotRun {
-		o.health, o.sent = health.Unreachable, false
-		if replica.IsLocalError(err) {
-			o.health = health.Served // the replica is not at fault
-		}
+		o.sent = false
+		o.err = failure.WithRetryAfter(q.retryAfterNoConnection(failure.RetryAfter))
 	}
 	if ctx.Err() != nil {
 		// The connection was closed by the timeout or because the caller disconnected,
@@ -355,3 +405,29 @@
 	}
 	return o
 }
+
+// sendFailureOutcome returns what a send without a response has revealed about its replica.
+func sendFailureOutcome(err error) health.Outcome {
+	if replica.IsAtLimit(err) {
+		return health.AtLimit
+	}
+	var failure *connfault.Error
+	if !errors.As(err, &failure) || failure.Failure == connfault.Reset {
+		return connectionOutcome(err)
+	}
+	if failure.Effect.State == connfault.Unreachable {
+		return health.Unreachable
+	}
+	return health.Served // the replica is not at fault
+}
+
+// retryAfterNoConnection returns when the caller of a request should return that got no connection
+// to any replica: when one is expected to be free, or else after the objective. Jitter keeps the
+// callers of other requests from returning at the same time.
+func (q *request) retryAfterNoConnection(expected time.Duration) time.Duration {
+	if expected == 0 {
+		expected = q.route.Objective
+	}
+	wait := retry.Jitter(expected, placement.HashID(q.headers.AttemptID))
+	return max(0, min(wait, q.timeLeft(bootclock.Now())/3))
+}
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -161,6 +161,7 @@
 			q.lastEventID = id
 		}
 	}
+	q.lacksEventID.Store(q.cannotContinue())
 	now := bootclock.Now()
 	if q.timeToFirstByte == 0 {
 		q.timeToFirstByte = now - q.received
--- a/edge/control/config.go
+++ b/edge/control/config.go
@@ -46,6 +46,9 @@
 	// Connections tells to which replicas this host has idle connections; nil if it is not to
 	// be considered.
 	Connections Connections
+	// ConnectionLimits tells at which replicas requests wait for connections; nil if it is not
+	// known.
+	ConnectionLimits ConnectionLimits
 	// ZoneDelays makes the configured delays between availability zones count.
 	ZoneDelays bool
 	// Speeds learns the speeds of replicas and zones; nil if they are not to be learned. Its
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskinstand.example/coord/catalog"
+	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/suspect"
@@ -30,6 +31,8 @@
 	// HelperReservations is the memory to reserve at helpers, in tokens by replica ID.
 	HelperReservations  map[string]int
 	PredictedFirstEvent time.Duration
+	// Connections bounds the connections to the replica.
+	Connections connlimit.Bounds
 	// TriesParts is set if a part of the prompt is not known good, so that the first event is
 	// to be reported with RecordAnswerBegun.
 	TriesParts bool
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/catalog"
+	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/directory"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/retry"
@@ -76,7 +77,7 @@
 	} else {
 		l.scheduleReport(reportSoon)
 	}
-	assignment := Assignment{ID: id, Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent, AccountShare: l.accounts.share(now, req.Account)}
+	assignment := Assignment{ID: id, Connections: connlimit.NewBounds(req.Service.MaxConnections, len(l.peers)+1, primary.Slots), Target: target(primary), TriesParts: isTrial || l.hasFreshPart(now, req.Parts), HelperReservations: plan.ReservedTokens, PredictedFirstEvent: plan.TimeToFirstEvent, AccountShare: l.accounts.share(now, req.Account)}
 	for _, h := range plan.Helpers {
 		assignment.Helpers = append(assignment.Helpers, target(l.replica(now, h.ID)))
 	}
@@ -128,13 +129,15 @@
 }
 
 // candidates returns the replicas that can take the request, with their loads, in rank
-// order. The result is valid until the next call.
+// order. Replicas without a free connection are left out if there are others. The result is
+// valid until the next call.
 func (l *Loop) candidates(now time.Duration, req PlacementRequest) []placement.Candidate {
 	loads := l.ledger.Loads(now)
 	l.candidateBuffer = l.candidateBuffer[:0]
 	speeds := l.learnedSpeeds(now)
 	l.prepareBytes()
 	list := l.rankedReplicas(now, req.Service.Name)
+	fullCount := 0
 	for i, r := range list {
 		if !l.health.Usable(now, r.ID) || slices.Contains(req.Excluded, r.ID) || !l.regionAllowed(r.Zone, req.Regions) || !l.hasColdCapacity(now, r.Replica, req.Service) {
 			continue
@@ -142,11 +145,18 @@
 		if !l.hasRoomForBytes(now, list, i, req.BodyBytes) {
 			continue
 		}
+		isFull := r.link.isFull(now)
+		if isFull {
+			fullCount++
+		}
 		l.candidateBuffer = append(l.candidateBuffer, placement.Candidate{
 			ID: r.ID, Rank: r.rank, Slots: r.Slots, Load: loads[r.shortID],
-			Speed: speeds.factor(r.shortID), Delay: r.link.delay + speeds.addedDelay(r.Zone), Connected: r.link.isConnected(now),
+			Speed: speeds.factor(r.shortID), Delay: r.link.delay + speeds.addedDelay(r.Zone), Connected: r.link.isConnected(now), IsFull: isFull,
 		})
 	}
+	if fullCount > 0 && fullCount < len(l.candidateBuffer) {
+		l.candidateBuffer = slices.DeleteFunc(l.candidateBuffer, func(c placement.Candidate) bool { return c.IsFull })
+	}
 	return l.candidateBuffer
 }
 
--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -21,12 +21,25 @@
 	IdleUntil(address string) *atomic.Int64
 }
 
+// ConnectionLimits tells to which addresses requests wait for connections.
+type ConnectionLimits interface {
+	// FullUntil returns a value that follows the time until which requests to the address will
+	// probably wait for a connection. Reading it does not block.
+	FullUntil(address string) *atomic.Int64
+}
+
 // replicaLink is what is known of the way to a replica.
 type replicaLink struct {
 	// delay is the configured round trip time.
 	delay time.Duration
 	// idleUntil is the result of Connections.IdleUntil, or nil.
 	idleUntil *atomic.Int64
+	// fullUntil is the result of ConnectionLimits.FullUntil, or nil.
+	fullUntil *atomic.Int64
+}
+
+func (k replicaLink) isFull(now time.Duration) bool {
+	return k.fullUntil != nil && int64(now) < k.fullUntil.Load()
 }
 
 func (k replicaLink) isConnected(now time.Duration) bool {
@@ -36,6 +49,9 @@
 // replicaLink returns the link to a replica under the configuration in force.
 func (l *Loop) replicaLink(r directory.Replica) replicaLink {
 	var k replicaLink
+	if l.config.ConnectionLimits != nil {
+		k.fullUntil = l.config.ConnectionLimits.FullUntil(r.Address)
+	}
 	if l.config.Connections != nil {
 		k.idleUntil = l.config.Connections.IdleUntil(r.Address)
 	}
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -27,6 +27,9 @@
 	return f[address]
 }
 
+// FullUntil implements ConnectionLimits.
+func (f fixedConnections) FullUntil(address string) *atomic.Int64 { return f.IdleUntil(address) }
+
 func TestZoneDelaysAndConnections(t *testing.T) {
 	// Guards against delays of an old configuration, delays that count although they are
 	// switched off, and a connection that counts after its time.
--- /dev/null
+++ b/edge/replica/connections.go
@@ -0,0 +1,456 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"siskinstand.example/coord/connfault"
+	"siskinstand.example/coord/connlimit"
+	"siskinstand.example/service/bootclock"
+)
+
+// connections are the connections of this host to one address.
+type connections struct {
+	// hint is the index of the hints of the address.
+	hint uint32
+	// idle holds the idle connections, the latest used last.
+	idle []*conn
+	// active holds the connections with a request in progress.
+	active map[*conn]bool
+	// opening is the number of connections that are being opened, among them the one that isGrowing
+	// says is opened without a request.
+	opening   int
+	isGrowing bool
+	bounds    connlimit.Bounds
+	limit     connlimit.Limit
+	// waiting holds the requests that wait for a connection, oldest first.
+	waiting []*waiter
+	// meanUse is the average time for which a request has used a connection, by Request.Kind.
+	meanUse map[string]time.Duration
+}
+
+// waiter is a request that waits for a connection. wake has a capacity of 1.
+type waiter struct{ wake chan struct{} }
+
+func (s *connections) open() int { return len(s.idle) + len(s.active) + s.opening }
+
+func (s *connections) isUnused(now time.Duration) bool {
+	return s.open() == 0 && len(s.waiting) == 0 && !s.limit.IsLearned(now)
+}
+
+func (s *connections) wakeFirst() {
+	if len(s.waiting) == 0 {
+		return
+	}
+	select {
+	case s.waiting[0].wake <- struct{}{}:
+	default: // it is about to wake up
+	}
+}
+
+func (s *connections) closeIdle() {
+	for _, c := range s.idle {
+		c.Close()
+	}
+	s.idle = nil
+}
+
+// expectedWait returns how long a request that begins to wait now will probably wait, by how long
+// requests of the kinds that are in progress use a connection. It returns 0 if a kind is not known
+// yet.
+func (s *connections) expectedWait() time.Duration {
+	perSecond := 0.0
+	for c := range s.active {
+		mean, ok := s.meanUse[c.kind]
+		if !ok {
+			return 0
+		}
+		perSecond += 1 / max(mean, time.Millisecond).Seconds()
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(len(s.waiting)+1) / perSecond * float64(time.Second))
+}
+
+// meanUseWeight is the weight of the latest request in the averages of connections.meanUse.
+const meanUseWeight = 0.125
+
+func (s *connections) recordUse(kind string, d time.Duration) {
+	if s.meanUse == nil {
+		s.meanUse = map[string]time.Duration{}
+	}
+	mean, ok := s.meanUse[kind]
+	if !ok {
+		mean = d
+	}
+	s.meanUse[kind] = mean + time.Duration(meanUseWeight*float64(d-mean))
+}
+
+// at returns the connections to an address. The caller holds mu.
+func (p *Pool) at(address string) *connections {
+	s := p.replicas[address]
+	if s == nil {
+		s = &connections{hint: hintIndex(address), active: map[*conn]bool{}}
+		p.replicas[address] = s
+	}
+	return s
+}
+
+// released follows a change after which another request may get a connection to the address. The
+// caller holds mu.
+func (p *Pool) released(now time.Duration, address string, s *connections) {
+	s.wakeFirst()
+	p.updateHints(s)
+	if s.isUnused(now) {
+		delete(p.replicas, address)
+	}
+}
+
+// NoConnectionError says that a replica accepts no further connection and that none of this host's
+// becomes free in time.
+type NoConnectionError struct {
+	Address string
+	// Wait is how long the request would probably have to wait.
+	Wait time.Duration
+}
+
+// Error names the address and the expected wait.
+func (e *NoConnectionError) Error() string {
+	return fmt.Sprintf("no connection to %s is free, one is expected in %s", e.Address, e.Wait)
+}
+
+// ReplicaState implements the interface of connfault.StateOf.
+func (e *NoConnectionError) ReplicaState() connfault.State { return connfault.AtLimit }
+
+// IsAtLimit reports whether an error means that a replica accepts no further connections, while it
+// works on those that it has.
+func IsAtLimit(err error) bool { return connfault.StateOf(err) == connfault.AtLimit }
+
+// acquire returns a reusable idle connection for a request or opens a new one. If the replica
+// accepts no further connection, it waits up to r.MaxConnectionWait until one is free.
+func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
+	startedAt := bootclock.Now()
+	c, err := p.tryAcquire(ctx, r, nil, startedAt, startedAt)
+	if c != nil || err != nil {
+		return c, err
+	}
+	w := &waiter{wake: make(chan struct{}, 1)}
+	defer p.stopWaiting(r.Address, w)
+	for {
+		now := bootclock.Now()
+		if c, err := p.tryAcquire(ctx, r, w, startedAt, now); c != nil || err != nil {
+			if err == nil {
+				p.countWait(waitServed)
+			}
+			return c, err
+		}
+		timer := time.NewTimer(min(connlimit.GrowthInterval, r.MaxConnectionWait-(now-startedAt)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, ctx.Err()
+		case <-w.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// tryAcquire returns a connection, or nil if the request has to wait for one. Then w is queued
+// unless it is nil.
+func (p *Pool) tryAcquire(ctx context.Context, r Request, w *waiter, startedAt, now time.Duration) (*conn, error) {
+	for {
+		c, mayOpen, err := p.claim(r, w, startedAt, now)
+		switch {
+		case err != nil:
+			p.countWait(waitRefused)
+			return nil, err
+		case mayOpen:
+			c, err := p.openActive(ctx, r)
+			if err == nil || !IsAtLimit(err) {
+				return c, err
+			}
+			now = bootclock.Now()
+			continue
+		case c == nil || c.reusable():
+			return c, nil
+		}
+		c.Close()
+		p.discard(c)
+	}
+}
+
+// claim gives a request an idle connection, the permission to open one, or a place among those
+// that wait. It fails if the request will not get one in time.
+func (p *Pool) claim(r Request, w *waiter, startedAt, now time.Duration) (c *conn, mayOpen bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.at(r.Address)
+	if r.Connections != (connlimit.Bounds{}) {
+		s.bounds = r.Connections
+	}
+	isQueued := w != nil && slices.Contains(s.waiting, w)
+	if len(s.waiting) == 0 || s.waiting[0] == w {
+		if c := p.takeIdle(s, r, now); c != nil {
+			c.reused = true
+			s.beginUse(now, c, r)
+			return c, false, nil
+		}
+		most := s.limit.Max(now, s.bounds)
+		if s.open() >= most && len(s.idle) > 0 {
+			// None of the idle connections can carry this request.
+			p.closeOldestIdle(s)
+		}
+		switch {
+		case s.open() >= most:
+		case !s.limit.IsLearned(now) || s.open() < max(1, s.limit.Accepted()):
+			s.opening++
+			return nil, true, nil
+		case !s.isGrowing:
+			s.opening++
+			s.isGrowing = true
+			go p.grow(r.Address)
+		}
+	}
+	wait := s.expectedWait()
+	p.fullUntil[s.hint].Store(int64(now + min(wait, connlimit.GrowthInterval)))
+	if now-startedAt >= r.MaxConnectionWait || !isQueued && wait > r.MaxConnectionWait {
+		return nil, false, &NoConnectionError{r.Address, wait}
+	}
+	if w != nil && !isQueued {
+		s.waiting = append(s.waiting, w)
+	}
+	return nil, false, nil
+}
+
+func (p *Pool) stopWaiting(address string, w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.replicas[address]
+	if !ok {
+		return
+	}
+	if i := slices.Index(s.waiting, w); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+		p.released(bootclock.Now(), address, s)
+	}
+}
+
+// openActive opens a connection for a request.
+func (p *Pool) openActive(ctx context.Context, r Request) (*conn, error) {
+	n, err := p.dial(ctx, r.Address)
+	now := bootclock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.at(r.Address)
+	s.opening--
+	if err != nil {
+		p.released(now, r.Address, s)
+		return nil, err
+	}
+	c := newConn(n, r.Address)
+	s.beginUse(now, c, r)
+	c.isAboveLimit = s.limit.IsLearned(now)
+	return c, nil
+}
+
+// grow opens a connection to a replica that has turned one away, and makes it available to requests
+// if it lasts.
+func (p *Pool) grow(address string) {
+	n, err := p.dial(context.Background(), address)
+	var c *conn
+	if err == nil {
+		c = newConn(n, address)
+		time.Sleep(connlimit.SettleTime)
+		if !c.reusable() {
+			_ = p.recordFailure(address, p.traffic(address), connfault.Reset, errNotAccepted)
+		}
+	}
+	now := bootclock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.at(address)
+	s.opening--
+	s.isGrowing = false
+	switch {
+	case c == nil:
+	case !c.isOpen() || p.isClosed:
+		c.Close()
+	default:
+		s.limit = s.limit.WithSuccess()
+		c.idleSince, c.usableUntil = now, now+p.config.IdleTimeout
+		s.idle = append(s.idle, c)
+		p.scheduleCloseExpired()
+	}
+	p.released(now, address, s)
+}
+
+// errNotAccepted is the error of a connection that the replica has closed without a request.
+var errNotAccepted = errors.New("the replica closed the connection before a request")
+
+func newConn(n net.Conn, address string) *conn {
+	budget := &budgetReader{source: n}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: address}
+}
+
+// Connection is a connection that was acquired before its request is sent.
+type Connection struct {
+	pool *Pool
+	conn *conn
+}
+
+// Connect acquires a connection for a request, which uses it if it is set as its Connection. The
+// error is that of Do.
+func (p *Pool) Connect(ctx context.Context, r Request) (*Connection, error) {
+	c, err := p.acquire(ctx, r)
+	if err != nil {
+		return nil, connectError(r.Address, err)
+	}
+	return &Connection{p, c}, nil
+}
+
+// Close gives back a connection that no request has used.
+func (c *Connection) Close() { c.pool.putIdle(c.conn, 0) }
+
+// use returns the connection for a request.
+func (c *Connection) use(r Request) *conn {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.conn.onSilence = r.OnSilence
+	return c.conn
+}
+
+// discard removes a connection that was closed before a request was sent on it.
+func (p *Pool) discard(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.at(c.address)
+	delete(s.active, c)
+	p.released(bootclock.Now(), c.address, s)
+}
+
+// removeActive removes a connection whose request has ended, and which is closed.
+func (p *Pool) removeActive(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := bootclock.Now()
+	s := p.at(c.address)
+	s.endUse(now, c)
+	p.released(now, c.address, s)
+}
+
+func (s *connections) beginUse(now time.Duration, c *conn, r Request) {
+	c.activeSince, c.kind, c.onSilence = now, r.Kind, r.OnSilence
+	s.active[c] = true
+}
+
+func (s *connections) endUse(now time.Duration, c *conn) {
+	if s.active[c] {
+		s.recordUse(c.kind, now-c.activeSince)
+	}
+	delete(s.active, c)
+	c.onSilence = nil
+}
+
+// takeIdle removes the most recently used idle connection that can carry the request and returns
+// it, or nil. It closes connections that have been idle for too long. The caller holds mu.
+func (p *Pool) takeIdle(s *connections, r Request, now time.Duration) *conn {
+	for i, c := range slices.Backward(s.idle) {
+		isExpired := now >= c.usableUntil || r.AtMostOnce && now-c.idleSince > maxIdleAtMostOnce
+		if !isExpired && c.hasSent(r.AttemptID) {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		p.updateHints(s)
+		if !isExpired {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+func (p *Pool) closeOldestIdle(s *connections) {
+	s.idle[0].Close()
+	s.idle = slices.Delete(s.idle, 0, 1)
+	p.updateHints(s)
+}
+
+// putIdle returns a connection to the pool after a complete response. It closes it instead if this
+// host has more connections to the replica than it may keep. serverTimeout is the timeout that the
+// replica announced, or 0.
+func (p *Pool) putIdle(c *conn, serverTimeout time.Duration) {
+	usable := p.config.IdleTimeout
+	if serverTimeout > 0 {
+		// The replica's timeout started when it sent its last byte; stop a second earlier.
+		usable = min(usable, serverTimeout-time.Second)
+	}
+	now := bootclock.Now()
+	c.idleSince, c.usableUntil = now, now+usable
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.at(c.address)
+	s.endUse(now, c)
+	// A connection that another request waits for is kept, unless the host has to go back to its
+	// share.
+	isWanted := len(s.waiting) > 0 && !s.limit.IsLearned(now)
+	if p.isClosed || usable <= 0 || len(s.idle) >= p.config.MaxIdle || !isWanted && s.open() >= s.bounds.MaxIdle() {
+		c.Close()
+	} else {
+		s.idle = append(s.idle, c)
+		p.scheduleCloseExpired()
+	}
+	p.released(now, c.address, s)
+}
+
+// closeExpiredInterval is the interval at which idle connections that will not be used again are
+// closed. Each of them counts for the limit of its replica.
+const closeExpiredInterval = time.Second
+
+// scheduleCloseExpired schedules closeExpired. The caller holds mu.
+func (p *Pool) scheduleCloseExpired() {
+	if p.closeExpiredTimer == nil && !p.isClosed {
+		p.closeExpiredTimer = time.AfterFunc(closeExpiredInterval, p.closeExpired)
+	}
+}
+
+// closeExpired closes the idle connections that will not be used again, and forgets the addresses
+// without connections.
+func (p *Pool) closeExpired() {
+	now := bootclock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeExpiredTimer = nil
+	for address, s := range p.replicas {
+		s.idle = slices.DeleteFunc(s.idle, func(c *conn) bool {
+			if now < c.usableUntil {
+				return false
+			}
+			c.Close()
+			return true
+		})
+		p.released(now, address, s)
+	}
+	if len(p.replicas) > 0 {
+		p.scheduleCloseExpired()
+	}
+}
+
+// waitResult is how the wait of a request for a connection ended.
+type waitResult string
+
+const (
+	waitServed waitResult = "served"
+	// waitRefused also counts requests that could not expect a connection in time.
+	waitRefused waitResult = "refused"
+)
+
+func (p *Pool) countWait(r waitResult) {
+	p.config.Scope.Tagged(map[string]string{"result": string(r)}).Counter("connection_waits").Inc(1)
+}
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -7,13 +7,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/connfault"
+	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/responsehead"
 	"siskinstand.example/coord/verdict"
 	"siskinstand.example/platform"
+	"siskinstand.example/service/bootclock"
 )
 
 const (
@@ -48,6 +52,19 @@
 	// AtMostOnce requests are not sent on connections that have been idle for long, since
 	// these may be dead.
 	AtMostOnce bool
+	// Kind is the same for requests that take about as long, such as those of one route.
+	Kind string
+	// Connections bounds the connections to the replica; the zero value leaves them unchanged.
+	Connections connlimit.Bounds
+	// MaxConnectionWait is how long the request may wait for a connection if the replica accepts
+	// no further one.
+	MaxConnectionWait time.Duration
+	// Connection was acquired for the request with Connect; nil to acquire one.
+	Connection *Connection
+	// OnSilence is called in a goroutine of its own if the replica does not answer the opening of
+	// another connection and nothing has arrived from it since. isSilent reports whether that is
+	// still so for this request's connection. It may be nil, and may be called several times.
+	OnSilence func(isSilent func() bool)
 }
 
 // Response is a replica's response. Its body is read with Read.
@@ -80,17 +97,58 @@
 // the context ends. The error is a *verdict.Error that states whether the request may
 // have run.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
-	c, err := p.acquire(ctx, r)
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonConnectionLost, "no connection to replica at %s", r.Address).WithCause(err)
+	startedAt, wait := bootclock.Now(), r.MaxConnectionWait
+	for tries := 1; ; tries++ {
+		c, err := p.connection(ctx, r)
+		if err != nil {
+			return nil, connectError(r.Address, err)
+		}
+		resp, err := p.doOn(ctx, c, r)
+		if err == nil || !errors.Is(err, errNothingWritten) || tries == maxUnwrittenTries || ctx.Err() != nil {
+			return resp, err
+		}
+		// The replica has closed the connection before it was used. The request has not run.
+		r.Connection, r.MaxConnectionWait = nil, max(0, wait-(bootclock.Now()-startedAt))
 	}
+}
+
+// maxUnwrittenTries is the number of connections on which nothing of a request could be written
+// before it fails.
+const maxUnwrittenTries = 3
+
+func (p *Pool) connection(ctx context.Context, r Request) (*conn, error) {
+	if r.Connection != nil {
+		return r.Connection.use(r), nil
+	}
+	return p.acquire(ctx, r)
+}
+
+// connectError returns the error of a request without a connection.
+func connectError(address string, err error) *verdict.Error {
+	e := verdict.New(verdict.NotRun, verdict.ReasonConnectionLost, "no connection to replica at %s", address).WithCause(err)
+	var full *NoConnectionError
+	if errors.As(err, &full) {
+		e = e.WithRetryAfter(full.Wait)
+	}
+	return e
+}
+
+// doOn sends a request on a connection that was acquired for it.
+func (p *Pool) doOn(ctx context.Context, c *conn, r Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := exchange(c, r) //nolint:bodyclose // the connection is closed or kept by Response.Close
 	if err != nil {
 		stop()
 		c.Close()
 		p.removeActive(c)
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "replica at %s (connection reused: %t)", r.Address, c.reused).WithCause(err)
+		if ctx.Err() == nil {
+			err = p.recordNewConnectionFailure(c, err)
+		}
+		v := verdict.MayHaveRun
+		if errors.Is(err, errNothingWritten) {
+			v = verdict.NotRun
+		}
+		return nil, verdict.New(v, verdict.ReasonConnectionLost, "replica at %s (connection reused: %t)", r.Address, c.reused).WithCause(err)
 	}
 	return &Response{
 		Status: resp.StatusCode, Headers: resp.Header, Info: platform.ParseResponseHeaders(resp.StatusCode, resp.Header),
@@ -98,6 +156,21 @@
 	}, nil
 }
 
+// recordNewConnectionFailure records that a new connection ended before any byte of a response, and
+// returns the failure. A replica that accepts a limited number of connections may reset further
+// ones. It knows its limit once one was turned away, so that the next one is a broken response.
+func (p *Pool) recordNewConnectionFailure(c *conn, err error) error {
+	isEnd := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+	if c.reused || c.budget.total.Load() > 0 || !isEnd {
+		return err
+	}
+	e := p.recordFailure(c.address, p.traffic(c.address), connfault.Reset, err)
+	if c.isAboveLimit {
+		return err
+	}
+	return e
+}
+
 // A response may take maxWireFactor times its size on the connection, and maxWireOverhead
 // bytes more. Chunks of one byte take six times their size and much processor time.
 const (
@@ -133,9 +206,12 @@
 	}
 	wire.WriteString("\r\n")
 	c.recordSent(r)
-	if err := writeBody(c, &wire, append([][]byte{r.Body}, r.MoreBody...)); err != nil {
+	if n, err := writeBody(c, &wire, append([][]byte{r.Body}, r.MoreBody...)); err != nil {
 		c.requestCut = true
 		resp, readErr := readOwnHead(c, req, r.AttemptID, time.Now().Add(earlyResponseTimeout))
+		if readErr != nil && n == 0 {
+			err = errors.Join(errNothingWritten, err)
+		}
 		if readErr != nil {
 			return nil, errors.Join(err, readErr)
 		}
@@ -157,20 +233,25 @@
 // sends both. The rest is written from where it is, since a copy would double its memory.
 const maxJoinedBytes = 64 << 10
 
-func writeBody(c *conn, wire *bytes.Buffer, parts [][]byte) error {
+// errNothingWritten means that the connection failed before the first byte of a request.
+var errNothingWritten = errors.New("nothing of the request was written")
+
+// writeBody writes the head in wire and the parts of the body, and returns how much it has written.
+func writeBody(c *conn, wire *bytes.Buffer, parts [][]byte) (int, error) {
 	for joined := 0; len(parts) > 0 && joined+len(parts[0]) <= maxJoinedBytes; parts = parts[1:] {
 		joined += len(parts[0])
 		wire.Write(parts[0])
 	}
-	if _, err := c.Write(wire.Bytes()); err != nil {
-		return err
-	}
+	written, err := c.Write(wire.Bytes())
 	for _, part := range parts {
-		if _, err := c.Write(part); err != nil {
-			return err
+		if err != nil {
+			break
 		}
+		var n int
+		n, err = c.Write(part)
+		written += n
 	}
-	return nil
+	return written, err
 }
 
 // readOwnHead reads the header of the response to the request with the given attempt ID. It
@@ -256,10 +337,10 @@
 		return
 	}
 	r.closed = true
-	r.pool.removeActive(r.conn)
 	cancelled := !r.stop()
 	if cancelled || !r.complete || r.resp.Close || r.conn.reader.Buffered() > 0 {
 		r.conn.Close()
+		r.pool.removeActive(r.conn)
 		return
 	}
 	r.pool.putIdle(r.conn, keepAliveTimeout(r.Headers.Get("Keep-Alive")))
--- a/edge/replica/idle_hint.go
+++ b/edge/replica/idle_hint.go
@@ -5,26 +5,35 @@
 	"sync/atomic"
 )
 
-// idleHintCount is the number of addresses whose idle connections can be told apart. With the
-// 12,000 replicas of the design size, an idle connection may be taken for one to another
-// replica. That costs one new connection, as without the hint, and needs no table that grows.
-const idleHintCount = 8192
+// hintCount is the number of addresses whose hints can be told apart. With the 12,000 replicas of
+// the design size, an idle connection may be taken for one to another replica. That costs one new
+// connection, as without the hint, and needs no table that grows.
+const hintCount = 8192
+
+func hintIndex(address string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(address)) // hash writes never fail
+	return h.Sum32() % hintCount
+}
 
 // IdleUntil returns the time, a reading of the boot clock in nanoseconds, until which this host
 // has an idle connection to the address, or 0. The value follows the pool, and reading it
 // never blocks. It is a hint: another request may take the connection first, and addresses
 // share values.
-func (p *Pool) IdleUntil(address string) *atomic.Int64 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(address)) // hash writes never fail
-	return &p.idleUntil[h.Sum32()%idleHintCount]
-}
+func (p *Pool) IdleUntil(address string) *atomic.Int64 { return &p.idleUntil[hintIndex(address)] }
 
-// updateIdleHint sets the hint of an address. The caller holds mu.
-func (p *Pool) updateIdleHint(address string) {
+// FullUntil returns the time, a reading of the boot clock in nanoseconds, until which requests to
+// the address will probably wait for a connection, or 0. It is a hint like that of IdleUntil.
+func (p *Pool) FullUntil(address string) *atomic.Int64 { return &p.fullUntil[hintIndex(address)] }
+
+// updateHints sets the hints of an address. The caller holds mu.
+func (p *Pool) updateHints(s *connections) {
 	var until int64
-	for _, c := range p.idle[address] {
+	for _, c := range s.idle {
 		until = max(until, int64(c.usableUntil))
 	}
-	p.IdleUntil(address).Store(until)
+	p.idleUntil[s.hint].Store(until)
+	if len(s.waiting) == 0 && len(s.idle) > 0 {
+		p.fullUntil[s.hint].Store(0)
+	}
 }
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -5,7 +5,7 @@
 
 import (
 	"bufio"
-	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -13,13 +13,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
 	"siskinstand.example/platform"
-	"siskinstand.example/service/bootclock"
 )
 
 // readBufferSize is the size of a connection's read buffer; stream events have about
@@ -37,6 +36,9 @@
 	// MaxReservationTTL is the maximum time to live of a memory reservation without
 	// renewal.
 	MaxReservationTTL time.Duration
+	// Scope receives the counters of failed connections and of waits for connections; nil for
+	// none.
+	Scope tally.Scope
 }
 
 // Pool is a pool of connections to replicas.
@@ -44,17 +46,24 @@
 	config Config
 	dialer *net.Dialer
 
-	mu   sync.Mutex
-	idle map[string][]*conn
-	// active holds the connections with a request in progress, by address.
-	active map[string]map[*conn]bool
-	// idleUntil holds the results of IdleUntil by a hash of the address.
-	idleUntil [idleHintCount]atomic.Int64
+	mu sync.Mutex
+	// replicas holds the connections by address.
+	replicas map[string]*connections
+	// closeExpiredTimer runs closeExpired while there are idle connections.
+	closeExpiredTimer *time.Timer
+	isClosed          bool
+	// idleUntil holds the results of IdleUntil by a hash of the address, fullUntil those of
+	// FullUntil.
+	idleUntil [hintCount]atomic.Int64
+	fullUntil [hintCount]atomic.Int64
 }
 
 // NewPool returns a pool without connections.
 func NewPool(c Config) *Pool {
-	return &Pool{config: c, dialer: platform.Dialer(c.ConnectTimeout), idle: map[string][]*conn{}, active: map[string]map[*conn]bool{}}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	return &Pool{config: c, dialer: platform.Dialer(c.ConnectTimeout), replicas: map[string]*connections{}}
 }
 
 type conn struct {
@@ -69,11 +78,19 @@
 	sentCount int
 	// requestCut is set once the connection broke while a request was written.
 	requestCut bool
+	// isAboveLimit is set if the connection was opened although the replica had turned away
+	// another one shortly before.
+	isAboveLimit bool
 	// carriesHead is set once a HEAD request was sent.
 	carriesHead bool
 	// idleSince is the time since which an idle connection has been idle, usableUntil the
 	// time after which it is not reused.
 	idleSince, usableUntil time.Duration
+	// activeSince is the time since which the connection has a request in progress.
+	activeSince time.Duration
+	// kind is Request.Kind of the request in progress, and onSilence its Request.OnSilence.
+	kind      string
+	onSilence func(isSilent func() bool)
 }
 
 // maxSentIDs is the number of requests for which a connection remembers the attempt IDs.
@@ -96,107 +113,14 @@
 // and it is then unknown whether a request sent on it has run.
 const maxIdleAtMostOnce = 300 * time.Millisecond
 
-// acquire returns a reusable idle connection for a request or opens a new one.
-func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
-	for {
-		c := p.takeIdle(r)
-		if c == nil {
-			break
-		}
-		if c.reusable() {
-			c.reused = true
-			p.addActive(c)
-			return c, nil
-		}
-		c.Close()
-	}
-	n, err := p.dial(ctx, r.Address)
-	if err != nil {
-		return nil, err
-	}
-	budget := &budgetReader{source: n}
-	c := &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: r.Address}
-	p.addActive(c)
-	return c, nil
-}
-
-func (p *Pool) addActive(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.active[c.address] == nil {
-		p.active[c.address] = map[*conn]bool{}
-	}
-	p.active[c.address][c] = true
-}
-
-func (p *Pool) removeActive(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.active[c.address], c)
-	if len(p.active[c.address]) == 0 {
-		delete(p.active, c.address)
-	}
-}
-
-// takeIdle removes the most recently used idle connection that can carry the request from the
-// pool and returns it, or nil. It closes connections that have been idle for too long.
-func (p *Pool) takeIdle(r Request) *conn {
-	now := bootclock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, c := range slices.Backward(p.idle[r.Address]) {
-		isExpired := now >= c.usableUntil || r.AtMostOnce && now-c.idleSince > maxIdleAtMostOnce
-		if !isExpired && c.hasSent(r.AttemptID) {
-			continue
-		}
-		p.removeIdle(r.Address, i)
-		if !isExpired {
-			return c
-		}
-		c.Close()
-	}
-	return nil
-}
-
-// removeIdle removes the connection with the given index from the pool.
-func (p *Pool) removeIdle(address string, i int) {
-	p.idle[address] = slices.Delete(p.idle[address], i, i+1)
-	if len(p.idle[address]) == 0 {
-		delete(p.idle, address)
-	}
-	p.updateIdleHint(address)
-}
-
-// putIdle returns a connection to the pool after a complete response, or closes it if the
-// pool is full. serverTimeout is the timeout that the replica announced, or 0.
-func (p *Pool) putIdle(c *conn, serverTimeout time.Duration) {
-	limit := p.config.IdleTimeout
-	if serverTimeout > 0 {
-		// The replica's timeout started when it sent its last byte; stop a second earlier.
-		limit = min(limit, serverTimeout-time.Second)
-	}
-	c.idleSince = bootclock.Now()
-	c.usableUntil = c.idleSince + limit
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if limit <= 0 || len(p.idle[c.address]) >= p.config.MaxIdle {
-		c.Close()
-		return
-	}
-	p.idle[c.address] = append(p.idle[c.address], c)
-	p.updateIdleHint(c.address)
-}
-
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		for _, c := range list {
-			c.Close()
-		}
+	p.isClosed = true
+	for _, s := range p.replicas {
+		s.closeIdle()
 	}
-	p.idle = map[string][]*conn{}
 }
 
 // reusable reports whether an idle connection is open and has no unread data. Data after
@@ -205,22 +129,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && open
+	_, err := c.peek()
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // keepAliveTimeout returns the timeout given in a Keep-Alive header, or 0.
--- a/edge/replica/reserve.go
+++ b/edge/replica/reserve.go
@@ -115,7 +115,7 @@
 func (p *Pool) sendOrder(ctx context.Context, target ReservationTarget, order platform.OrderRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	resp, err := p.Do(ctx, Request{Address: target.Address, Method: order.Method, Target: order.Path, Host: target.Address, Headers: order.Headers, Body: order.Body})
+	resp, err := p.Do(ctx, Request{Address: target.Address, Method: order.Method, Target: order.Path, Host: target.Address, Headers: order.Headers, Body: order.Body, MaxConnectionWait: orderTimeout / 2})
 	if err != nil {
 		return err
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -118,7 +118,7 @@
 	d.store = platform.NewStore(platform.StoreConfig{Address: s.Store.Address, Timeout: s.Store.Timeout})
 	d.requests = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Kind: platform.ChangeCrashRequest, Expiry: suspect.DefaultConfig().Expiry})
 	d.parts = storewatch.NewPartStore(storewatch.PartStoreConfig{Store: d.store, Kind: platform.ChangeCrashPart, Expiry: suspect.DefaultPartConfig(s.Process.ID).Expiry})
-	d.pool = replica.NewPool(replica.Config{ConnectTimeout: s.Replicas.ConnectTimeout, IdleTimeout: s.Replicas.IdleTimeout, MaxIdle: s.Replicas.MaxIdle, MaxReservationTTL: s.Bounds.HoldMax})
+	d.pool = replica.NewPool(replica.Config{ConnectTimeout: s.Replicas.ConnectTimeout, IdleTimeout: s.Replicas.IdleTimeout, MaxIdle: s.Replicas.MaxIdle, MaxReservationTTL: s.Bounds.HoldMax, Scope: d.metrics.Scope})
 	drainAcceptTime := min(maxDrainAcceptTime, s.Bounds.Shutdown/drainAcceptDivisor)
 	var connections control.Connections
 	if s.Placement.ZoneDelays {
@@ -138,7 +138,7 @@
 		MinReportInterval: s.Peers.Interval, FullReportInterval: s.Peers.Repeat, PeerTimeout: s.Peers.Silence, MaxReportsPerSecond: s.Peers.ReportsPerSecond,
 		DrainQueueTime: drainAcceptTime, Directory: directory.DefaultPolicy().WithDrainTime(s.Bounds.DrainTime),
 		ReportSender: d.socket, PartStore: d.parts, RequestStore: d.requests, Prober: d.pool, Placement: placementPolicy(s), CostPrediction: s.Placement.CostPrediction, Scope: d.metrics.Scope,
-		ZoneDelays: s.Placement.ZoneDelays, Connections: connections, Speeds: speeds, Sections: sections,
+		ZoneDelays: s.Placement.ZoneDelays, Connections: connections, ConnectionLimits: d.pool, Speeds: speeds, Sections: sections,
 		FairShares: s.Placement.FairShares,
 	})
 	d.limits = newResources(s)
