edge/control: a replica at its limit of connections has not crashed

The result of a probe said only that it had failed. Its error now has the state of coord/connfault; with the state at_limit the replica lives.

--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -59,6 +59,7 @@
 
 // Prober checks whether an address accepts connections.
 type Prober interface {
+	// Probe opens a connection. The error is judged by connfault.StateOf.
 	Probe(ctx context.Context, address string) error
 }
 
--- a/edge/control/probe.go
+++ b/edge/control/probe.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/service/bootclock"
@@ -31,25 +32,28 @@
 	return true
 }
 
+// handleProbeResult applies the result of a probe. A replica that accepts no further connection
+// while others to it are open has not crashed.
 func (l *Loop) handleProbeResult(at time.Duration, m probeResult) {
-	if m.err != nil {
+	isDead := m.err != nil && connfault.StateOf(m.err) != connfault.AtLimit
+	if isDead {
 		l.resolveBrokenSends(at, m.id, m.err)
 	} else {
 		l.discardBrokenSends(at, m.id, m.startedAt)
 	}
-	if m.err != nil && l.health.Record(at, m.id, health.Unreachable) {
+	if isDead && l.health.Record(at, m.id, health.Unreachable) {
 		klog.V(1).InfoS("replica out of use", "replica", m.id, "outcome", health.Unreachable, "err", m.err)
 		l.scheduleReport(reportNow)
 	}
 	if !l.health.IsUnreachable(m.id) {
 		return
 	}
-	if m.err != nil {
+	if isDead {
 		l.scheduleProbe(m.id, probeInterval)
 		return
 	}
 	l.health.MarkReachable(m.id)
-	klog.V(1).InfoS("replica reachable", "replica", m.id)
+	klog.V(1).InfoS("replica reachable", "replica", m.id, "err", m.err)
 	l.scheduleReport(reportSoon)
 }
 
