sidecar/control: keep running attempts when a probe gets no connection

Two probes of the engine that failed in a row, or one while a failed attempt waited for it, aborted all running attempts and made their requests crash suspects, also if the engine only accepted no further connection or this host had no descriptor left.

An attempt that has not ended is an open connection, and a chunk since the probe a sign of life. A refusal beside an open attempt is confirmed by a second probe, since after a crash the attempts don't all end at the same moment.

With the old rule, TestFailedProbeOfWorkingEngine fails in the subtests "refused, other attempt runs", "reset, other attempt runs", "no answer, other attempt receives" and "shortage on this host"; those of an engine that has crashed or is silent pass before and after, as does TestCrashSeenByOneAttemptFirst.

--- a/sidecar/control/attempt.go
+++ b/sidecar/control/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"siskinstand.example/coord/admission"
@@ -86,13 +87,15 @@
 
 // Attempt is an attempt in the control loop. The loop's goroutine may change
 // Isolated and HoldTokens of the Offer until it has sent the first Decision.
-// Other goroutines receive from the two channels; the fields below them belong
-// to the loop's goroutine.
+// Other goroutines receive from the two channels and call RecordChunk; the fields
+// below lastChunkAt belong to the loop's goroutine.
 type Attempt struct {
 	Offer Offer
 
-	decisions       chan Decision
-	aborted         chan struct{}
+	decisions chan Decision
+	aborted   chan struct{}
+	// lastChunkAt is the time of the latest bytes from the engine, or nil.
+	lastChunkAt     atomic.Pointer[time.Time]
 	stage           stage
 	mayHaveRun      bool
 	overdueReported bool
@@ -110,6 +113,9 @@
 // runs the attempt.
 func (a *Attempt) Aborted() <-chan struct{} { return a.aborted }
 
+// RecordChunk records that bytes have arrived from the engine.
+func (a *Attempt) RecordChunk(now time.Time) { a.lastChunkAt.Store(&now) }
+
 // sendDecision never blocks: an attempt gets at most one admission and one
 // refusal, and the channel is buffered for both.
 func (a *Attempt) sendDecision(d Decision) { a.decisions <- d }
--- a/sidecar/control/engine_monitor.go
+++ b/sidecar/control/engine_monitor.go
@@ -107,10 +107,7 @@
 	monitor.probeInFlight = false
 	monitor.nextProbe = now.Add(fastProbeInterval)
 	if m.err != nil {
-		monitor.probeFailures++
-		if l.phase != phaseServing || monitor.probeFailures >= probeFailuresForCrash || len(monitor.awaitingProbe) > 0 {
-			l.handleEngineCrash(now)
-		}
+		l.handleFailedProbe(now, m)
 		return
 	}
 	monitor.probeFailures = 0
--- a/sidecar/grpcserver/burn.go
+++ b/sidecar/grpcserver/burn.go
@@ -37,6 +37,7 @@
 		a.server.burnRecorder.RecordTokenGap(a.burnKey(), now.Sub(a.lastChunkAt)/time.Duration(tokens), int(tokens))
 	}
 	a.lastChunkAt = now
+	a.loopAttempt.RecordChunk(now)
 }
 
 // Burn returns the service level objective counts measured at this endpoint.
