edge, fakes/faultproxy: replicas with a limit of connections in the soak

Each link now accepts 4 to 12 connections, of 12 in the configuration, and refuses the others or leaves them without an answer; in fault phases, replicas accept 1 to 4 for a while and also reset the others, at once or after their first bytes.

--- a/edge/soak_faults_test.go
+++ b/edge/soak_faults_test.go
@@ -56,7 +56,7 @@
 func (s *soak) injectFault() string {
 	hostIndex := s.random.IntN(len(s.hosts))
 	e := s.hosts[hostIndex]
-	switch s.random.IntN(16) {
+	switch s.random.IntN(18) {
 	case 0, 1, 14, 15:
 		responseMode, r := randomItem(s.random, soakResponseModes), s.randomReplica()
 		r.SetPause(randomItem(s.random, []string{"", "0.5", "1", "soon"}))
@@ -118,6 +118,12 @@
 		s.store.Put(key, []byte(value))
 		s.undoLater(func() { s.store.Delete(key) })
 		return fmt.Sprintf("malformed entry %.40q", value)
+	case 16, 17:
+		r, limit, how := s.randomReplica(), 1+s.random.IntN(minConnections), randomItem(s.random, faultproxy.AtLimits)
+		link := s.links[r.ID()]
+		link.SetLimit(limit, how)
+		s.undoLater(func() { link.SetLimit(soakMaxConnections, faultproxy.Refuse) })
+		return fmt.Sprintf("%s accepts %d connections (%s)", r.ID(), limit, how)
 	}
 	return s.plannedChange()
 }
--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -43,6 +43,10 @@
 	soakKeptConnections = 4
 	soakEvents          = 12
 	soakEventInterval   = 2 * time.Millisecond
+	// soakMaxConnections is the limit of connections to a replica in the configuration. The
+	// replicas accept minConnections or more, since they accept fewer while their queue is long.
+	soakMaxConnections = 12
+	minConnections     = 4
 	// soakRouteTimeout is the timeout of all routes.
 	soakRouteTimeout = 3 * time.Second
 	// faultPhaseLength and plannedPhaseLength are the lengths of the phases. recoveryTime
@@ -192,6 +196,7 @@
 		link = s.newLink(r.Address())
 	}
 	link.SetTarget(r.Address())
+	s.limitConnections(link)
 	r.Advertise(link.Address())
 	s.mu.Lock()
 	s.replicas[r.ID()], s.links[r.ID()] = r, link
@@ -200,6 +205,13 @@
 	return r
 }
 
+// limitConnections makes the replica behind a link accept a limited number of connections. Beyond
+// it, a replica refuses them or does not answer, so that no request is lost.
+func (s *soak) limitConnections(link *faultproxy.Proxy) {
+	limit := minConnections + s.random.IntN(soakMaxConnections-minConnections+1)
+	link.SetLimit(limit, randomItem(s.random, []faultproxy.AtLimit{faultproxy.Refuse, faultproxy.Ignore}))
+}
+
 // configure writes the next version of the configuration and records when its keys became
 // valid or invalid.
 func (s *soak) configure() {
@@ -207,7 +219,9 @@
 	defer s.mu.Unlock()
 	s.version++
 	sent := time.Now()
-	s.store.Put(platform.ConfigKey, platform.Configuration(s.version, soakRouteTimeout, []platform.Account{{Name: "t1", Keys: s.keys}}))
+	c := platform.Configuration(s.version, soakRouteTimeout, []platform.Account{{Name: "t1", Keys: s.keys}})
+	platform.SetMaxConnections(c, soakMaxConnections)
+	s.store.Put(platform.ConfigKey, c)
 	s.history.recordKeys(sent, s.keys)
 }
 
--- a/fakes/faultproxy/proxy.go
+++ b/fakes/faultproxy/proxy.go
@@ -37,9 +37,16 @@
 // Proxy forwards TCP connections to a target. Its methods are safe for concurrent
 // use.
 type Proxy struct {
-	listener net.Listener
+	address string
 
-	mu      sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
+	isClosed bool
+	// limit is the number of connections beyond which atLimit applies, or 0 for none; open is
+	// the number of those that count.
+	limit   int
+	atLimit AtLimit
+	open    int
 	target  string
 	mode    Mode
 	changed chan struct{}
@@ -59,17 +66,20 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
-	go p.accept()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.isClosed = true
 	_ = p.listener.Close() // ends accept, even if it returns an error
+	p.mu.Unlock()
 	p.SetMode(Reset)
 }
 
@@ -132,16 +142,6 @@
 	}
 }
 
-func (p *Proxy) accept() {
-	for {
-		c, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		go p.handleConnection(c)
-	}
-}
-
 func (p *Proxy) handleConnection(client net.Conn) {
 	p.mu.Lock()
 	target := p.target
--- a/fakes/platform/configuration.go
+++ b/fakes/platform/configuration.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// SetMaxConnections sets the limit of connections to each replica in a configuration.
+func SetMaxConnections(configuration map[string]any, limit int) {
+	for _, s := range configuration["services"].([]any) {
+		s.(map[string]any)["max_conns"] = limit
+	}
+}
+
 // Keys in the store, or their prefixes, that the operator and the replicas write.
 const (
 	ConfigKey      = "op/config"
