--- a/e2e/broken_service_test.go
+++ b/e2e/broken_service_test.go
@@ -100,3 +100,73 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that callers of the gateway get as a whole one: the service
+// answers a long upload at once, without a length, and resets the connection while the sidecar
+// still writes the upload.
+func TestEarlyServiceResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	for name, text := range map[string]string{
+		"part without a length":      head + "\r\npart",
+		"part of a length":           head + "Content-Length: 9\r\n\r\npart",
+		"status 000":                 "HTTP/1.1 000 Zero\r\nContent-Length: 5\r\n\r\nwhole",
+		"status 000 of a long reply": "HTTP/1.1 000 Zero\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway := startServiceStack(t, serveUploads(t, text))
+			upload := strings.Repeat("x", longUploadBytes)
+			for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+				status, body := callService(t, gateway, upload)
+				if status == http.StatusServiceUnavailable && time.Since(start) < serviceTimeLimit {
+					continue // the sidecar has not probed the service yet
+				}
+				if status != http.StatusBadGateway || !strings.Contains(body, `"may_have_run"`) {
+					t.Errorf("answer %d %.200s, want 502 may_have_run", status, body)
+				}
+				return
+			}
+		})
+	}
+}
+
+// longUploadBytes is more than the buffers of a connection hold and less than the longest prompt
+// that the gateway takes the body for.
+const longUploadBytes = 3 << 20
+
+// serveUploads starts a service that is healthy and answers uploads early with a text and a reset.
+func serveUploads(t *testing.T, text string) string {
+	t.Helper()
+	return headtest.Listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if q.Method == http.MethodGet {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			return
+		}
+		fmt.Fprint(c, text)
+		time.Sleep(20 * time.Millisecond) // the reset would discard what is still in transit
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+}
+
+func callService(t *testing.T, gateway, body string) (int, string) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+gateway+"/services/app/upload", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Errorf("the answer broke off: %v", err)
+	}
+	return response.StatusCode, string(data)
+}
