--- a/edge/replica/limit_test.go
+++ b/edge/replica/limit_test.go
@@ -319,3 +319,37 @@
 
 func (resetConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
 func (resetConn) Read([]byte) (int, error)  { return 0, syscall.ECONNRESET }
+
+// Guards against an order about memory that ends the requests at a helper which is at its limit of
+// connections, and against one that fails there although a connection becomes free.
+func TestReservationAtLimit(t *testing.T) {
+	s := serveLimited(t, 2, closePort, stream(100*time.Millisecond, 10*time.Millisecond, 5))
+	p := testPool(t)
+	var responses []*Response
+	for i := range 2 {
+		resp, err := send(p, s.address, fmt.Sprint("a", i), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Close()
+		responses = append(responses, resp)
+	}
+	reserved := make(chan error, 1)
+	go func() {
+		r, err := p.Reserve(t.Context(), "e1", []ReservationTarget{{ID: "i-1", Address: s.address, Tokens: 1}})
+		if err == nil {
+			r.Release()
+		}
+		reserved <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // the order has been refused a connection
+	for _, resp := range responses {
+		if body, err := io.ReadAll(resp); err != nil || string(body) != "xxxxx" {
+			t.Errorf("response %q, %v, want it whole", body, err)
+		}
+		resp.Close()
+	}
+	if err := <-reserved; err != nil {
+		t.Errorf("reservation: %v", err)
+	}
+}
