edge: use the rest of the shutdown time for the last responses

Cause, from the log of failing runs: "connections closed without a response requests=46" 0.18 s after "shutdown time is over", and "stopped" 6 ms later, with 0.2 s of the 0.4 s kept for the end unused. The last responses had 0.1 s, by a constant. They now have all but the last 0.1 s of the shutdown time.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -36,9 +36,9 @@
 	// exiting. Late requests are accepted only if they are expected to finish another
 	// margin earlier.
 	shutdownMargin = 400 * time.Millisecond
-	// finalResponseTime is the part of shutdownMargin for the responses to requests that are
-	// ended at the end of the shutdown time.
-	finalResponseTime = 100 * time.Millisecond
+	// exitTime is the part of shutdownMargin for the exit of the process. The responses to
+	// requests that are ended at the end of the shutdown time may take the rest.
+	exitTime = 100 * time.Millisecond
 	// maxDrainAcceptTime is how long after SIGTERM every request is accepted, limited to
 	// 1/drainAcceptDivisor of the shutdown time. With a shutdown time of 8 s, the platform
 	// does not count a request as cut off if it arrived within the first 3 s and is still
@@ -220,7 +220,8 @@
 // load balancer time to notice, and then waits for running requests.
 func (d *edgeDaemon) drain(ctx context.Context, callerServer *http1.Server) {
 	klog.InfoS("stopping", "requests", d.server.InFlight())
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Bounds.Shutdown-shutdownMargin)
+	end := time.Now().Add(d.settings.Bounds.Shutdown)
+	ctx, cancel := context.WithDeadline(ctx, end.Add(-shutdownMargin))
 	defer cancel()
 	if d.loop.Drain(ctx) != nil {
 		return
@@ -237,7 +238,7 @@
 	}
 	klog.InfoS("shutdown time is over, running requests are ended", "requests", d.server.InFlight())
 	d.server.EndRequests()
-	endCtx, cancelEnd := context.WithTimeout(context.Background(), finalResponseTime)
+	endCtx, cancelEnd := context.WithDeadline(context.Background(), end.Add(-exitTime))
 	defer cancelEnd()
 	if err := callerServer.Shutdown(endCtx); err != nil {
 		klog.InfoS("connections closed without a response", "requests", d.server.InFlight(), "err", err)
