edge/control: say what the hints about connections return

Comments only: "a value that follows the time" did not say that the result is a boot clock reading which the pool keeps up to date. 0 lines of code change.

--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -16,15 +16,16 @@
 
 // Connections tells to which addresses this host has idle connections.
 type Connections interface {
-	// IdleUntil returns a value that follows the time, in nanoseconds of the boot clock, until
-	// which there is an idle connection to the address. Reading it does not block.
+	// IdleUntil returns the boot clock reading, in nanoseconds, until which there is an idle
+	// connection to the address. The value is kept up to date, and reading it does not block.
 	IdleUntil(address string) *atomic.Int64
 }
 
-// ConnectionLimits tells to which addresses requests wait for connections.
+// ConnectionLimits tells at which addresses requests wait for connections, since the replica
+// accepts no further ones.
 type ConnectionLimits interface {
-	// FullUntil returns a value that follows the time until which requests to the address will
-	// probably wait for a connection. Reading it does not block.
+	// FullUntil returns the boot clock reading, in nanoseconds, until which a request to the address
+	// will probably have to wait. The value is kept up to date, and reading it does not block.
 	FullUntil(address string) *atomic.Int64
 }
 
