service/buildinfo, all programs: tell the revision of the sources

The build line asks for the information and builds without it if git refuses to read the repository: git's exit status 128 would fail the build otherwise.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 build:
 	@mkdir -p bin
-	@for p in $(PROGRAMS); do go build -o bin/$${p##*:} ./$${p%%:*} || exit 1; done
+	@for p in $(PROGRAMS); do go build -buildvcs=auto -o bin/$${p##*:} ./$${p%%:*} || exit 1; done
 
 fmt: lint-tool
 	$(LINT) fmt $(MODULES)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -24,6 +24,7 @@
 	"siskinstand.example/edge/replica"
 	"siskinstand.example/edge/storewatch"
 	"siskinstand.example/platform"
+	"siskinstand.example/service/buildinfo"
 	"siskinstand.example/service/http1"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/membudget"
@@ -93,8 +94,9 @@
 		return err
 	}
 	defer d.close()
-	klog.InfoS("started", "host", s.Process.ID, "zone", s.Process.Zone, "callers", s.Callers.Address, "store", s.Store.Address, "boot", d.incarnation,
-		"memory_mb", limits.memoryBytes/mebibyte, "caller_bytes", limits.budget.Limit, "caller_reserve_bytes", limits.budget.Reserve, "max_connections", limits.maxConnections, "gc_percent", limits.gcPercent)
+	klog.InfoS("started", append([]any{"host", s.Process.ID, "zone", s.Process.Zone, "callers", s.Callers.Address, "store", s.Store.Address, "boot", d.incarnation,
+		"memory_mb", limits.memoryBytes / mebibyte, "caller_bytes", limits.budget.Limit, "caller_reserve_bytes", limits.budget.Reserve, "max_connections", limits.maxConnections, "gc_percent", limits.gcPercent},
+		buildinfo.Read().LogFields()...)...)
 	err = d.run()
 	klog.InfoS("stopped", "err", err)
 	return err
--- a/edge/signals_test.go
+++ b/edge/signals_test.go
@@ -47,6 +47,12 @@
 
 func TestHangup(t *testing.T) {
 	e, settings, store := startSingleHost(t, 20)
+	t.Run("start line", func(t *testing.T) {
+		// Guards against a log that does not tell which revision of the program has written it.
+		if n := e.countInLog(`revision="`); n != 1 {
+			t.Errorf("%d lines name the revision, want the first one", n)
+		}
+	})
 	stream := make(chan platform.Reply, 1)
 	go func() { stream <- platform.SendOnNewConnection(t.Context(), e.callerAddress, streamCall()) }()
 	time.Sleep(100 * time.Millisecond)
--- a/fakes/main.go
+++ b/fakes/main.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"siskinstand.example/service/buildinfo"
 	"siskinstand.example/service/logging"
 )
 
@@ -28,6 +29,9 @@
 	if _, err := p.AddGroup("Options", "", &options{}); err != nil {
 		panic(err)
 	}
+	if _, err := p.AddGroup("Program", "", buildinfo.NewOptions(p.Name)); err != nil {
+		panic(err)
+	}
 	return p
 }
 
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"siskinstand.example/gateway/dispatch"
 	"siskinstand.example/gateway/httpapi"
 	"siskinstand.example/gateway/sidecar"
+	"siskinstand.example/service/buildinfo"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/rungroup"
 )
@@ -104,7 +105,7 @@
 
 func (d *Daemon) run(g *rungroup.Group) error {
 	defer d.close()
-	klog.InfoS("gateway started", "process", d.Settings.Process.ID, logging.FieldZone, d.Settings.Process.Zone, "callers", d.callerListener.Addr(), "admin", d.adminListener.Addr())
+	klog.InfoS("gateway started", append([]any{"process", d.Settings.Process.ID, logging.FieldZone, d.Settings.Process.Zone, "callers", d.callerListener.Addr(), "admin", d.adminListener.Addr()}, buildinfo.Read().LogFields()...)...)
 	return g.Run()
 }
 
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"siskinstand.example/service/buildinfo"
 )
 
 type options struct {
@@ -26,6 +28,9 @@
 	if _, err := p.AddGroup("Options", "", &options{}); err != nil {
 		panic(err)
 	}
+	if _, err := p.AddGroup("Program", "", buildinfo.NewOptions(p.Name)); err != nil {
+		panic(err)
+	}
 	return p
 }
 
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -1,5 +1,5 @@
 // Package daemon implements the command line of the long-running programs: --config,
-// --check and --sample.
+// --check, --sample and --version.
 package daemon
 
 import (
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"siskinstand.example/service/buildinfo"
 )
 
 // Exit codes of a daemon.
@@ -54,6 +56,9 @@
 	if _, err := parser.AddGroup("Options", "", o); err != nil {
 		panic(err)
 	}
+	if _, err := parser.AddGroup("Program", "", buildinfo.NewOptions(p.Name)); err != nil {
+		panic(err)
+	}
 	parser.FindOptionByLongName("config").Default = []string{p.DefaultConfigFile}
 	return parser
 }
--- a/service/daemon/daemon_test.go
+++ b/service/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 		want string
 	}{
 		"help":         {[]string{"--help"}, exitOK, "settings file (default: test.ini)"},
+		"version":      {[]string{"--version"}, exitOK, "test revision "},
 		"sample":       {[]string{"--sample"}, exitOK, "[section]"},
 		"check":        {[]string{"--check"}, exitFailed, "test: checked test.ini"},
 		"run":          {[]string{"--config", "other.ini"}, exitFailed, "test: ran other.ini"},
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -16,6 +16,7 @@
 	"siskinstand.example/coord/budget"
 	"siskinstand.example/coord/invariant"
 	"siskinstand.example/peerpb"
+	"siskinstand.example/service/buildinfo"
 	"siskinstand.example/service/logging"
 	"siskinstand.example/service/metrics"
 	"siskinstand.example/service/rpcstats"
@@ -108,7 +109,7 @@
 		gatewayListener.Close()
 		return eris.Wrap(err, "open admin listener")
 	}
-	klog.InfoS("sidecar starts", logging.FieldEndpoint, s.Endpoint.Name, logging.FieldZone, s.Endpoint.Zone, "address", gatewayListener.Addr(), "admin", adminListener.Addr())
+	klog.InfoS("sidecar starts", append([]any{logging.FieldEndpoint, s.Endpoint.Name, logging.FieldZone, s.Endpoint.Zone, "address", gatewayListener.Addr(), "admin", adminListener.Addr()}, buildinfo.Read().LogFields()...)...)
 	var group rungroup.Group
 	group.Add("control", c.loop.Run)
 	group.Add("orders", c.modelLoader.Run)
--- a/siskinctl/app.go
+++ b/siskinctl/app.go
@@ -16,6 +16,7 @@
 
 	"siskinstand.example/adapters/kvstore"
 	"siskinstand.example/coord/config"
+	"siskinstand.example/service/buildinfo"
 	"siskinstand.example/siskinctl/editor"
 )
 
@@ -79,6 +80,9 @@
 	if _, err := parser.AddGroup("Global options", "", &a.options); err != nil {
 		return nil, err
 	}
+	if _, err := parser.AddGroup("Program", "", buildinfo.NewOptions(parser.Name)); err != nil {
+		return nil, err
+	}
 	for _, c := range a.subcommands() {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".\n\nExample:\n  "+c.example, c.commander); err != nil {
 			return nil, err
