edge/caller: pass the head of a stream on with its first event

Cause: the response counted as started when the replica's head arrived, but net/http holds that head until the first event. A failure in between aborted the connection.

The head now goes out with the first event. Before it, a failure gets its own status and the connection is kept; another replica's whole response has its own head.

Two tests required the closed connection, in 3 rows: TestEarlyAnswer and TestStreamThatEndsWithItsConnection.

--- a/edge/caller/early_answer_test.go
+++ b/edge/caller/early_answer_test.go
@@ -22,8 +22,8 @@
 	for name, tc := range map[string]struct {
 		path, text string
 		end        func(*net.TCPConn, io.Reader)
-		// wantStatus, or 0 for any, and wantBody are what the caller gets. The body of a status
-		// from 500 is the host's own.
+		// wantStatus and wantBody are what the caller gets. The body of a status from 500 is the
+		// host's own.
 		wantStatus int
 		wantBody   string
 		// wantCut is set if the caller must see that the response broke off.
@@ -40,7 +40,7 @@
 		"part without a length, upload read":      {"/x", plain + "\r\npart", headtest.ReadAndReset, 502, "", false},
 		"stream without a length, upload read":    {"/stream/", events, headtest.ReadAndReset, 200, "id: 1\ndata: x\n\n", true},
 		"stream without a length":                 {"/stream/", events, headtest.Reset, 200, "id: 1\ndata: x\n\n", true},
-		"stream without a length or event":        {"/stream/", plain + "Content-Type: text/event-stream\r\n\r\n", headtest.Reset, 0, "", true},
+		"stream without a length or event":        {"/stream/", plain + "Content-Type: text/event-stream\r\n\r\n", headtest.Reset, 502, "", false},
 		"refusal without a length":                {"/x", "HTTP/1.1 503 Full\r\n" + brokenFields + "Not-Executed: 1\r\n\r\npart", headtest.Reset, 503, "", false},
 		"refusal of the request without a length": {"/x", "HTTP/1.1 400 Bad\r\n" + brokenFields + "Not-Executed: 1\r\n\r\npart", headtest.Reset, 503, "", false},
 		"whole length":                            {"/x", plain + "Content-Length: 5\r\n\r\nwhole", headtest.Reset, 200, "whole", false},
@@ -55,7 +55,7 @@
 			front := httptest.NewServer(s)
 			t.Cleanup(front.Close)
 			a := ask(t, front.URL, tc.path, "broken", strings.Repeat("x", headtest.LongUploadBytes))
-			if isCut := a.err != nil; a.status != tc.wantStatus && tc.wantStatus != 0 || isCut != tc.wantCut {
+			if isCut := a.err != nil; a.status != tc.wantStatus || isCut != tc.wantCut {
 				t.Errorf("answer %d %q, error %v; want status %d, cut off: %t", a.status, a.body, a.err, tc.wantStatus, tc.wantCut)
 			}
 			isOwn := strings.HasPrefix(a.body, `{"error":`) && a.header.Get("Replica-Stamp") == ""
--- a/edge/caller/parts_test.go
+++ b/edge/caller/parts_test.go
@@ -88,18 +88,20 @@
 }
 
 // Guards against a stream without a length that is presented as complete although its replica
-// has ended, and against one that is aborted although it is complete.
+// has ended, and against one that is aborted although it is complete or has no event yet.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n"
 	const event = "id: 1\ndata: x\n\n"
+	const failure = `{"error":{"code":"engine_failed","message":"the stream broke off","verdict":"may_have_run","retry_after_ms":0}}`
 	tests := map[string]struct {
 		answer, want string
+		status       int
 		aborted      bool
 	}{
-		"no event":                {head, "", true},
-		"partial event":           {head + "id: 1\ndat", "", true},
-		"event and partial event": {head + event + "id: 2\nda", event, true},
-		"whole event":             {head + event, event, false},
+		"no event":                {head, failure, http.StatusBadGateway, false},
+		"partial event":           {head + "id: 1\ndat", failure, http.StatusBadGateway, false},
+		"event and partial event": {head + event + "id: 2\nda", event, http.StatusOK, true},
+		"whole event":             {head + event, event, http.StatusOK, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -112,8 +114,8 @@
 				defer func() { aborted = recover() != nil }()
 				s.ServeHTTP(recorder, r)
 			}()
-			if got := recorder.Body.String(); got != tc.want || aborted != tc.aborted {
-				t.Errorf("body %q, aborted: %t; want %q, %t", got, aborted, tc.want, tc.aborted)
+			if got := recorder.Body.String(); got != tc.want || recorder.Code != tc.status || aborted != tc.aborted {
+				t.Errorf("status %d, body %q, aborted: %t; want %d, %q, %t", recorder.Code, got, aborted, tc.status, tc.want, tc.aborted)
 			}
 		})
 	}
--- a/edge/caller/stream.go
+++ b/edge/caller/stream.go
@@ -32,16 +32,10 @@
 
 // stream passes on complete events as they arrive. It holds back partial events,
 // because the replica may fail in the middle of one and another replica may then
-// continue the stream.
+// continue the stream. The head is passed on with the first event: until then, another replica may
+// answer in its place, or the caller can be told why the request failed.
 func (q *request) stream(ctx context.Context, assignment control.Assignment, resp *replica.Response) outcome {
 	lastEventID, continued := q.lastEventID, q.responseStarted
-	if !q.responseStarted {
-		q.status = resp.Status
-		headers := platform.CallerResponseHeaders(resp.Headers)
-		headers.Del("Content-Length")
-		q.startResponse(headers)
-		q.writer.WriteHeader(resp.Status)
-	}
 	var pending []byte
 	unidentified, began := 0, false
 	buffer := make([]byte, 4096)
@@ -68,6 +62,7 @@
 			} else if unidentified += end; unidentified > maxUnidentifiedBytes {
 				return q.brokenStreamOutcome(ctx, began, errNoEventIDs)
 			}
+			q.startStream(resp)
 			if writeErr := q.writeEvents(pending[:end]); writeErr != nil {
 				if cutOff := q.readerError(); cutOff != nil {
 					return outcome{err: cutOff, health: health.Served}
@@ -80,6 +75,7 @@
 		case errors.Is(err, io.EOF) && resp.EndsWithConnection && !began:
 			return q.brokenStreamOutcome(ctx, began, errNoEvents)
 		case errors.Is(err, io.EOF) && len(pending) == 0:
+			q.startStream(resp)
 			return outcome{health: health.Served, finished: true}
 		case err != nil:
 			return q.brokenStreamOutcome(ctx, began, err)
@@ -89,6 +85,18 @@
 	}
 }
 
+// startStream passes on the head of a stream, unless the caller has that of an earlier replica.
+func (q *request) startStream(resp *replica.Response) {
+	if q.responseStarted {
+		return
+	}
+	q.status = resp.Status
+	headers := platform.CallerResponseHeaders(resp.Headers)
+	headers.Del("Content-Length")
+	q.startResponse(headers)
+	q.writer.WriteHeader(resp.Status)
+}
+
 // brokenStreamOutcome returns the outcome of a stream that did not end properly. began is
 // set if a complete event has arrived.
 func (q *request) brokenStreamOutcome(ctx context.Context, began bool, err error) outcome {
