edge/caller: count responses that end early by their cause

Nothing told why a caller's connection had ended without a whole response: `answered` has the reason, but the counter of answers mixes it with complete ones, and a response that gave way for memory had no reason at all.

siskin_edge_incomplete_responses counts by cause, and `answered` has `incomplete`.

--- a/edge/caller/error_response.go
+++ b/edge/caller/error_response.go
@@ -39,6 +39,9 @@
 	if e.Err != nil {
 		q.detail += ": " + e.Err.Error()
 	}
+	if q.responseStarted || e.Reason == verdict.ReasonCancelled {
+		q.recordIncomplete(e.Reason)
+	}
 	if q.responseStarted {
 		http1.Abort(q.httpRequest)
 	}
@@ -66,5 +69,7 @@
 	}
 	q.limitRefusal()
 	q.writer.WriteHeader(q.status)
-	_, _ = q.writer.Write(data) // fails only if the caller has disconnected
+	if _, err := q.writer.Write(data); err != nil { // the caller has disconnected
+		q.recordIncomplete(verdict.ReasonCancelled)
+	}
 }
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -71,6 +71,11 @@
 	lastWrite  time.Duration
 	longestGap time.Duration
 
+	// sendBegan is set once a send to a replica has begun, which may have run the request.
+	sendBegan bool
+	// incomplete says why the caller did not get a whole response, or is empty.
+	incomplete incompleteCause
+
 	status int
 	reason verdict.Reason
 	detail string
@@ -339,6 +344,9 @@
 	now := bootclock.Now()
 	took := now - q.received
 	q.server.metrics.recordResponse(q.status, string(q.reason))
+	if q.incomplete != "" {
+		q.server.metrics.recordIncomplete(q.incomplete)
+	}
 	q.server.metrics.totalTime.RecordDuration(took)
 	if q.timeToFirstByte > 0 {
 		q.server.metrics.firstByte.RecordDuration(q.timeToFirstByte)
@@ -355,7 +363,7 @@
 		version = q.view.Catalog.Version()
 		age, _ = q.view.Proof.Age(q.received)
 	}
-	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail, "part", formatPart(q.refusedPart),
+	klog.V(1).InfoS("answered", "request_id", q.headers.AttemptID, "status", q.status, "reason", q.reason, "detail", q.detail, "incomplete", q.incomplete, "part", formatPart(q.refusedPart),
 		"route", route, "account", account, "prompt", q.headers.PromptTokens, "sends", q.sendCount, "replicas", q.triedReplicas, "first_ms", q.timeToFirstByte.Milliseconds(),
 		"took_ms", took.Milliseconds(), "events", q.eventCount, "gap_ms", q.longestGap.Milliseconds(), "config_version", version, "proof_age_ms", age.Milliseconds(), "caller_waited_ms", q.callerWaited.Milliseconds())
 }
--- a/edge/caller/response.go
+++ b/edge/caller/response.go
@@ -144,10 +144,7 @@
 		return cutOff
 	}
 	if err != nil {
-		q.detail = err.Error()
-		if !errors.Is(err, membudget.ErrEvicted) {
-			q.detail = q.disconnectCause() + ": " + q.detail
-		}
+		q.recordWriteFailure(err)
 	}
 	return nil
 }
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -285,6 +285,7 @@
 // exchange sends the request in sendCtx, which ends before ctx if the request moves to another
 // replica, and passes on the response.
 func (q *request) exchange(ctx, sendCtx context.Context, assignment control.Assignment, r replica.Request) outcome {
+	q.sendBegan = true
 	resp, err := q.server.config.Pool.Do(sendCtx, r)
 	if err != nil {
 		return q.noResponseOutcome(ctx, err)
--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -220,6 +220,10 @@
 	return metrics{scope: scope, firstByte: scope.Histogram("first_byte", buckets), totalTime: scope.Histogram("whole_answer", buckets)}
 }
 
+func (m metrics) recordIncomplete(cause incompleteCause) {
+	m.scope.Tagged(map[string]string{"cause": string(cause)}).Counter("incomplete_responses").Inc(1)
+}
+
 func (m metrics) recordResponse(status int, reason string) {
 	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "reason": reason}).Counter("answers").Inc(1)
 }
