edge/caller: answer a request whose handler has panicked

A fault of this program would close the caller's connection without an answer, since that is what net/http does after a panic.

The caller gets 502, or 503 if no send had begun; the log has the stack, and siskin_edge_panics counts. TestPanicGetsStatus: "unexpected EOF" without the change, 502 with it.

--- a/edge/caller/server.go
+++ b/edge/caller/server.go
@@ -157,6 +157,7 @@
 	}
 	q := &request{server: s, writer: w, httpRequest: r, received: bootclock.Now(), headers: platform.ParseCallerHeaders(r.Header)}
 	defer q.recordCompletion()
+	defer q.answerPanic()
 	defer func() {
 		q.bodyClaim.Close()
 		q.responseClaim.Close()
