edge/caller, edge/replica: let broken streams wait as long as their callers

A new request can be told when to come back; this one can't.

It now waits until its caller would abandon it (2 s, 4 objectives or 8 pauses, less one objective), gets a connection before new requests, and may return to a replica that has failed before if no other takes it. max_attempts and the retry budget hold.

--- a/edge/caller/continue_test.go
+++ b/edge/caller/continue_test.go
@@ -21,10 +21,18 @@
 	return serveEach(t, func() string { return text })
 }
 
-// serveInTurn answers each request with the next text and closes the connection.
+// serveInTurn answers each request with the next text, or nothing if none is left, and closes the
+// connection.
 func serveInTurn(t *testing.T, texts <-chan string) string {
 	t.Helper()
-	return serveEach(t, func() string { return <-texts })
+	return serveEach(t, func() string {
+		select {
+		case text := <-texts:
+			return text
+		default:
+			return ""
+		}
+	})
 }
 
 // serveEach answers each request with the result of next and closes the connection.
--- a/edge/caller/request.go
+++ b/edge/caller/request.go
@@ -50,8 +50,10 @@
 	parts         []suspect.Part
 	refusedPart   suspect.Part
 	triedReplicas []string
-	sendCount     int
-	mayHaveRun    bool
+	// mayReturn is set if the request may be sent again to a replica in triedReplicas.
+	mayReturn  bool
+	sendCount  int
+	mayHaveRun bool
 	// responseStarted is set once the headers of the response have been written.
 	responseStarted bool
 	// timeToFirstByte is the time from received to the first byte of the body, or 0.
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -46,6 +46,9 @@
 	fault replica.Fault
 }
 
+// isNotRun reports whether the replica has not run the request and never will.
+func (o outcome) isNotRun() bool { return o.err != nil && o.err.Verdict == verdict.NotRun }
+
 // sendUntilAnswered sends the request to replicas until one responds or no further send
 // is allowed, and writes the final response.
 func (q *request) sendUntilAnswered(ctx context.Context) {
@@ -73,31 +76,34 @@
 			q.giveUp(next)
 			break
 		}
+		if next == nil && last.isNotRun() {
+			q.awaitContinuation(ctx)
+		}
 	}
 	q.writeFailure(ctx, last)
 }
 
-// place asks for a replica for the next send.
-func (q *request) place(ctx context.Context) (*destination, *verdict.Error) {
+// tryPlace asks for a replica for the next send. If there is none, it returns the reason.
+func (q *request) tryPlace(ctx context.Context) (*destination, control.RefusalReason, *verdict.Error) {
 	assignment, refusal, err := q.server.config.Loop.Place(ctx, q.placementRequest())
 	if err != nil {
-		return nil, q.contextError(ctx)
+		return nil, "", q.contextError(ctx)
 	}
 	if refusal.Reason != "" {
 		q.refusedPart = refusal.Part
 		klog.V(1).InfoS("not placed", "request_id", q.headers.AttemptID, "reason", refusal.Reason, "part", formatPart(refusal.Part), "predicted_ms", refusal.PredictedFirstEvent.Milliseconds(),
 			"retry_after_ms", refusal.RetryAfter.Milliseconds(), "replicas", refusal.ReplicaCount, "sends", q.sendCount, "account_share", refusal.AccountShare)
-		return nil, q.refusalError(refusal)
+		return nil, refusal.Reason, q.refusalError(refusal)
 	}
 	klog.V(1).InfoS("placed", append([]any{"request_id", q.headers.AttemptID, "replica", assignment.Target.ID, "helpers", assignment.HelperIDs(), "predicted_ms", assignment.PredictedFirstEvent.Milliseconds(),
 		"waited_ms", (bootclock.Now() - q.received).Milliseconds(), "streams", assignment.Load.Streams, "tokens", assignment.Load.Tokens, "read_ms", assignment.Load.QueuedPrefill.Milliseconds(), "sends", q.sendCount, "account_share", assignment.AccountShare}, assignment.Cost.LogFields()...)...)
-	return &destination{assignment: assignment}, nil
+	return &destination{assignment: assignment}, "", nil
 }
 
 // placementRequest returns the input for the choice of the next replica.
 func (q *request) placementRequest() control.PlacementRequest {
 	req := control.PlacementRequest{
-		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.triedReplicas, IsRetry: q.sendCount > 0, BodyBytes: q.bodyLength(),
+		ID: q.headers.AttemptID, Service: q.service, Fingerprint: q.fingerprint, Parts: q.parts, Excluded: q.excludedReplicas(), IsRetry: q.sendCount > 0, BodyBytes: q.bodyLength(),
 		Request: placement.Request{Service: q.service.Name, Hash: placement.HashID(q.headers.AttemptID), Objective: q.route.Objective, MaxGap: q.route.GapObjective, TimeLeft: q.timeLeft(bootclock.Now())},
 		Regions: q.regions(), Route: q.route.Name,
 	}
@@ -148,7 +154,8 @@
 		q.sendCount++
 	}
 	isLeaving := o.err != nil && o.err.Reason == verdict.ReasonShuttingDown
-	canRetry := ctx.Err() == nil && !isLeaving && !q.cannotContinue() && v.CanRetry(q.route.Repeatable()) && q.sendCount < q.route.MaxAttempts && len(q.triedReplicas) < maxReplicasTried
+	mayTryMore := len(q.triedReplicas) < maxReplicasTried || q.continuationTime() > 0
+	canRetry := ctx.Err() == nil && !isLeaving && !q.cannotContinue() && v.CanRetry(q.route.Repeatable()) && q.sendCount < q.route.MaxAttempts && mayTryMore
 	cause := error(o.err)
 	if o.err == nil {
 		cause = errReplicaFailed
@@ -346,7 +353,7 @@
 	return replica.Request{
 		Address: assignment.Target.Address, Method: q.httpRequest.Method, Target: requestTarget(q.httpRequest), Host: q.httpRequest.Host,
 		Headers: platform.ForwardHeaders(q.httpRequest.Header, options), Body: body, MoreBody: moreBody, AttemptID: q.headers.AttemptID,
-		AtMostOnce: q.route.Repeat == catalog.RepeatNever, Kind: q.route.Name, Connections: assignment.Connections, MaxConnectionWait: q.connectionWait(),
+		AtMostOnce: q.route.Repeat == catalog.RepeatNever, IsContinuation: q.isContinuation(), Kind: q.route.Name, Connections: assignment.Connections, MaxConnectionWait: q.connectionWait(),
 	}
 }
 
--- a/edge/caller/send_failure.go
+++ b/edge/caller/send_failure.go
@@ -22,7 +22,7 @@
 	// time left. maxWaitDivisor limits all waits, so that another replica can follow.
 	lateWaitDivisor = 10
 	maxWaitDivisor  = 3
-	// maxConnectionWait is the longest wait. A replica that begins to leave or asks for a pause
+	// maxConnectionWait is the longest wait of a request other than a continuation. A replica that begins to leave or asks for a pause
 	// meanwhile may still get the request within 0.5 s.
 	maxConnectionWait = 400 * time.Millisecond
 )
@@ -30,6 +30,9 @@
 // connectionWait returns how long the request may wait for a connection to a replica that
 // accepts no further one.
 func (q *request) connectionWait() time.Duration {
+	if q.isContinuation() {
+		return q.continuationTime()
+	}
 	now := bootclock.Now()
 	left := q.timeLeft(now)
 	wait := time.Duration(connectionWaitShare*float64(q.route.Objective)) - (now - q.received)
--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -38,11 +38,12 @@
 // accepts no further connection, it waits up to r.MaxConnectionWait until one is free.
 func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
 	startedAt := bootclock.Now()
-	c, err := p.tryAcquire(ctx, r, nil, startedAt, startedAt)
+	w := &waiter{isContinuation: r.IsContinuation}
+	c, err := p.tryAcquire(ctx, r, w, startedAt, startedAt)
 	if c != nil || err != nil {
 		return c, err
 	}
-	w := &waiter{wake: make(chan struct{}, 1)}
+	w.wake = make(chan struct{}, 1)
 	defer p.stopWaiting(r.Address, w)
 	for {
 		now := bootclock.Now()
@@ -64,8 +65,8 @@
 	}
 }
 
-// tryAcquire returns a connection, or nil if the request has to wait for one. Then w is queued
-// unless it is nil.
+// tryAcquire returns a connection, or nil if the request has to wait for one. Then w is queued if
+// it can be woken.
 func (p *Pool) tryAcquire(ctx context.Context, r Request, w *waiter, startedAt, now time.Duration) (*conn, error) {
 	for {
 		c, mayOpen, err := p.claim(r, w, startedAt, now)
@@ -97,8 +98,8 @@
 	if r.Connections != (connlimit.Bounds{}) {
 		s.bounds = r.Connections
 	}
-	isQueued := w != nil && slices.Contains(s.waiting, w)
-	if len(s.waiting) == 0 || s.waiting[0] == w {
+	isQueued, ahead := slices.Contains(s.waiting, w), s.ahead(w)
+	if ahead == 0 {
 		if c := p.takeIdle(s, r, now); c != nil {
 			c.reused = true
 			s.beginUse(now, c, r)
@@ -120,13 +121,13 @@
 			go p.grow(r.Address)
 		}
 	}
-	wait := s.expectedWait()
-	p.fullUntil[s.hint].Store(int64(now + min(wait, connlimit.GrowthInterval)))
+	wait := s.expectedWait(ahead)
+	p.fullUntil[s.hint].Store(int64(now + min(s.expectedWait(len(s.waiting)), connlimit.GrowthInterval)))
 	if now-startedAt >= r.MaxConnectionWait || !isQueued && wait > r.MaxConnectionWait {
 		return nil, false, &NoConnectionError{r.Address, wait}
 	}
-	if w != nil && !isQueued {
-		s.waiting = append(s.waiting, w)
+	if w.wake != nil && !isQueued {
+		s.waiting = slices.Insert(s.waiting, ahead, w)
 	}
 	return nil, false, nil
 }
--- a/edge/replica/connections.go
+++ b/edge/replica/connections.go
@@ -23,14 +23,29 @@
 	isGrowing bool
 	bounds    connlimit.Bounds
 	limit     connlimit.Limit
-	// waiting holds the requests that wait for a connection, oldest first.
+	// waiting holds the requests that wait for a connection: first the continuations, and of either
+	// the oldest first.
 	waiting []*waiter
 	// meanUse is the average time for which a request has used a connection, by Request.Kind.
 	meanUse map[string]time.Duration
 }
 
 // waiter is a request that waits for a connection. wake has a capacity of 1.
-type waiter struct{ wake chan struct{} }
+type waiter struct {
+	wake           chan struct{}
+	isContinuation bool
+}
+
+// ahead returns the number of waiting requests that get a connection before w, which need not be
+// among them.
+func (s *connections) ahead(w *waiter) int {
+	for i, other := range s.waiting {
+		if other == w || w.isContinuation && !other.isContinuation {
+			return i
+		}
+	}
+	return len(s.waiting)
+}
 
 func (s *connections) open() int { return len(s.idle) + len(s.active) + s.opening }
 
@@ -55,10 +70,10 @@
 	s.idle = nil
 }
 
-// expectedWait returns how long a request that begins to wait now will probably wait, by how long
-// requests of the kinds that are in progress use a connection. It returns 0 if a kind is not known
-// yet.
-func (s *connections) expectedWait() time.Duration {
+// expectedWait returns how long a request with the given number of others ahead of it will probably
+// wait, by how long requests of the kinds that are in progress use a connection. It returns 0 if a
+// kind is not known yet.
+func (s *connections) expectedWait(ahead int) time.Duration {
 	perSecond := 0.0
 	for c := range s.active {
 		mean, ok := s.meanUse[c.kind]
@@ -70,7 +85,7 @@
 	if perSecond == 0 {
 		return 0
 	}
-	return time.Duration(float64(len(s.waiting)+1) / perSecond * float64(time.Second))
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
 // meanUseWeight is the weight of the latest request in the averages of connections.meanUse.
--- a/edge/replica/exchange.go
+++ b/edge/replica/exchange.go
@@ -52,6 +52,9 @@
 	// AtMostOnce requests are not sent on connections that have been idle for long, since
 	// these may be dead.
 	AtMostOnce bool
+	// IsContinuation requests go on with a response of which the caller has a part. They get a
+	// connection before the others that wait.
+	IsContinuation bool
 	// Kind is the same for requests that take about as long, such as those of one route.
 	Kind string
 	// Connections bounds the connections to the replica; the zero value leaves them unchanged.
