coord/connfault, edge/replica: judge dial errors that leave no time to hear a replica

Streams at a replica that sends were offered to move, its idle connections were closed and all hosts were told that it can't be reached, after one further connection to it had failed with an error that was in no row of the table (no route, not permitted, an aborted opening, an unknown one), with a timeout that a held-up host noticed late, or where the system does not tell whether a connection is open.

Cause: each such error counted as an opening without an answer, during which a working replica is heard; these come at once, or say nothing.

New rows no_route and late; an aborted opening is a reset; a connection with a request in progress counts as open if its state is unknown. After no_route, new requests go elsewhere at once as before, and connections are touched only after a connect timeout without a sign.

--- a/coord/connfault/connfault.go
+++ b/coord/connfault/connfault.go
@@ -11,9 +11,12 @@
 //	refused     none           ended by the replica's kernel   closed  none until a probe succeeds  told
 //	unanswered  heard          go on                           kept    at the limit               not told
 //	unanswered  none           go on; move if they can         closed  none until a probe succeeds  told
+//	no_route    heard          go on                           kept    at the limit               not told
+//	no_route    none           go on; move after ListenTime    closed  none until a probe succeeds  told
 //	reset       open or heard  go on                           kept    at the limit               not told
 //	reset       none           go on                           kept    the response was broken    not told
 //	local       any            go on                           kept    unchanged                  not told
+//	late        any            go on                           kept    unchanged                  not told
 //	cancelled   any            go on                           kept    unchanged                  not told
 //
 // A request in progress never ends because another connection failed. It ends by what happens
@@ -23,6 +26,10 @@
 // An open connection is a sign of life after a refusal or reset, since a process that ends
 // closes its connections. It is none if the opening got no answer: connections to a machine
 // that is cut off stay open.
+//
+// An opening without an answer takes its timeout, in which a working replica is heard. An error
+// such as "no route to host" comes at once, so what was heard shortly before it counts, and
+// nothing is moved until nothing was heard for as long after it.
 package connfault
 
 import (
@@ -38,12 +45,18 @@
 // Failure is how a connection to a replica failed.
 type Failure string
 
-// Failures. A network that reports that there is no route counts as Unanswered.
+// Failures.
 const (
 	// Refused means that the replica's host rejected the opening.
 	Refused Failure = "refused"
 	// Unanswered means that the opening got no answer within the connect timeout.
 	Unanswered Failure = "unanswered"
+	// NoRoute means that this host's system or a router reported at once that the replica can't be
+	// reached, or gave another error that says nothing certain about the replica.
+	NoRoute Failure = "no_route"
+	// Late means that the timeout of an opening was noticed so late that this host must have been
+	// held up. An answer may have come in time.
+	Late Failure = "late"
 	// Reset means that a new connection ended before any byte of a response.
 	Reset Failure = "reset"
 	// Local means that this host lacks the resources for a connection.
@@ -60,8 +73,9 @@
 var failuresByError = map[Failure][]error{
 	Local:      localErrors,
 	Refused:    {syscall.ECONNREFUSED},
-	Reset:      {syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF},
-	Unanswered: {syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, os.ErrDeadlineExceeded, context.DeadlineExceeded},
+	Reset:      {syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF},
+	NoRoute:    {syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.ENETDOWN, syscall.EPERM, syscall.EACCES},
+	Unanswered: {syscall.ETIMEDOUT, os.ErrDeadlineExceeded, context.DeadlineExceeded},
 }
 
 // FailureOf returns the failure that an error of a connection means, or Other.
@@ -104,21 +118,22 @@
 	// MoveSilent offers the requests in progress that have received nothing since the failed
 	// connection was begun to move to another replica.
 	MoveSilent bool
+	// Listen delays CloseIdle and MoveSilent. They are cancelled if anything arrives meanwhile.
+	Listen bool
 }
 
-// Judge returns the effect of a failure, as in the table of the package. Other counts as
-// Unanswered.
+// Judge returns the effect of a failure, as in the table of the package. Other counts as NoRoute.
 func Judge(f Failure, s Signs) Effect {
-	isAlive := s.Heard || s.Open && f != Unanswered
+	isAlive := s.Heard || s.Open && (f == Refused || f == Reset)
 	switch {
-	case f == Local || f == Cancelled:
+	case f == Local || f == Late || f == Cancelled:
 		return Effect{State: Unknown}
 	case isAlive:
 		return Effect{State: AtLimit}
 	case f == Reset:
 		return Effect{State: Unknown}
 	}
-	return Effect{State: Unreachable, CloseIdle: true, MoveSilent: f != Refused}
+	return Effect{State: Unreachable, CloseIdle: true, MoveSilent: f != Refused, Listen: f == NoRoute || f == Other}
 }
 
 // Error is the failure of a connection with its effect.
--- a/coord/connfault/connfault_test.go
+++ b/coord/connfault/connfault_test.go
@@ -1,6 +1,9 @@
 package connfault
 
 import (
+	"net"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -22,6 +25,13 @@
 		"unanswered, bytes heard":           {Unanswered, Signs{Open: true, Heard: true}, atLimit},
 		"unanswered, other connection open": {Unanswered, Signs{Open: true}, Effect{State: Unreachable, CloseIdle: true, MoveSilent: true}},
 		"unanswered, no sign":               {Unanswered, Signs{}, Effect{State: Unreachable, CloseIdle: true, MoveSilent: true}},
+		"no route, bytes heard":             {NoRoute, Signs{Heard: true}, atLimit},
+		"no route, other connection open":   {NoRoute, Signs{Open: true}, Effect{State: Unreachable, CloseIdle: true, MoveSilent: true, Listen: true}},
+		"no route, no sign":                 {NoRoute, Signs{}, Effect{State: Unreachable, CloseIdle: true, MoveSilent: true, Listen: true}},
+		"other, bytes heard":                {Other, Signs{Heard: true}, atLimit},
+		"other, no sign":                    {Other, Signs{}, Effect{State: Unreachable, CloseIdle: true, MoveSilent: true, Listen: true}},
+		"late, no sign":                     {Late, Signs{}, none},
+		"late, other connection open":       {Late, Signs{Open: true}, none},
 		"reset, other connection open":      {Reset, Signs{Open: true}, atLimit},
 		"reset, bytes heard":                {Reset, Signs{Heard: true}, atLimit},
 		"reset, no sign":                    {Reset, Signs{}, none},
@@ -38,3 +48,17 @@
 		})
 	}
 }
+
+// Guards against errors of a dial that are taken for silence, or for an answer of the replica.
+func TestFailureOf(t *testing.T) {
+	for err, want := range map[error]Failure{
+		syscall.ECONNREFUSED: Refused, syscall.ECONNRESET: Reset, syscall.ECONNABORTED: Reset,
+		syscall.ETIMEDOUT: Unanswered, os.ErrDeadlineExceeded: Unanswered,
+		syscall.EHOSTUNREACH: NoRoute, syscall.ENETUNREACH: NoRoute, syscall.EPERM: NoRoute, syscall.EACCES: NoRoute,
+		syscall.EMFILE: Local, syscall.EADDRNOTAVAIL: Local, syscall.EPROTO: Other,
+	} {
+		if got := FailureOf(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}); got != want {
+			t.Errorf("%v is %s, want %s", err, got, want)
+		}
+	}
+}
--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -68,7 +68,7 @@
 // tryAcquire returns a connection, or nil if the request has to wait for one. Then w is queued if
 // it can be woken.
 func (p *Pool) tryAcquire(ctx context.Context, r Request, w *waiter, startedAt, now time.Duration) (*conn, error) {
-	for {
+	for tries := 1; ; tries++ {
 		c, mayOpen, err := p.claim(r, w, startedAt, now)
 		switch {
 		case err != nil:
@@ -76,7 +76,7 @@
 			return nil, err
 		case mayOpen:
 			c, err := p.openActive(ctx, r)
-			if err == nil || !IsAtLimit(err) {
+			if err == nil || !IsAtLimit(err) && (tries > 1 || !isLate(err)) {
 				return c, err
 			}
 			now = bootclock.Now()
@@ -171,7 +171,7 @@
 	if err == nil {
 		c = newConn(n, address)
 		time.Sleep(connlimit.SettleTime)
-		if !c.reusable() {
+		if c.isBroken() {
 			_ = p.recordFailure(address, p.traffic(address), connfault.Reset, errNotAccepted)
 		}
 	}
@@ -183,7 +183,7 @@
 	s.isGrowing = false
 	switch {
 	case c == nil:
-	case !c.isOpen() || p.isClosed:
+	case p.isClosed || c.isBroken():
 		c.Close()
 	default:
 		s.limit = s.limit.WithSuccess()
--- a/edge/replica/connections.go
+++ b/edge/replica/connections.go
@@ -21,8 +21,10 @@
 	// says is opened without a request.
 	opening   int
 	isGrowing bool
-	bounds    connlimit.Bounds
-	limit     connlimit.Limit
+	// isListening is set while a sign of life decides about the connections; see Pool.listen.
+	isListening bool
+	bounds      connlimit.Bounds
+	limit       connlimit.Limit
 	// waiting holds the requests that wait for a connection: first the continuations, and of either
 	// the oldest first.
 	waiting []*waiter
@@ -50,7 +52,7 @@
 func (s *connections) open() int { return len(s.idle) + len(s.active) + s.opening }
 
 func (s *connections) isUnused(now time.Duration) bool {
-	return s.open() == 0 && len(s.waiting) == 0 && !s.limit.IsLearned(now)
+	return s.open() == 0 && len(s.waiting) == 0 && !s.isListening && !s.limit.IsLearned(now)
 }
 
 func (s *connections) wakeFirst() {
--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -20,14 +21,14 @@
 const localRetryInterval = 100 * time.Millisecond
 
 // Probe opens a connection to an address and closes it. While this host lacks the resources
-// for a connection, it tries again until ctx ends. The error wraps a *connfault.Error.
+// for a connection or is held up, it tries again until ctx ends. The error wraps a *connfault.Error.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	for {
 		n, err := p.dial(ctx, address)
 		if err == nil {
 			return n.Close()
 		}
-		if !IsLocalError(err) {
+		if !isOwnFault(err) {
 			return err
 		}
 		select {
@@ -41,7 +42,7 @@
 // dial opens a connection. The error is a *connfault.Error, whose effect on the other connections
 // to the address has taken place.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	before := p.traffic(address)
+	before, startedAt := p.traffic(address), bootclock.Now()
 	// The dialer applies a deadline of the context directly to the connection and may fail
 	// before the context ends. So it gets a context without one, and whether the context
 	// has ended is known for certain.
@@ -53,23 +54,36 @@
 	if err == nil {
 		return n, nil
 	}
-	return nil, p.recordFailure(address, before, dialFailure(err, ctxEnded), err)
+	return nil, p.recordFailure(address, before, p.dialFailure(err, ctxEnded, bootclock.Now()-startedAt), err)
 }
 
-// dialFailure returns how the opening of a connection failed.
-func dialFailure(err error, ctxEnded bool) connfault.Failure {
+// lateFactor is the multiple of the connect timeout from which this host must have been held up
+// when it noticed the timeout.
+const lateFactor = 2
+
+// dialFailure returns how the opening of a connection failed, after the given time.
+func (p *Pool) dialFailure(err error, ctxEnded bool, took time.Duration) connfault.Failure {
 	if ctxEnded {
 		return connfault.Cancelled
 	}
-	if f := connfault.FailureOf(err); f != connfault.Other {
-		return f
+	f := connfault.FailureOf(err)
+	if f == connfault.Unanswered && p.config.ConnectTimeout > 0 && took > lateFactor*p.config.ConnectTimeout {
+		return connfault.Late
 	}
-	return connfault.Unanswered // the timeout of a net.Dialer, or an error of the network
+	return f
+}
+
+// isOwnFault reports whether a connection failed because this host lacks the resources or was held
+// up.
+func isOwnFault(err error) bool {
+	var e *connfault.Error
+	return errors.As(err, &e) && (e.Failure == connfault.Local || e.Failure == connfault.Late)
 }
 
-// IsLocalError reports whether an error is caused by a shortage on this host, such as one of
-// file descriptors, and says nothing about the replica.
-func IsLocalError(err error) bool { return connfault.FailureOf(err) == connfault.Local }
+func isLate(err error) bool {
+	var e *connfault.Error
+	return errors.As(err, &e) && e.Failure == connfault.Late
+}
 
 // traffic is what had arrived on a connection at a time.
 type traffic struct {
@@ -98,13 +112,14 @@
 // recordFailure applies the effect of a failed connection to the others to the address and returns
 // the failure. before is the result of traffic at the start of the failed one.
 func (p *Pool) recordFailure(address string, before map[*conn]traffic, f connfault.Failure, err error) *connfault.Error {
-	if f == connfault.Local || f == connfault.Cancelled {
+	if connfault.Judge(f, connfault.Signs{Heard: true}).State == connfault.Unknown {
 		return connfault.NewError(f, connfault.Signs{}, err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.at(address)
-	e := connfault.NewError(f, s.signs(before, f), err)
+	signs, unknown := s.signs(before, f, p.config.ConnectTimeout)
+	e := connfault.NewError(f, signs, err)
 	now := bootclock.Now()
 	if e.Effect.State == connfault.AtLimit {
 		// The connection that failed is one of those that are being opened.
@@ -113,14 +128,13 @@
 			p.closeOldestIdle(s)
 		}
 	}
-	if e.Effect.CloseIdle {
-		s.closeIdle()
-	}
 	silent := 0
-	if e.Effect.MoveSilent {
-		silent = s.offerMove(before)
+	if e.Effect.Listen {
+		p.listen(address, s, before, e.Effect)
+	} else {
+		silent = s.apply(e.Effect, before)
 	}
-	klog.V(1).InfoS("connection failed", "address", address, "failure", f, "open", e.Signs.Open, "heard", e.Signs.Heard, "state", e.Effect.State,
+	klog.V(1).InfoS("connection failed", "address", address, "failure", f, "open", e.Signs.Open, "heard", e.Signs.Heard, "unknown", unknown, "state", e.Effect.State,
 		"active", len(s.active), "idle", len(s.idle), "silent", silent, "err", err)
 	p.scheduleCloseExpired()
 	p.config.Scope.Tagged(map[string]string{"failure": string(f), "state": string(e.Effect.State)}).Counter("connection_failures").Inc(1)
@@ -128,24 +142,78 @@
 	return e
 }
 
-// signs returns the signs of life on the connections since traffic has returned before. Where
-// the replica resets connections that it has accepted, only those that have carried a response
-// count as open: the others may be reset next.
-func (s *connections) signs(before map[*conn]traffic, f connfault.Failure) connfault.Signs {
-	var signs connfault.Signs
-	look := func(c *conn) {
+// apply applies the effect of a failure to the other connections and returns the number of requests
+// that are offered to move.
+func (s *connections) apply(e connfault.Effect, before map[*conn]traffic) int {
+	if e.CloseIdle {
+		s.closeIdle()
+	}
+	if !e.MoveSilent {
+		return 0
+	}
+	return s.offerMove(before)
+}
+
+// listen applies an effect after the connect timeout unless the replica has given a sign of life by
+// then. The caller holds mu.
+func (p *Pool) listen(address string, s *connections, before map[*conn]traffic, e connfault.Effect) {
+	if s.isListening {
+		return
+	}
+	s.isListening = true
+	time.AfterFunc(p.config.ConnectTimeout, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		s := p.at(address)
+		s.isListening = false
+		if signs, _ := s.signs(before, connfault.Unanswered, 0); !signs.Heard && !s.hasOpenedSince(before) {
+			silent := s.apply(e, before)
+			klog.V(1).InfoS("replica stays silent after a failed connection", "address", address, "active", len(s.active), "silent", silent)
+		}
+		p.released(bootclock.Now(), address, s)
+	})
+}
+
+// hasOpenedSince reports whether a connection was opened since traffic has returned before.
+func (s *connections) hasOpenedSince(before map[*conn]traffic) bool {
+	isNew := func(c *conn) bool {
+		_, isOlder := before[c]
+		return !isOlder
+	}
+	for c := range s.active {
+		if isNew(c) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.idle, isNew)
+}
+
+// signs returns the signs of life on the connections since traffic has returned before, and on how
+// many connections the system did not tell whether they are open. A request in progress reads
+// from its connection, so that an end would have been noticed; then the connection counts as
+// open. Where the replica resets connections that it has accepted, only those that have carried a
+// response count: the others may be reset next. A failure that comes at once leaves no time to
+// hear anything, so that the listening time before it counts, too.
+func (s *connections) signs(before map[*conn]traffic, f connfault.Failure, listeningTime time.Duration) (signs connfault.Signs, unknown int) {
+	isSudden := f == connfault.NoRoute || f == connfault.Other
+	look := func(c *conn, isActive bool) {
 		earlier, isOlder := before[c]
 		total := c.budget.total.Load()
-		signs.Heard = signs.Heard || total > earlier.bytes
-		signs.Open = signs.Open || isOlder && (f != connfault.Reset || total > 0) && c.isOpen()
+		state, hasUnread := c.link()
+		if state == linkUnknown {
+			unknown++
+		}
+		isOpen := state == linkOpen || state == linkUnknown && isActive
+		signs.Heard = signs.Heard || total > earlier.bytes || hasUnread || isSudden && c.budget.heardWithin(listeningTime)
+		signs.Open = signs.Open || isOlder && (f != connfault.Reset || total > 0) && isOpen
 	}
 	for c := range s.active {
-		look(c)
+		look(c, true)
 	}
 	for _, c := range s.idle {
-		look(c)
+		look(c, false)
 	}
-	return signs
+	return signs, unknown
 }
 
 // offerMove calls OnSilence for the requests whose connections have received nothing since
@@ -166,11 +234,40 @@
 	return silent
 }
 
-// isOpen reports whether the other end has not closed the connection. Unread data does not count
-// as a close.
-func (c *conn) isOpen() bool {
+// linkState is what the system says of a connection.
+type linkState string
+
+const (
+	linkOpen   linkState = "open"
+	linkClosed linkState = "closed"
+	// linkUnknown means that the system did not tell.
+	linkUnknown linkState = "unknown"
+)
+
+// closedErrors are the errors of a read from a connection that has ended.
+var closedErrors = []error{
+	io.EOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENOTCONN, syscall.EBADF,
+}
+
+// link returns whether the connection is open, and whether it has unread data. Data that arrived
+// before the end of the connection hides the end.
+func (c *conn) link() (state linkState, hasUnread bool) {
 	n, err := c.peek()
-	return n > 0 || errors.Is(err, unix.EAGAIN)
+	switch {
+	case n > 0:
+		return linkOpen, true
+	case errors.Is(err, unix.EAGAIN):
+		return linkOpen, false
+	case slices.ContainsFunc(closedErrors, func(e error) bool { return errors.Is(err, e) }):
+		return linkClosed, false
+	}
+	return linkUnknown, false
+}
+
+// isBroken reports whether a new connection has ended or carries bytes that nobody has asked for.
+func (c *conn) isBroken() bool {
+	state, hasUnread := c.link()
+	return state == linkClosed || hasUnread
 }
 
 // errNoRawConn is the error of peek for a connection without a file descriptor.
--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -97,14 +97,20 @@
 		wantOffered bool
 		wantState   connfault.State
 	}{
-		"silent replica":             {0, acquireOnce, true, connfault.Unreachable},
-		"silent replica, probe":      {0, probeOnce, true, connfault.Unreachable},
-		"replica that sends":         {(events + 2) * interval, acquireOnce, false, connfault.AtLimit},
-		"replica that sends, probe":  {(events + 2) * interval, probeOnce, false, connfault.AtLimit},
-		"time limit of the request":  {0, acquireBeforeLateDeadline, false, connfault.Unknown},
-		"end of the probe's context": {0, probeCancelled, false, connfault.Unknown},
-		"no descriptors":             {0, withControlError(syscall.EMFILE, acquireOnce), false, connfault.Unknown},
-		"no local port":              {0, withForeignSource(acquireOnce), false, connfault.Unknown},
+		"silent replica":                    {0, acquireOnce, true, connfault.Unreachable},
+		"silent replica, probe":             {0, probeOnce, true, connfault.Unreachable},
+		"replica that sends":                {(events + 2) * interval, acquireOnce, false, connfault.AtLimit},
+		"replica that sends, probe":         {(events + 2) * interval, probeOnce, false, connfault.AtLimit},
+		"time limit of the request":         {0, acquireBeforeLateDeadline, false, connfault.Unknown},
+		"end of the probe's context":        {0, probeCancelled, false, connfault.Unknown},
+		"no descriptors":                    {0, withControlError(syscall.EMFILE, acquireOnce), false, connfault.Unknown},
+		"no route, silent replica":          {10 * interval, withControlError(syscall.EHOSTUNREACH, acquireOnce), true, connfault.Unreachable},
+		"no route, replica that sends":      {(events + 2) * interval, withControlError(syscall.EHOSTUNREACH, acquireOnce), false, connfault.AtLimit},
+		"not permitted, replica that sends": {(events + 2) * interval, withControlError(syscall.EPERM, probeOnce), false, connfault.AtLimit},
+		"unknown error, replica that sends": {(events + 2) * interval, withControlError(syscall.EPROTO, acquireOnce), false, connfault.AtLimit},
+		"aborted opening":                   {0, withControlError(syscall.ECONNABORTED, acquireOnce), false, connfault.AtLimit},
+		"host that was held up":             {0, withHeldUpHost(acquireOnce), false, connfault.Unknown},
+		"no local port":                     {0, withForeignSource(acquireOnce), false, connfault.Unknown},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -215,6 +221,17 @@
 	}
 }
 
+// withHeldUpHost makes the next dial notice its timeout late.
+func withHeldUpHost(next func(*Pool, string) error) func(*Pool, string) error {
+	return func(p *Pool, address string) error {
+		p.dialer.Control = func(string, string, syscall.RawConn) error {
+			time.Sleep(3 * p.config.ConnectTimeout)
+			return nil
+		}
+		return next(p, address)
+	}
+}
+
 // withForeignSource makes the next dial fail with EADDRNOTAVAIL.
 func withForeignSource(next func(*Pool, string) error) func(*Pool, string) error {
 	return func(p *Pool, address string) error {
--- a/edge/replica/head.go
+++ b/edge/replica/head.go
@@ -29,14 +29,32 @@
 	isLimited bool
 	remaining int
 	head      responsehead.Checker
-	// total counts all bytes read.
-	total atomic.Int64
+	// total counts all bytes read, and lastRead is the time of the last ones since clockStart.
+	total    atomic.Int64
+	lastRead atomic.Int64
+}
+
+// clockStart is the start of the clock of budgetReader.lastRead. That clock stops during a
+// suspension, unlike bootclock, but reading it needs no system call.
+var clockStart = time.Now()
+
+// record records that bytes were read.
+func (r *budgetReader) record(n int) {
+	if n > 0 {
+		r.total.Add(int64(n))
+		r.lastRead.Store(int64(time.Since(clockStart)))
+	}
+}
+
+// heardWithin reports whether bytes were read within the given time.
+func (r *budgetReader) heardWithin(d time.Duration) bool {
+	return r.total.Load() > 0 && time.Since(clockStart)-time.Duration(r.lastRead.Load()) <= d
 }
 
 func (r *budgetReader) Read(p []byte) (int, error) {
 	if !r.isLimited {
 		n, err := r.source.Read(p)
-		r.total.Add(int64(n))
+		r.record(n)
 		return n, err
 	}
 	if r.remaining <= 0 {
@@ -44,7 +62,7 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
-	r.total.Add(int64(n))
+	r.record(n)
 	if r.head.Feed(p[:n]); r.head.Err() != nil {
 		err = r.head.Err()
 	}
