edge/replica: move requests only to connections that have lasted

Callers of streams at a silent replica got the beginning only: the stream moved to another replica, which was at its limit and reset the new connection up to 0.2 s after accepting it. The first send had been ended by then, and with max_attempts 2 none was left (LOST).

A connection for a move must now last for connlimit.SettleTime before the first send ends.

TestSilentStreamStays/other_replica_resets: "unexpected EOF" after one of two events on, both events now. TestSilentStreamMoves is unchanged and passes: a stream at a frozen replica still moves.

--- a/edge/caller/move_test.go
+++ b/edge/caller/move_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"siskinstand.example/coord/connfault"
+	"siskinstand.example/coord/responsehead/headtest"
 )
 
 // silentReplica is a replica whose accept queue is full. It sends the head and the first event of
@@ -160,6 +161,7 @@
 	tests := map[string]func(t *testing.T) string{
 		"no other replica":      nil,
 		"other replica refuses": refusedAddress,
+		"other replica resets":  resettingAddress,
 	}
 	for name, other := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -179,6 +181,15 @@
 	}
 }
 
+// resettingAddress returns the address of a replica that accepts connections and resets them.
+func resettingAddress(t *testing.T) string {
+	t.Helper()
+	return headtest.Listen(t, func(c net.Conn) {
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+}
+
 // refusedAddress returns an address at which nothing listens.
 func refusedAddress(t *testing.T) string {
 	t.Helper()
--- a/edge/replica/connections.go
+++ b/edge/replica/connections.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/service/bootclock"
 )
@@ -130,16 +131,40 @@
 	conn *conn
 }
 
-// Connect acquires a connection for a request, which uses it if it is set as its Connection. The
-// error is that of Do.
+// Connect acquires a connection for a request, which uses it if it is set as its Connection. A new
+// one must have lasted for connlimit.SettleTime, since a replica may reset connections that it has
+// accepted. The error is that of Do.
 func (p *Pool) Connect(ctx context.Context, r Request) (*Connection, error) {
 	c, err := p.acquire(ctx, r)
+	if err == nil && !c.reused {
+		err = p.settle(ctx, c)
+	}
 	if err != nil {
 		return nil, connectError(r.Address, err)
 	}
 	return &Connection{p, c}, nil
 }
 
+// settle waits until a new connection counts as accepted. It closes the connection if it does not.
+func (p *Pool) settle(ctx context.Context, c *conn) error {
+	timer := time.NewTimer(connlimit.SettleTime)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-timer.C:
+		if c.isBroken() {
+			err = p.recordFailure(c.address, p.traffic(c.address), connfault.Reset, errNotAccepted)
+		}
+	}
+	if err != nil {
+		c.Close()
+		p.discard(c)
+	}
+	return err
+}
+
 // Close gives back a connection that no request has used.
 func (c *Connection) Close() { c.pool.putIdle(c.conn, 0) }
 
