edge, coord/connlimit: leave idle connections at a limit to hosts that need them

Cause: only the host that is turned away learns that a replica accepts fewer.

Such a host reports it, with the number of its connections; a host with more of them closes idle ones down to the average of both. Where a replica has only refused connections, further ones carry requests at once.

--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -4,9 +4,13 @@
 // Each host keeps to an equal share of the limit, so that a host with few requests gets connections
 // beside one with many. While the replica turns none away, a host may open as many as the replica
 // runs requests at a time, since more would only wait there. The replica may accept fewer than its
-// limit; a host then keeps the connections that it has and tries one more at intervals, which
-// carries no request until it has lasted for SettleTime: some replicas reset a connection only after
-// they have accepted it.
+// limit; a host then keeps the connections that it uses and tries one more at intervals. If the
+// replica resets connections that it has accepted, a further one carries no request until it has
+// lasted for SettleTime.
+//
+// A host whose requests find no connection tells the others how many it has. A host with more of
+// them then keeps idle connections only up to the average of both for a while, so that hosts with
+// equal needs get equal parts of what the replica accepts.
 // Times are readings of a clock that keeps counting while the host is suspended.
 package connlimit
 
@@ -29,6 +33,8 @@
 	// Share is the host's share of the replica's limit, Most what it may open while the replica
 	// turns no connection away.
 	Share, Most int
+	// IsScarce is set if there are more hosts than the limit.
+	IsScarce bool
 }
 
 // NewBounds returns the bounds for a replica that accepts a limited number of connections from a
@@ -38,7 +44,7 @@
 		return Bounds{}
 	}
 	share := max(1, limit/max(1, hosts))
-	return Bounds{Share: share, Most: max(share, min(limit, slots))}
+	return Bounds{Share: share, Most: max(share, min(limit, slots)), IsScarce: limit < hosts}
 }
 
 // Limit is what a host has learned about the limit of one replica. The zero value has learned
@@ -47,12 +53,32 @@
 	isSet    bool
 	refused  time.Duration
 	openThen int
+	// resets is set if the replica has reset a connection after accepting it.
+	resets bool
+	// yielded is the time since which the host keeps at most kept connections, or 0.
+	yielded time.Duration
+	kept    int
 }
 
 // WithRefusal returns a limit that has learned that the replica turned away a connection while
 // it had the given number of others open to this host.
 func (l Limit) WithRefusal(now time.Duration, open int) Limit {
-	return Limit{isSet: true, refused: now, openThen: open}
+	l.isSet, l.refused, l.openThen, l.resets = true, now, open, l.resets && l.IsLearned(now)
+	return l
+}
+
+// WithReset is WithRefusal for a connection that the replica had accepted.
+func (l Limit) WithReset(now time.Duration, open int) Limit {
+	l = l.WithRefusal(now, open)
+	l.resets = true
+	return l
+}
+
+// WithOpen returns a limit that has learned that the replica accepts the given number of
+// connections to this host.
+func (l Limit) WithOpen(open int) Limit {
+	l.openThen = max(l.openThen, open)
+	return l
 }
 
 // WithSuccess returns a limit that has learned that the replica has accepted a further connection.
@@ -68,6 +94,10 @@
 // IsLearned reports whether a connection was turned away within Memory.
 func (l Limit) IsLearned(now time.Duration) bool { return l.isSet && now-l.refused < Memory }
 
+// MustSettle reports whether a further connection must last for SettleTime before it carries a
+// request.
+func (l Limit) MustSettle(now time.Duration) bool { return l.IsLearned(now) && l.resets }
+
 // Max returns how many connections the host may have open to the replica.
 func (l Limit) Max(now time.Duration, b Bounds) int {
 	if !l.IsLearned(now) {
@@ -76,10 +106,31 @@
 	return max(1, min(orUnbounded(b.Share), l.openThen+int((now-l.refused)/GrowthInterval)))
 }
 
+// WithYield returns a limit that has learned that the replica turns connections of another host away,
+// which has the given number of them, while this one has own.
+func (l Limit) WithYield(now time.Duration, own, theirs int) Limit {
+	if own > theirs+1 {
+		l.yielded, l.kept = now, max(1, (own+theirs+1)/2)
+	}
+	return l
+}
+
+// IsYielding reports whether another host was turned away within Memory.
+func (l Limit) IsYielding(now time.Duration) bool { return l.yielded > 0 && now-l.yielded < Memory }
+
 // MaxIdle returns how many connections the host may have open to the replica, including idle ones,
-// when one becomes idle. It never exceeds the share, since an idle connection takes the place of
-// another host's request.
-func (b Bounds) MaxIdle() int { return orUnbounded(b.Share) }
+// when one becomes idle and no request waits for it. An idle connection takes the place of another
+// host's request.
+func (l Limit) MaxIdle(now time.Duration, b Bounds) int {
+	share := orUnbounded(b.Share)
+	switch {
+	case !l.IsYielding(now):
+		return share
+	case b.IsScarce:
+		return 0
+	}
+	return min(share, l.kept)
+}
 
 func orUnbounded(n int) int {
 	if n == 0 {
--- a/coord/connlimit/connlimit_test.go
+++ b/coord/connlimit/connlimit_test.go
@@ -47,12 +47,57 @@
 	})
 }
 
-// Guards against idle connections of one host that take the places of other hosts.
+// Guards against idle connections of one host that take the places of other hosts: of its share,
+// and of what a replica accepts that turns connections away.
 func TestMaxIdle(t *testing.T) {
-	if got := NewBounds(18, 2, 12).MaxIdle(); got != 9 {
-		t.Errorf("%d connections may be idle, want the share of 9", got)
+	yielding := Limit{}.WithYield(time.Second, 8, 2)
+	tests := map[string]struct {
+		limit  Limit
+		now    time.Duration
+		bounds Bounds
+		want   int
+	}{
+		"share":                              {Limit{}, time.Second, NewBounds(18, 2, 12), 9},
+		"no limit":                           {Limit{}, time.Second, NewBounds(0, 2, 12), math.MaxInt},
+		"turned away here":                   {Limit{}.WithRefusal(time.Second, 8), time.Second, NewBounds(18, 2, 12), 9},
+		"other host turned away":             {yielding, time.Second, NewBounds(18, 2, 12), 5},
+		"other host turned away, no limit":   {yielding, time.Second, NewBounds(0, 2, 12), 5},
+		"other host turned away, low share":  {yielding, time.Second, NewBounds(18, 6, 12), 3},
+		"other host turned away long ago":    {yielding, time.Second + Memory, NewBounds(18, 2, 12), 9},
+		"other host has one less":            {Limit{}.WithYield(time.Second, 3, 2), time.Second, NewBounds(18, 2, 12), 9},
+		"other host has more":                {Limit{}.WithYield(time.Second, 3, 6), time.Second, NewBounds(18, 2, 12), 9},
+		"other host has none":                {Limit{}.WithYield(time.Second, 2, 0), time.Second, NewBounds(18, 2, 12), 1},
+		"more hosts than the limit":          {yielding, time.Second, NewBounds(10, 380, 12), 0},
+		"more hosts than the limit, no need": {Limit{}, time.Second, NewBounds(10, 380, 12), 1},
 	}
-	if got := NewBounds(0, 2, 12).MaxIdle(); got != math.MaxInt {
-		t.Errorf("%d connections may be idle without a limit", got)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tc.limit.MaxIdle(tc.now, tc.bounds); got != tc.want {
+				t.Errorf("%d connections may be idle, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against requests on connections that a replica resets after accepting them.
+func TestMustSettle(t *testing.T) {
+	reset := Limit{}.WithReset(time.Second, 4)
+	for name, tc := range map[string]struct {
+		limit Limit
+		now   time.Duration
+		want  bool
+	}{
+		"nothing learned":    {Limit{}, time.Second, false},
+		"refused":            {Limit{}.WithRefusal(time.Second, 4), time.Second, false},
+		"reset":              {reset, time.Second, true},
+		"reset and refused":  {reset.WithRefusal(2*time.Second, 4), 2 * time.Second, true},
+		"reset long ago":     {reset, time.Second + Memory, false},
+		"refused after that": {reset.WithRefusal(time.Second+Memory, 4), time.Second + Memory, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := tc.limit.MustSettle(tc.now); got != tc.want {
+				t.Errorf("must settle: %t, want %t", got, tc.want)
+			}
+		})
 	}
 }
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -115,6 +115,9 @@
 	silentPeersAt time.Duration
 	// waiting exchanges the lengths of slotQueue between hosts; nil if slots are not awaited.
 	waiting *waitingSection
+	// turnedAway exchanges which replicas turn connections away; nil without
+	// Config.ConnectionLimits.
+	turnedAway *turnedAwaySection
 	// lastFullReport is the time of the last full report, or 0 to make the next report
 	// full. Other reports contain only changed rows.
 	lastFullReport time.Duration
@@ -146,6 +149,10 @@
 		l.waiting = newWaitingSection()
 		l.config.Sections = append(slices.Clone(c.Sections), l.waiting)
 	}
+	if c.ConnectionLimits != nil {
+		l.turnedAway = newTurnedAwaySection(l)
+		l.config.Sections = append(slices.Clone(l.config.Sections), l.turnedAway)
+	}
 	if c.CostPrediction {
 		l.enableCostPrediction()
 	}
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -10,6 +10,7 @@
 	"siskinstand.example/coord/catalog"
 	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/directory"
+	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/retry"
 )
@@ -259,6 +260,9 @@
 	if service != "" {
 		defer l.offerFreedSlot(now, service, m.target.ID)
 	}
+	if m.result.Outcome == health.AtLimit && l.turnedAway != nil {
+		l.turnedAway.record(now, m.target.ID)
+	}
 	if l.health.Record(now, m.target.ID, m.result.Outcome) {
 		klog.V(1).InfoS("replica out of use", "replica", m.target.ID, "outcome", m.result.Outcome)
 		if l.health.IsUnreachable(m.target.ID) {
--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -27,6 +27,11 @@
 	// FullUntil returns the boot clock reading, in nanoseconds, until which a request to the address
 	// will probably have to wait. The value is kept up to date, and reading it does not block.
 	FullUntil(address string) *atomic.Int64
+	// OpenConnections returns the number of connections to the address.
+	OpenConnections(address string) int
+	// YieldIdle is called if the replica turns connections of another host away, which has the given
+	// number of them.
+	YieldIdle(address string, theirs int)
 }
 
 // replicaLink is what is known of the way to a replica.
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -30,6 +30,12 @@
 // FullUntil implements ConnectionLimits.
 func (f fixedConnections) FullUntil(address string) *atomic.Int64 { return f.IdleUntil(address) }
 
+// OpenConnections implements ConnectionLimits.
+func (f fixedConnections) OpenConnections(string) int { return 0 }
+
+// YieldIdle implements ConnectionLimits.
+func (f fixedConnections) YieldIdle(string, int) {}
+
 func TestZoneDelaysAndConnections(t *testing.T) {
 	// Guards against delays of an old configuration, delays that count although they are
 	// switched off, and a connection that counts after its time.
--- /dev/null
+++ b/edge/control/turned_away.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstand.example/coord/placement"
+	"siskinstand.example/edge/peer"
+)
+
+const (
+	// turnedAwayTime is how long a host reports that a replica had no connection for its requests.
+	turnedAwayTime = time.Second
+	// turnedAwayRowBytes is the size of a row: the short ID of the replica, and the number of
+	// connections that the host has there.
+	turnedAwayRowBytes = 4 + 1
+)
+
+// turnedAwaySection tells other hosts which replicas have no connection for requests of this host,
+// so that they do not keep more idle connections there than this host has.
+type turnedAwaySection struct {
+	loop *Loop
+	// at holds when a request was last without a connection, by replica ID.
+	at map[string]time.Duration
+}
+
+func newTurnedAwaySection(l *Loop) *turnedAwaySection {
+	return &turnedAwaySection{loop: l, at: map[string]time.Duration{}}
+}
+
+// record records that a request found no connection to a replica.
+func (s *turnedAwaySection) record(now time.Duration, id string) {
+	s.at[id] = now
+	s.loop.scheduleReport(reportSoon)
+}
+
+// Type implements ReportSection.
+func (*turnedAwaySection) Type() peer.SectionType { return peer.SectionTurnedAway }
+
+// Append implements ReportSection.
+func (s *turnedAwaySection) Append(now time.Duration, data []byte) []byte {
+	maps.DeleteFunc(s.at, func(_ string, at time.Duration) bool { return now-at > turnedAwayTime })
+	for _, id := range slices.Sorted(maps.Keys(s.at)) {
+		r, ok := s.loop.directory.Get(now, id)
+		if !ok || len(data)+turnedAwayRowBytes > peer.MaxSectionBytes {
+			continue
+		}
+		open := s.loop.config.ConnectionLimits.OpenConnections(r.Address)
+		data = binary.LittleEndian.AppendUint32(data, placement.ShortID(id))
+		data = append(data, byte(min(open, math.MaxUint8)))
+	}
+	return data
+}
+
+// Merge implements ReportSection.
+func (s *turnedAwaySection) Merge(now time.Duration, _ string, data []byte) error {
+	if len(data)%turnedAwayRowBytes != 0 {
+		return eris.Errorf("%d bytes of replicas without a connection, want a multiple of %d", len(data), turnedAwayRowBytes)
+	}
+	open := map[uint32]int{}
+	for row := range slices.Chunk(data, turnedAwayRowBytes) {
+		open[binary.LittleEndian.Uint32(row)] = int(row[4])
+	}
+	for r := range s.loop.directory.All(now) {
+		if n, ok := open[placement.ShortID(r.ID)]; ok {
+			s.loop.config.ConnectionLimits.YieldIdle(r.Address, n)
+		}
+	}
+	return nil
+}
+
+// RemoveHost implements ReportSection.
+func (*turnedAwaySection) RemoveHost(string) {}
--- /dev/null
+++ b/edge/control/turned_away_test.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"siskinstand.example/coord/health"
+	"siskinstand.example/platform"
+)
+
+// recordedLimits is a ConnectionLimits that records the calls of YieldIdle.
+type recordedLimits struct {
+	open    map[string]int
+	yielded map[string]int
+}
+
+func (recordedLimits) FullUntil(string) *atomic.Int64         { return &atomic.Int64{} }
+func (r recordedLimits) OpenConnections(address string) int   { return r.open[address] }
+func (r recordedLimits) YieldIdle(address string, theirs int) { r.yielded[address] = theirs }
+
+func limitedLoop(t *testing.T, open map[string]int) (*Loop, recordedLimits) {
+	t.Helper()
+	limits := recordedLimits{open: open, yielded: map[string]int{}}
+	l := testLoop(t, replica("a", "app", "z1"), replica("b", "app", "z1"))
+	l.config.ConnectionLimits = limits
+	l.turnedAway = newTurnedAwaySection(l)
+	l.config.Sections = []ReportSection{l.turnedAway}
+	l.handle(0, storeUpdate{list: []platform.Change{{Kind: platform.ChangePeer, Name: "edge-2", Peer: platform.Peer{Address: "edge-2", Incarnation: 1}}}})
+	return l, limits
+}
+
+// Guards against hosts that keep idle connections to a replica while another host has none for its
+// requests, since they do not know of it.
+func TestTurnedAwayIsReported(t *testing.T) {
+	l, _ := limitedLoop(t, map[string]int{"a:1": 2, "b:1": 7})
+	other, limits := limitedLoop(t, nil)
+	q := plainRequest(l, t)
+	d, _ := pollDecision(l.requestPlacement(time.Second, q))
+	l.handle(time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.AtLimit}})
+	address := d.assignment.Target.Address
+	other.handle(time.Second, peerReport{name: "edge-2", incarnation: 1, sequence: 1, sections: l.reportSections(time.Second + turnedAwayTime)})
+	if diff := cmp.Diff(map[string]int{address: l.config.ConnectionLimits.OpenConnections(address)}, limits.yielded); diff != "" {
+		t.Errorf("connections yielded (-want +got):\n%s", diff)
+	}
+	if s := l.reportSections(time.Second + turnedAwayTime + 1); len(s) > 0 {
+		t.Errorf("sections %v long after the refusal, want none", s)
+	}
+	if err := l.turnedAway.Merge(time.Second, "edge-2", make([]byte, 7)); err == nil {
+		t.Error("a section of 7 bytes was accepted")
+	}
+}
--- a/edge/peer/codec.go
+++ b/edge/peer/codec.go
@@ -119,6 +119,9 @@
 	SectionInFlightBytes SectionType = 4
 	// SectionWaitingPrompts holds one byte, the number of short prompts that wait for a slot.
 	SectionWaitingPrompts SectionType = 5
+	// SectionTurnedAway holds five bytes for each replica that has no connection for requests of
+	// the host: its short ID, and the number of connections that the host has to it.
+	SectionTurnedAway SectionType = 6
 )
 
 // headerBytes and the others are the sizes of encoded structs.
--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/service/bootclock"
@@ -112,7 +114,7 @@
 		}
 		switch {
 		case s.open() >= most:
-		case !s.limit.IsLearned(now) || s.open() < max(1, s.limit.Accepted()):
+		case s.mayOpenFor(now, r):
 			s.opening++
 			return nil, true, nil
 		case !s.isGrowing:
@@ -121,8 +123,8 @@
 			go p.grow(r.Address)
 		}
 	}
-	wait := s.expectedWait(ahead)
-	p.fullUntil[s.hint].Store(int64(now + min(s.expectedWait(len(s.waiting)), connlimit.GrowthInterval)))
+	wait := s.expectedWait(ahead, r.Kind)
+	p.fullUntil[s.hint].Store(int64(now + min(s.expectedWait(len(s.waiting), r.Kind), connlimit.GrowthInterval)))
 	if now-startedAt >= r.MaxConnectionWait || !isQueued && wait > r.MaxConnectionWait {
 		return nil, false, &NoConnectionError{r.Address, wait}
 	}
@@ -132,6 +134,13 @@
 	return nil, false, nil
 }
 
+// mayOpenFor reports whether a connection may be opened for a request. Beyond what a replica that
+// turns connections away accepts, a connection may be reset before the request is read, so that a
+// request which must not be repeated does not take the risk.
+func (s *connections) mayOpenFor(now time.Duration, r Request) bool {
+	return !s.limit.IsLearned(now) || s.open() < max(1, s.limit.Accepted()) || !s.limit.MustSettle(now) && !r.AtMostOnce
+}
+
 func (p *Pool) stopWaiting(address string, w *waiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,7 +168,8 @@
 	}
 	c := newConn(n, r.Address)
 	s.beginUse(now, c, r)
-	c.isAboveLimit = s.limit.IsLearned(now)
+	c.isAboveLimit = s.limit.MustSettle(now)
+	s.limit = s.limit.WithOpen(len(s.active) + len(s.idle))
 	return c, nil
 }
 
@@ -201,3 +211,37 @@
 	budget := &budgetReader{source: n}
 	return &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: address}
 }
+
+// OpenConnections returns the number of connections to an address.
+func (p *Pool) OpenConnections(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.replicas[address]
+	if !ok {
+		return 0
+	}
+	return len(s.active) + len(s.idle)
+}
+
+// YieldIdle makes this host keep fewer idle connections to a replica that turns connections of
+// another host away, which has the given number of them.
+func (p *Pool) YieldIdle(address string, theirs int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.replicas[address]
+	now := bootclock.Now()
+	if !ok || s.limit.IsYielding(now) {
+		return
+	}
+	s.limit = s.limit.WithYield(now, len(s.active)+len(s.idle), theirs)
+	if !s.limit.IsYielding(now) {
+		return
+	}
+	closed := 0
+	for ; len(s.idle) > 0 && len(s.waiting) == 0 && s.open() > s.limit.MaxIdle(now, s.bounds); closed++ {
+		p.closeOldestIdle(s)
+	}
+	klog.V(1).InfoS("connections left to another host", "address", address, "theirs", theirs, "active", len(s.active), "idle", len(s.idle), "closed", closed)
+	p.countWait(waitYielded)
+	p.released(now, address, s)
+}
--- a/edge/replica/connections.go
+++ b/edge/replica/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -53,7 +54,7 @@
 func (s *connections) open() int { return len(s.idle) + len(s.active) + s.opening }
 
 func (s *connections) isUnused(now time.Duration) bool {
-	return s.open() == 0 && len(s.waiting) == 0 && !s.isListening && !s.limit.IsLearned(now)
+	return s.open() == 0 && len(s.waiting) == 0 && !s.isListening && !s.limit.IsLearned(now) && !s.limit.IsYielding(now)
 }
 
 func (s *connections) wakeFirst() {
@@ -74,10 +75,15 @@
 }
 
 // expectedWait returns how long a request with the given number of others ahead of it will probably
-// wait, by how long requests of the kinds that are in progress use a connection. It returns 0 if a
-// kind is not known yet.
-func (s *connections) expectedWait(ahead int) time.Duration {
+// wait, by how long requests of the kinds that are in progress use a connection. The connections that
+// are being opened will carry requests of its own kind. It returns 0 if a kind is not known yet.
+func (s *connections) expectedWait(ahead int, kind string) time.Duration {
 	perSecond := 0.0
+	if mean, ok := s.meanUse[kind]; ok {
+		perSecond = float64(s.opening) / max(mean, time.Millisecond).Seconds()
+	} else if s.opening > 0 {
+		return 0
+	}
 	for c := range s.active {
 		mean, ok := s.meanUse[c.kind]
 		if !ok {
@@ -247,10 +253,7 @@
 	defer p.mu.Unlock()
 	s := p.at(c.address)
 	s.endUse(now, c)
-	// A connection that another request waits for is kept, unless the host has to go back to its
-	// share.
-	isWanted := len(s.waiting) > 0 && !s.limit.IsLearned(now)
-	if p.isClosed || usable <= 0 || len(s.idle) >= p.config.MaxIdle || !isWanted && s.open() >= s.bounds.MaxIdle() {
+	if p.isClosed || usable <= 0 || len(s.idle) >= p.config.MaxIdle || s.open() >= s.maxIdle(now) {
 		c.Close()
 	} else {
 		s.idle = append(s.idle, c)
@@ -259,6 +262,18 @@
 	p.released(now, c.address, s)
 }
 
+// maxIdle returns how many connections the host may have open when one becomes idle. One that
+// another request waits for is kept, unless the host has to go back to its share.
+func (s *connections) maxIdle(now time.Duration) int {
+	switch {
+	case len(s.waiting) == 0:
+		return s.limit.MaxIdle(now, s.bounds)
+	case s.limit.IsLearned(now):
+		return connlimit.Limit{}.MaxIdle(now, s.bounds)
+	}
+	return math.MaxInt
+}
+
 // closeExpiredInterval is the interval at which idle connections that will not be used again are
 // closed. Each of them counts for the limit of its replica.
 const closeExpiredInterval = time.Second
@@ -299,6 +314,8 @@
 	waitServed waitResult = "served"
 	// waitRefused also counts requests that could not expect a connection in time.
 	waitRefused waitResult = "refused"
+	// waitYielded counts how often this host has left connections to another one.
+	waitYielded waitResult = "yielded"
 )
 
 func (p *Pool) countWait(r waitResult) {
--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -123,8 +123,12 @@
 	now := bootclock.Now()
 	if e.Effect.State == connfault.AtLimit {
 		// The connection that failed is one of those that are being opened.
-		s.limit = s.limit.WithRefusal(now, len(s.active)+len(s.idle))
-		for len(s.idle) > 0 && s.open() > s.bounds.MaxIdle() {
+		learn := s.limit.WithRefusal
+		if f == connfault.Reset {
+			learn = s.limit.WithReset
+		}
+		s.limit = learn(now, len(s.active)+len(s.idle))
+		for len(s.idle) > 0 && s.open() > s.limit.MaxIdle(now, s.bounds) {
 			p.closeOldestIdle(s)
 		}
 	}
--- a/edge/replica/limited_server_test.go
+++ b/edge/replica/limited_server_test.go
@@ -38,6 +38,8 @@
 	listener net.Listener
 	conns    []net.Conn
 	isClosed bool
+	// isFull is set while the port is closed because of the limit.
+	isFull bool
 }
 
 func serveLimited(t *testing.T, limit int64, how turnAway, handle func(c net.Conn, r *bufio.Reader)) *limitedServer {
@@ -86,6 +88,7 @@
 		s.mu.Lock()
 		s.conns = append(s.conns, c)
 		if s.how == closePort && s.open.Load() >= s.limit.Load() {
+			s.isFull = true
 			l.Close()
 		}
 		s.mu.Unlock()
@@ -102,9 +105,10 @@
 func (s *limitedServer) listenAgain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.how != closePort || s.isClosed || s.open.Load() != s.limit.Load()-1 {
+	if s.how != closePort || s.isClosed || !s.isFull || s.open.Load() >= s.limit.Load() {
 		return
 	}
+	s.isFull = false
 	l, err := net.Listen("tcp4", s.address)
 	if err != nil {
 		s.t.Errorf("listen again: %v", err)
