edge, edge/peer: go on after errors that concern one connection or packet

All requests in progress would end, without an answer on kept connections, if one read of a load report failed or accept returned an error of the network: the task ended, and with it the process. Not seen; found by listing the ways in which a caller's connection ends early.

--- a/edge/peer/peer.go
+++ b/edge/peer/peer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
@@ -108,19 +109,34 @@
 	s.write(data, *neighbors)
 }
 
-// Run receives reports until the context ends.
+const (
+	// receiveRetryInterval is the time from an error to the next read, and maxReceiveFailures the
+	// number of consecutive errors after which the socket counts as broken.
+	receiveRetryInterval = 50 * time.Millisecond
+	maxReceiveFailures   = 20
+)
+
+// Run receives reports until the context ends. An error of one read does not end it: the process
+// would end with it, and all requests of callers.
 func (s *Socket) Run(ctx context.Context, sink Sink) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() }) // the read below returns in any case
 	defer stop()
 	buffer := make([]byte, maxDatagramBytes)
+	failures := 0
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return eris.Wrap(err, "receive load report")
+			if failures++; failures >= maxReceiveFailures {
+				return eris.Wrap(err, "receive load report")
+			}
+			klog.ErrorS(err, "load report not received", "failures", failures)
+			time.Sleep(receiveRetryInterval)
+			continue
 		}
+		failures = 0
 		m, err := Decode(buffer[:n])
 		if err != nil {
 			klog.V(1).InfoS("load report ignored", "from", from.String(), "err", err)
--- a/edge/replica/share_test.go
+++ b/edge/replica/share_test.go
@@ -111,7 +111,7 @@
 		t.Errorf("the other host has kept %d connections, want %d", n, want)
 	}
 	time.Sleep(connlimit.GrowthInterval * (accepted - streams)) // the host may try as many again
-	turnedAway := accepted - streams // connections that may be reset because the port closes
+	turnedAway := accepted - streams                            // connections that may be reset because the port closes
 	if refused := b.wave(waveSize, maxWait); refused > turnedAway {
 		t.Errorf("%d of %d calls were refused, though connections are free", refused, waveSize)
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -263,7 +263,7 @@
 		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // Serve below returns in any case
 		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(tolerantListener{l}); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve")
 		}
 		<-ctx.Done()
