edge: check in the soak that no connection is closed without an answer

The soak had a check for incomplete responses in planned-change phases only. TestSoakChecksFire has 3 new rows.

--- a/edge/soak_checks_fire_test.go
+++ b/edge/soak_checks_fire_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,7 +51,10 @@
 		"revoked key":     {callResult{call: revoked, timeSpan: timeSpan{from: at(2100)}, reply: whole}, ran(2150), "a request with a revoked key has run"},
 		"late":            {callResult{call: call, timeSpan: timeSpan{to: at(3600)}, reply: whole}, ran(1), "the final response came after the timeout"},
 		"late and paused": {callResult{call: call, host: 1, timeSpan: timeSpan{to: at(3600)}, reply: whole}, ran(1), ""},
-		"lost":            {callResult{call: call, timeSpan: timeSpan{at(5100), at(5200)}, reply: cut}, ran(5150), "no complete response in a planned-change phase"},
+		"lost":            {callResult{call: call, timeSpan: timeSpan{at(5100), at(5200)}, reply: cut}, ran(5150), "no complete response in a planned-change phase; the connection was closed without an answer to a request that has run"},
+		"closed":          {callResult{call: stream, timeSpan: timeSpan{at(8100), at(8200)}, reply: cut}, ran(8150), "the connection was closed without an answer to a request that has run"},
+		"closed, not run": {callResult{call: stream, timeSpan: timeSpan{at(8100), at(8200)}, reply: cut}, nil, ""},
+		"closed, paused":  {callResult{call: call, host: 1, reply: cut}, ran(1), ""},
 		"error response":  {callResult{call: call, timeSpan: timeSpan{at(5100), at(5200)}, reply: reply(http.StatusBadGateway, "")}, ran(5150), "an error response in a planned-change phase"},
 		"evacuated":       {callResult{call: call, timeSpan: timeSpan{at(7100), at(7200)}, reply: whole}, ran(7150), "a replica ran the request long after the evacuation of its availability zone"},
 		"removed":         {callResult{call: call, timeSpan: timeSpan{at(11_100), at(11_200)}, reply: whole}, ran(11_150), "a replica ran the request later than the drain time after its entry was removed"},
@@ -73,11 +77,13 @@
 				removed:     map[string]time.Time{"i-app-1": at(9100)},
 				toldLeaving: map[hostAndReplica]time.Time{{3, "i-app-2"}: at(13_000), {4, "i-llm-9"}: at(13_000)},
 			}
-			got := ""
-			for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
-				got += check(tc.result, tc.runs)
+			var found []string
+			for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.closedWithoutAnswer, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
+				if problem := check(tc.result, tc.runs); problem != "" {
+					found = append(found, problem)
+				}
 			}
-			if diff := cmp.Diff(tc.want, got); diff != "" {
+			if diff := cmp.Diff(tc.want, strings.Join(found, "; ")); diff != "" {
 				t.Errorf("(-want +got):\n%s", diff)
 			}
 		})
--- a/edge/soak_checks_test.go
+++ b/edge/soak_checks_test.go
@@ -155,7 +155,7 @@
 	served, expected, retries := 0, 0, 0
 	for _, r := range h.results {
 		mine := runs[r.call.Body]
-		for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
+		for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.closedWithoutAnswer, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
 			if problem := check(r, mine); problem != "" {
 				list = append(list, fmt.Sprintf("%s %s: %s at edge-%d, %s, key %q: %d %.200q (%v) after %v, %d runs, reused: %t",
 					r.call.Path, r.reply.AttemptID, problem, r.host, r.from.Format("15:04:05.000"), r.call.APIKey, r.reply.Status, r.reply.Body, r.reply.Err, r.to.Sub(r.from), len(mine), r.reply.Reused))
@@ -296,6 +296,15 @@
 	return ""
 }
 
+// closedWithoutAnswer reports a connection that ended without a byte of an answer although a replica
+// had run the request, unless the host was paused or restarted.
+func (h *soakHistory) closedWithoutAnswer(r callResult, runs []soakRun) string {
+	if r.callerLeft || !r.reply.Connected || r.reply.Status != 0 || len(runs) == 0 || h.wasDisturbed(r) {
+		return ""
+	}
+	return "the connection was closed without an answer to a request that has run"
+}
+
 // lateAtRemovedReplica reports a run at a replica later than the drain time after its entry was
 // removed, unless the host was cut off from the store, paused or restarted.
 func (h *soakHistory) lateAtRemovedReplica(r callResult, runs []soakRun) string {
