--- a/edge/control/turned_away_test.go
+++ b/edge/control/turned_away_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/health"
 	"siskinstand.example/platform"
 )
@@ -32,6 +33,35 @@
 	return l, limits
 }
 
+// checkYield checks that a host which receives the report of l yields connections to one address.
+func checkYield(t *testing.T, l, other *Loop, limits recordedLimits, address string) {
+	t.Helper()
+	other.handle(time.Second, peerReport{name: "edge-2", incarnation: 1, sequence: 1, sections: l.reportSections(time.Second + turnedAwayTime)})
+	if diff := cmp.Diff(map[string]int{address: l.config.ConnectionLimits.OpenConnections(address)}, limits.yielded); diff != "" {
+		t.Errorf("connections yielded (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a host that never gets a connection to a replica whose connections all belong to
+// other hosts: it can't tell the refusal from that of a dead replica.
+func TestRefusedProbeIsReported(t *testing.T) {
+	for _, tc := range []struct {
+		failure connfault.Failure
+		want    bool
+	}{{connfault.Refused, true}, {connfault.Unanswered, false}} {
+		t.Run(string(tc.failure), func(t *testing.T) {
+			l, _ := limitedLoop(t, nil)
+			l.handle(time.Second, probeResult{id: "a", startedAt: time.Second, err: connfault.NewError(tc.failure, connfault.Signs{}, nil)})
+			other, limits := limitedLoop(t, nil)
+			if tc.want {
+				checkYield(t, l, other, limits, "a:1")
+			} else if s := l.reportSections(time.Second); len(s) > 0 {
+				t.Errorf("sections %v, want none", s)
+			}
+		})
+	}
+}
+
 // Guards against hosts that keep idle connections to a replica while another host has none for its
 // requests, since they do not know of it.
 func TestTurnedAwayIsReported(t *testing.T) {
@@ -40,11 +70,7 @@
 	q := plainRequest(l, t)
 	d, _ := pollDecision(l.requestPlacement(time.Second, q))
 	l.handle(time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.AtLimit}})
-	address := d.assignment.Target.Address
-	other.handle(time.Second, peerReport{name: "edge-2", incarnation: 1, sequence: 1, sections: l.reportSections(time.Second + turnedAwayTime)})
-	if diff := cmp.Diff(map[string]int{address: l.config.ConnectionLimits.OpenConnections(address)}, limits.yielded); diff != "" {
-		t.Errorf("connections yielded (-want +got):\n%s", diff)
-	}
+	checkYield(t, l, other, limits, d.assignment.Target.Address)
 	if s := l.reportSections(time.Second + turnedAwayTime + 1); len(s) > 0 {
 		t.Errorf("sections %v long after the refusal, want none", s)
 	}
