edge/caller: let a broken stream wait for one replica's connection for 0.4 s at most

Each wait is now limited to 0.4 s like that of other requests, and the stream asks for a replica again after it, until its caller would give up.

--- a/edge/caller/continuation.go
+++ b/edge/caller/continuation.go
@@ -9,7 +9,7 @@
 	"siskinstand.example/service/bootclock"
 )
 
-// Callers abandon a stream after the longest of these silences (PROTOCOL.md of the platform).
+// Callers abandon a stream after the longest of these silences, by the protocol of the platform.
 const (
 	minSilence          = 2 * time.Second
 	objectivesOfSilence = 4
--- a/edge/caller/send_failure.go
+++ b/edge/caller/send_failure.go
@@ -22,7 +22,7 @@
 	// time left. maxWaitDivisor limits all waits, so that another replica can follow.
 	lateWaitDivisor = 10
 	maxWaitDivisor  = 3
-	// maxConnectionWait is the longest wait of a request other than a continuation. A replica that begins to leave or asks for a pause
+	// maxConnectionWait is the longest wait. A replica that begins to leave or asks for a pause
 	// meanwhile may still get the request within 0.5 s.
 	maxConnectionWait = 400 * time.Millisecond
 )
@@ -31,7 +31,7 @@
 // accepts no further one.
 func (q *request) connectionWait() time.Duration {
 	if q.isContinuation() {
-		return q.continuationTime()
+		return min(q.continuationTime(), maxConnectionWait)
 	}
 	now := bootclock.Now()
 	left := q.timeLeft(now)
