adapters/httpclient: return no whole head that is not acceptable

A call of gateway, sidecar or load tool could get bytes that a faulty server had sent behind a broken head as its response.

Cause: Read returned all bytes with its error. net/http took a whole head with an empty body from them, put the connection back into use, and the next call could get it before net/http had found the rest. Read returns the first byte of such a head and no more now.

--- a/adapters/httpclient/transport.go
+++ b/adapters/httpclient/transport.go
@@ -84,6 +84,8 @@
 	net.Conn
 	mu   sync.Mutex
 	head responsehead.Checker
+	// headBytes counts the bytes of the head that were returned by Read.
+	headBytes int
 
 	// writing is held during a write.
 	writing sync.Mutex
@@ -113,6 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Reset()
+	c.headBytes = 0
 }
 
 func (c *conn) headError() error {
@@ -122,8 +125,9 @@
 }
 
 // Read fails as soon as a byte of a head is not acceptable, so that the call does not wait for
-// the rest of it. It returns the bytes, too: net/http sends some requests again if no byte of a
-// response has arrived.
+// the rest of it. It returns the first byte of the head, since net/http sends some requests again
+// if no byte of a response has arrived. It returns no more: a head that net/http takes for whole
+// would put the connection back into use, with the bytes that follow as the next response.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -132,7 +136,8 @@
 		return n, err
 	}
 	if c.head.Feed(p[:n]); c.head.Err() != nil {
-		return n, c.head.Err()
+		return max(0, min(n, 1-c.headBytes)), c.head.Err()
 	}
+	c.headBytes += n
 	return n, err
 }
