--- a/coord/connfault/connfault.go
+++ b/coord/connfault/connfault.go
@@ -16,7 +16,8 @@
 //	reset       open or heard  go on                           kept    at the limit               not told
 //	reset       none           go on                           kept    the response was broken    not told
 //	local       any            go on                           kept    unchanged                  not told
-//	late        any            go on                           kept    unchanged                  not told
+//	late        heard          go on                           kept    at the limit               not told
+//	late        none           go on; move after ListenTime    closed  none until a probe succeeds  told
 //	cancelled   any            go on                           kept    unchanged                  not told
 //
 // A request in progress never ends because another connection failed. It ends by what happens
@@ -29,7 +30,8 @@
 //
 // An opening without an answer takes its timeout, in which a working replica is heard. An error
 // such as "no route to host" comes at once, so what was heard shortly before it counts, and
-// nothing is moved until nothing was heard for as long after it.
+// nothing is moved until nothing was heard for as long after it. The same holds for a timeout that
+// was noticed late: this host was held up, and may not have read what has arrived.
 package connfault
 
 import (
@@ -55,7 +57,7 @@
 	// reached, or gave another error that says nothing certain about the replica.
 	NoRoute Failure = "no_route"
 	// Late means that the timeout of an opening was noticed so late that this host must have been
-	// held up. An answer may have come in time.
+	// held up.
 	Late Failure = "late"
 	// Reset means that a new connection ended before any byte of a response.
 	Reset Failure = "reset"
@@ -126,16 +128,19 @@
 func Judge(f Failure, s Signs) Effect {
 	isAlive := s.Heard || s.Open && (f == Refused || f == Reset)
 	switch {
-	case f == Local || f == Late || f == Cancelled:
+	case f == Local || f == Cancelled:
 		return Effect{State: Unknown}
 	case isAlive:
 		return Effect{State: AtLimit}
 	case f == Reset:
 		return Effect{State: Unknown}
 	}
-	return Effect{State: Unreachable, CloseIdle: true, MoveSilent: f != Refused, Listen: f == NoRoute || f == Other}
+	return Effect{State: Unreachable, CloseIdle: true, MoveSilent: f != Refused, Listen: LeavesNoTime(f)}
 }
 
+// LeavesNoTime reports whether a failure leaves this host no time to hear the replica.
+func LeavesNoTime(f Failure) bool { return f == NoRoute || f == Late || f == Other }
+
 // Error is the failure of a connection with its effect.
 type Error struct {
 	Failure Failure
--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -70,7 +70,7 @@
 // tryAcquire returns a connection, or nil if the request has to wait for one. Then w is queued if
 // it can be woken.
 func (p *Pool) tryAcquire(ctx context.Context, r Request, w *waiter, startedAt, now time.Duration) (*conn, error) {
-	for tries := 1; ; tries++ {
+	for {
 		c, mayOpen, err := p.claim(r, w, startedAt, now)
 		switch {
 		case err != nil:
@@ -78,7 +78,7 @@
 			return nil, err
 		case mayOpen:
 			c, err := p.openActive(ctx, r)
-			if err == nil || !IsAtLimit(err) && (tries > 1 || !isLate(err)) {
+			if err == nil || !IsAtLimit(err) {
 				return c, err
 			}
 			now = bootclock.Now()
--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -21,14 +21,14 @@
 const localRetryInterval = 100 * time.Millisecond
 
 // Probe opens a connection to an address and closes it. While this host lacks the resources
-// for a connection or is held up, it tries again until ctx ends. The error wraps a *connfault.Error.
+// for a connection, it tries again until ctx ends. The error wraps a *connfault.Error.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	for {
 		n, err := p.dial(ctx, address)
 		if err == nil {
 			return n.Close()
 		}
-		if !isOwnFault(err) {
+		if !isLocalError(err) {
 			return err
 		}
 		select {
@@ -73,16 +73,10 @@
 	return f
 }
 
-// isOwnFault reports whether a connection failed because this host lacks the resources or was held
-// up.
-func isOwnFault(err error) bool {
+// isLocalError reports whether a connection failed because of a shortage on this host.
+func isLocalError(err error) bool {
 	var e *connfault.Error
-	return errors.As(err, &e) && (e.Failure == connfault.Local || e.Failure == connfault.Late)
-}
-
-func isLate(err error) bool {
-	var e *connfault.Error
-	return errors.As(err, &e) && e.Failure == connfault.Late
+	return errors.As(err, &e) && e.Failure == connfault.Local
 }
 
 // traffic is what had arrived on a connection at a time.
@@ -199,7 +193,7 @@
 // response count: the others may be reset next. A failure that comes at once leaves no time to
 // hear anything, so that the listening time before it counts, too.
 func (s *connections) signs(before map[*conn]traffic, f connfault.Failure, listeningTime time.Duration) (signs connfault.Signs, unknown int) {
-	isSudden := f == connfault.NoRoute || f == connfault.Other
+	isSudden := connfault.LeavesNoTime(f)
 	look := func(c *conn, isActive bool) {
 		earlier, isOlder := before[c]
 		total := c.budget.total.Load()
--- a/edge/replica/dial_test.go
+++ b/edge/replica/dial_test.go
@@ -109,7 +109,7 @@
 		"not permitted, replica that sends": {(events + 2) * interval, withControlError(syscall.EPERM, probeOnce), false, connfault.AtLimit},
 		"unknown error, replica that sends": {(events + 2) * interval, withControlError(syscall.EPROTO, acquireOnce), false, connfault.AtLimit},
 		"aborted opening":                   {0, withControlError(syscall.ECONNABORTED, acquireOnce), false, connfault.AtLimit},
-		"host that was held up":             {0, withHeldUpHost(acquireOnce), false, connfault.Unknown},
+		"host that was held up":             {2 * interval, withHeldUpHost(acquireOnce), false, connfault.Unreachable},
 		"no local port":                     {0, withForeignSource(acquireOnce), false, connfault.Unknown},
 	}
 	for name, tc := range tests {
