edge/replica: read responses that arrived before their deadline

A host that was held up for 0.1 to 2 s lost responses that had arrived: one that a replica sends before it has read a long body, a head in two parts, and the rest of a response to an earlier request. Callers got 502 "may have run" where the replica had said that the request has not run.

A read after its deadline fails without looking at the socket. Such a read now returns what has arrived. The code moves from service/http1, which did so for the first bytes of a caller's request, to service/socket.

--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -208,7 +208,7 @@
 var errNotAccepted = errors.New("the replica closed the connection before a request")
 
 func newConn(n net.Conn, address string) *conn {
-	budget := &budgetReader{source: n}
+	budget := &budgetReader{source: arrivedReader{n}}
 	return &conn{Conn: n, reader: bufio.NewReaderSize(budget, readBufferSize), budget: budget, address: address}
 }
 
--- a/edge/replica/head.go
+++ b/edge/replica/head.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"siskinstand.example/coord/responsehead"
+	"siskinstand.example/service/socket"
 )
 
 const (
@@ -21,6 +23,12 @@
 
 var errHeadTooLong = errors.New("status line and headers of the response exceed 32 KiB")
 
+// arrivedReader reads what arrived before a read deadline also after it. A host that was held up
+// would otherwise lose responses which came in time.
+type arrivedReader struct{ net.Conn }
+
+func (r arrivedReader) Read(p []byte) (int, error) { return socket.Read(r.Conn, p) }
+
 // budgetReader limits how many bytes are read while isLimited is set, and checks them as the head
 // of a response. A faulty replica may send a head without end, which http.ReadResponse would keep
 // in memory, or one that http.ReadResponse repairs.
--- a/service/http1/conn.go
+++ b/service/http1/conn.go
@@ -2,19 +2,16 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"siskinstand.example/coord/bytebudget"
 	"siskinstand.example/service/membudget"
+	"siskinstand.example/service/socket"
 )
 
 // conn inspects the bytes of a request before net/http passes the request to the
@@ -117,13 +114,9 @@
 	_ = c.Conn.SetReadDeadline(time.Now()) // ends the wait of readFirst; a closed connection has no reader
 }
 
-// readFirst reads the first bytes of a request. When the wait for them ends by a deadline,
-// it reads what has arrived, since a read after its deadline does not look at the socket.
+// readFirst reads the first bytes of a request, also if the wait for them has just ended.
 func (c *conn) readFirst(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readArrived(p)
-	}
+	n, err := socket.Read(c.Conn, p)
 	if n > 0 {
 		c.setBusy(true)
 		c.headerDeadline = time.Now().Add(c.server.config.Timeouts().Header)
@@ -132,37 +125,6 @@
 	return n, err
 }
 
-// finalReadTimeout limits the last read from a connection that is no socket.
-const finalReadTimeout = time.Millisecond
-
-// readArrived reads without waiting. If nothing has arrived, the error is
-// os.ErrDeadlineExceeded.
-func (c *conn) readArrived(p []byte) (int, error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)) // fails only for a closed connection, whose next read fails too
-		return c.Conn.Read(p)
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var n int
-	var readErr error
-	if err := raw.Control(func(fd uintptr) { n, _, readErr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) }); err != nil {
-		return 0, err
-	}
-	switch {
-	case errors.Is(readErr, unix.EAGAIN), errors.Is(readErr, unix.EINTR):
-		return 0, os.ErrDeadlineExceeded
-	case readErr != nil:
-		return 0, readErr
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
-}
-
 // Read rejects bytes that cannot be part of a request, and headers that are not
 // complete in time.
 func (c *conn) Read(p []byte) (int, error) {
