edge, coord/connlimit: leave the only connection to hosts that have none

Where there are more hosts than connections to the replicas of a service, some hosts refused all their callers, though the connections were in use for a fourth of the time.

The rule by which hosts leave idle connections to each other divided them between hosts that have some: a host yielded only if it had two more than the other. Resets and openings without an answer were not reported.

A host with a single connection now closes it after each request while another host reports that it has none. Refused and reset openings are reported, and openings without an answer where connections are scarce.

--- a/coord/connfault/connfault.go
+++ b/coord/connfault/connfault.go
@@ -165,6 +165,17 @@
 // ReplicaState returns the state of the replica.
 func (e *Error) ReplicaState() State { return e.Effect.State }
 
+// MayBeTurnedAway reports whether an error may mean that a replica has no room for a further
+// connection. A host without another connection can't tell that from the end of the replica. No
+// answer counts only where connections are scarce: elsewhere, the network is the likelier cause.
+func MayBeTurnedAway(err error, isScarce bool) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return err != nil && StateOf(err) == AtLimit
+	}
+	return e.Failure == Refused || e.Failure == Reset || e.Failure == Unanswered && isScarce || e.Effect.State == AtLimit
+}
+
 // StateOf returns the ReplicaState of the first error in err's tree that has one, and Unreachable
 // if there is none.
 func StateOf(err error) State {
--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -10,7 +10,8 @@
 //
 // A host whose requests find no connection tells the others how many it has. A host with more of
 // them then keeps idle connections only up to the average of both for a while, so that hosts with
-// equal needs get equal parts of what the replica accepts.
+// equal needs get equal parts of what the replica accepts. Where there are more hosts than
+// connections, those that have one close it after each request for as long.
 // Times are readings of a clock that keeps counting while the host is suspended.
 package connlimit
 
@@ -107,10 +108,14 @@
 }
 
 // WithYield returns a limit that has learned that the replica turns connections of another host away,
-// which has the given number of them, while this one has own.
+// which has the given number of them, while this one has own. A host with a single connection closes
+// it after each request while another host has none.
 func (l Limit) WithYield(now time.Duration, own, theirs int) Limit {
-	if own > theirs+1 {
+	switch {
+	case own > theirs+1:
 		l.yielded, l.kept = now, max(1, (own+theirs+1)/2)
+	case own > 0 && theirs == 0:
+		l.yielded, l.kept = now, 0
 	}
 	return l
 }
--- a/coord/connlimit/connlimit_test.go
+++ b/coord/connlimit/connlimit_test.go
@@ -67,6 +67,8 @@
 		"other host has one less":            {Limit{}.WithYield(time.Second, 3, 2), time.Second, NewBounds(18, 2, 12), 9},
 		"other host has more":                {Limit{}.WithYield(time.Second, 3, 6), time.Second, NewBounds(18, 2, 12), 9},
 		"other host has none":                {Limit{}.WithYield(time.Second, 2, 0), time.Second, NewBounds(18, 2, 12), 1},
+		"other host has none, this has one":  {Limit{}.WithYield(time.Second, 1, 0), time.Second, NewBounds(18, 2, 12), 0},
+		"neither host has one":               {Limit{}.WithYield(time.Second, 0, 0), time.Second, NewBounds(18, 2, 12), 9},
 		"more hosts than the limit":          {yielding, time.Second, NewBounds(10, 380, 12), 0},
 		"more hosts than the limit, no need": {Limit{}, time.Second, NewBounds(10, 380, 12), 1},
 	}
--- a/edge/caller/move.go
+++ b/edge/caller/move.go
@@ -118,7 +118,7 @@
 	}
 	connection, err := pool.Connect(m.ctx, replica.Request{Address: assignment.Target.Address, AttemptID: m.q.headers.AttemptID, Kind: m.q.route.Name, Connections: assignment.Connections})
 	if err != nil {
-		loop.RecordSendEnd(assignment, control.SendResult{Outcome: sendFailureOutcome(err)}, m.q.fingerprint)
+		loop.RecordSendEnd(assignment, control.SendResult{Outcome: sendFailureOutcome(err), ConnectionErr: err}, m.q.fingerprint)
 		return moveNoConnection, to
 	}
 	d := &destination{assignment, connection}
--- a/edge/caller/run.go
+++ b/edge/caller/run.go
@@ -28,6 +28,8 @@
 	// if no other send follows.
 	response *bufferedResponse
 	health   health.Outcome
+	// connectionErr is the error of a send that got no connection or no response.
+	connectionErr error
 	// mayHaveCrashed is set if the replica may have crashed while it ran the request: it sent
 	// no response, or one that did not end properly.
 	mayHaveCrashed bool
@@ -242,7 +244,7 @@
 	eventsBefore := q.eventCount
 	defer func() {
 		q.recordFault(ctx, assignment, o)
-		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished, Events: q.eventCount - eventsBefore}, q.fingerprint)
+		loop.RecordSendEnd(assignment, control.SendResult{Outcome: o.health, ConnectionErr: o.connectionErr, MayHaveCrashed: o.mayHaveCrashed, Aborted: o.aborted, Began: o.began, Finished: o.finished, Events: q.eventCount - eventsBefore}, q.fingerprint)
 		if o.failedHelper.ID != "" {
 			// Without an assignment ID, only the outcome for the helper is recorded.
 			loop.RecordSendEnd(control.Assignment{Target: o.failedHelper}, control.SendResult{Outcome: health.NoHelp}, q.fingerprint)
--- a/edge/caller/send_failure.go
+++ b/edge/caller/send_failure.go
@@ -41,7 +41,7 @@
 
 // noResponseOutcome returns the outcome of a send that got no response.
 func (q *request) noResponseOutcome(ctx context.Context, err error) outcome {
-	o := outcome{health: sendFailureOutcome(err), sent: true}
+	o := outcome{health: sendFailureOutcome(err), connectionErr: err, sent: true}
 	var failure *verdict.Error
 	if !errors.As(err, &failure) {
 		failure = verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, "the send failed").WithCause(err)
--- a/edge/control/messages.go
+++ b/edge/control/messages.go
@@ -163,6 +163,8 @@
 type SendResult struct {
 	// Outcome is what the send revealed about the replica.
 	Outcome health.Outcome
+	// ConnectionErr is the error of a send that got no connection or no response, or nil.
+	ConnectionErr error
 	// MayHaveCrashed is set if the replica may have crashed while it ran the request.
 	MayHaveCrashed bool
 	// Aborted is set if this host closed the connection because of an invalid response. The
--- a/edge/control/place.go
+++ b/edge/control/place.go
@@ -10,7 +10,6 @@
 	"siskinstand.example/coord/catalog"
 	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/directory"
-	"siskinstand.example/coord/health"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/coord/retry"
 )
@@ -260,9 +259,7 @@
 	if service != "" {
 		defer l.offerFreedSlot(now, service, m.target.ID)
 	}
-	if m.result.Outcome == health.AtLimit && l.turnedAway != nil {
-		l.turnedAway.record(now, m.target.ID)
-	}
+	l.recordTurnedAway(now, m.target.ID, m.result.ConnectionErr)
 	if l.health.Record(now, m.target.ID, m.result.Outcome) {
 		klog.V(1).InfoS("replica out of use", "replica", m.target.ID, "outcome", m.result.Outcome)
 		if l.health.IsUnreachable(m.target.ID) {
--- a/edge/control/probe.go
+++ b/edge/control/probe.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -37,10 +36,7 @@
 // while others to it are open has not crashed.
 func (l *Loop) handleProbeResult(at time.Duration, m probeResult) {
 	isDead := m.err != nil && connfault.StateOf(m.err) != connfault.AtLimit
-	if l.turnedAway != nil && isRefused(m.err) {
-		// It may also have room for the connections of other hosts only.
-		l.turnedAway.record(at, m.id)
-	}
+	l.recordTurnedAway(at, m.id, m.err)
 	if isDead {
 		l.resolveBrokenSends(at, m.id, m.err)
 	} else {
@@ -62,12 +58,6 @@
 	l.scheduleReport(reportSoon)
 }
 
-// isRefused reports whether a replica's host has refused a connection.
-func isRefused(err error) bool {
-	var e *connfault.Error
-	return errors.As(err, &e) && e.Failure == connfault.Refused
-}
-
 // unreachableReplicas returns the IDs of the replicas that this host cannot reach or, after
 // a report of another host, has not yet reached again.
 func (l *Loop) unreachableReplicas(at time.Duration) map[string]bool {
--- a/edge/control/turned_away.go
+++ b/edge/control/turned_away.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinstand.example/coord/connfault"
+	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/coord/placement"
 	"siskinstand.example/edge/peer"
 )
@@ -33,10 +35,23 @@
 	return &turnedAwaySection{loop: l, at: map[string]time.Duration{}}
 }
 
-// record records that a request found no connection to a replica.
-func (s *turnedAwaySection) record(now time.Duration, id string) {
-	s.at[id] = now
-	s.loop.scheduleReport(reportSoon)
+// recordTurnedAway records that a replica may have had no room for a connection of this host.
+func (l *Loop) recordTurnedAway(now time.Duration, id string, err error) {
+	if l.turnedAway == nil || !connfault.MayBeTurnedAway(err, l.hasScarceConnections(now, id)) {
+		return
+	}
+	l.turnedAway.at[id] = now
+	l.scheduleReport(reportSoon)
+}
+
+// hasScarceConnections reports whether there are more hosts than connections to a replica.
+func (l *Loop) hasScarceConnections(now time.Duration, id string) bool {
+	r, ok := l.directory.Get(now, id)
+	if !ok {
+		return false
+	}
+	s := l.View().Catalog.Service(r.Service)
+	return s != nil && connlimit.NewBounds(s.MaxConnections, len(l.peers)+1, r.Slots).IsScarce
 }
 
 // Type implements ReportSection.
--- a/edge/control/turned_away_test.go
+++ b/edge/control/turned_away_test.go
@@ -45,12 +45,21 @@
 // Guards against a host that never gets a connection to a replica whose connections all belong to
 // other hosts: it can't tell the refusal from that of a dead replica.
 func TestRefusedProbeIsReported(t *testing.T) {
-	for _, tc := range []struct {
-		failure connfault.Failure
-		want    bool
-	}{{connfault.Refused, true}, {connfault.Unanswered, false}} {
-		t.Run(string(tc.failure), func(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failure        connfault.Failure
+		maxConnections int
+		want           bool
+	}{
+		"refused":                             {failure: connfault.Refused, want: true},
+		"reset":                               {failure: connfault.Reset, want: true},
+		"unanswered":                          {failure: connfault.Unanswered},
+		"unanswered, enough connections":      {failure: connfault.Unanswered, maxConnections: 2},
+		"unanswered, more hosts":              {failure: connfault.Unanswered, maxConnections: 1, want: true},
+		"this host lacks descriptors, scarce": {failure: connfault.Local, maxConnections: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
 			l, _ := limitedLoop(t, nil)
+			l.View().Catalog.Service("app").MaxConnections = tc.maxConnections
 			l.handle(time.Second, probeResult{id: "a", startedAt: time.Second, err: connfault.NewError(tc.failure, connfault.Signs{}, nil)})
 			other, limits := limitedLoop(t, nil)
 			if tc.want {
@@ -69,7 +78,7 @@
 	other, limits := limitedLoop(t, nil)
 	q := plainRequest(l, t)
 	d, _ := pollDecision(l.requestPlacement(time.Second, q))
-	l.handle(time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.AtLimit}})
+	l.handle(time.Second, sendEnded{assignmentID: d.assignment.ID, target: d.assignment.Target, result: SendResult{Outcome: health.AtLimit, ConnectionErr: connfault.NewError(connfault.Refused, connfault.Signs{Open: true}, nil)}})
 	checkYield(t, l, other, limits, d.assignment.Target.Address)
 	if s := l.reportSections(time.Second + turnedAwayTime + 1); len(s) > 0 {
 		t.Errorf("sections %v long after the refusal, want none", s)
