edge/replica: keep the error of a reset when looking at a connection

A caller got 200 with the first part of a response that its replica had reset: a response without a length ends with its connection, and the host took the reset for the regular end.

When a connection to a replica fails, the host looks at the others to the same replica. It used a receive call with MSG_PEEK, which returns the error of a reset and clears it, so that the read of the request in progress returned the regular end.

--- a/edge/replica/dial.go
+++ b/edge/replica/dial.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"siskinstand.example/coord/connfault"
@@ -231,66 +228,3 @@
 	}
 	return silent
 }
-
-// linkState is what the system says of a connection.
-type linkState string
-
-const (
-	linkOpen   linkState = "open"
-	linkClosed linkState = "closed"
-	// linkUnknown means that the system did not tell.
-	linkUnknown linkState = "unknown"
-)
-
-// closedErrors are the errors of a read from a connection that has ended.
-var closedErrors = []error{
-	io.EOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENOTCONN, syscall.EBADF,
-}
-
-// link returns whether the connection is open, and whether it has unread data. Data that arrived
-// before the end of the connection hides the end.
-func (c *conn) link() (state linkState, hasUnread bool) {
-	n, err := c.peek()
-	switch {
-	case n > 0:
-		return linkOpen, true
-	case errors.Is(err, unix.EAGAIN):
-		return linkOpen, false
-	case slices.ContainsFunc(closedErrors, func(e error) bool { return errors.Is(err, e) }):
-		return linkClosed, false
-	}
-	return linkUnknown, false
-}
-
-// isBroken reports whether a new connection has ended or carries bytes that nobody has asked for.
-func (c *conn) isBroken() bool {
-	state, hasUnread := c.link()
-	return state == linkClosed || hasUnread
-}
-
-// errNoRawConn is the error of peek for a connection without a file descriptor.
-var errNoRawConn = errors.New("the connection has no file descriptor")
-
-// peek returns what a read would return now, without reading. The end of the connection is
-// io.EOF.
-func (c *conn) peek() (int, error) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, errNoRawConn
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var n int
-	var peekErr error
-	if err := raw.Control(func(fd uintptr) {
-		var one [1]byte
-		if n, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); n == 0 && peekErr == nil {
-			peekErr = io.EOF
-		}
-	}); err != nil {
-		return 0, err
-	}
-	return max(n, 0), peekErr
-}
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -16,7 +15,6 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
 	"siskinstand.example/platform"
 )
@@ -123,16 +121,6 @@
 	}
 }
 
-// reusable reports whether an idle connection is open and has no unread data. Data after
-// a complete response does not belong to any request.
-func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	_, err := c.peek()
-	return errors.Is(err, unix.EAGAIN)
-}
-
 // keepAliveTimeout returns the timeout given in a Keep-Alive header, or 0.
 func keepAliveTimeout(header string) time.Duration {
 	for part := range strings.SplitSeq(header, ",") {
