edge, fakes/faultproxy: show how long a request waited for its accept

The soak reported requests that a replica ran too late without telling whether the host had sent them late, or whether the replica had left their connection in its accept queue.

--- a/edge/soak_checks_fire_test.go
+++ b/edge/soak_checks_fire_test.go
@@ -30,7 +30,7 @@
 	ranAt := func(replica string, ms ...int) []soakRun {
 		var runs []soakRun
 		for _, m := range ms {
-			runs = append(runs, soakRun{replica, "z1", platform.Run{StartedAt: at(m)}})
+			runs = append(runs, soakRun{replica: replica, zone: "z1", Run: platform.Run{StartedAt: at(m)}})
 		}
 		return runs
 	}
--- a/edge/soak_checks_test.go
+++ b/edge/soak_checks_test.go
@@ -32,6 +32,12 @@
 type soakRun struct {
 	replica, zone string
 	platform.Run
+	// queued is how long the request had waited until the replica accepted its connection.
+	queued time.Duration
+}
+
+func (r soakRun) String() string {
+	return fmt.Sprintf("%s at %s, %s in its accept queue", r.replica, r.StartedAt.Format("15:04:05.000"), r.queued)
 }
 
 // soakHistory records what happened in a soak. It is the only input of the checks.
@@ -157,8 +163,8 @@
 		mine := runs[r.call.Body]
 		for _, check := range []func(callResult, []soakRun) string{wrongResponse, h.wrongExecution, h.lateResponse, h.lostInPlannedPhase, h.closedWithoutAnswer, h.lateAtRemovedReplica, h.lateAtLeavingReplica} {
 			if problem := check(r, mine); problem != "" {
-				list = append(list, fmt.Sprintf("%s %s: %s at edge-%d, %s, key %q: %d %.200q (%v) after %v, %d runs, reused: %t",
-					r.call.Path, r.reply.AttemptID, problem, r.host, r.from.Format("15:04:05.000"), r.call.APIKey, r.reply.Status, r.reply.Body, r.reply.Err, r.to.Sub(r.from), len(mine), r.reply.Reused))
+				list = append(list, fmt.Sprintf("%s %s: %s at edge-%d, %s, key %q: %d %.200q (%v) after %v, runs %v, reused: %t",
+					r.call.Path, r.reply.AttemptID, problem, r.host, r.from.Format("15:04:05.000"), r.call.APIKey, r.reply.Status, r.reply.Body, r.reply.Err, r.to.Sub(r.from), mine, r.reply.Reused))
 			}
 		}
 		retries += max(0, len(mine)-1)
--- a/edge/soak_test.go
+++ b/edge/soak_test.go
@@ -314,6 +314,21 @@
 	return list
 }
 
+// runsAt lists the runs of a replica.
+func (s *soak) runsAt(r *platform.Replica) []soakRun {
+	var list []soakRun
+	isOpen := map[string]bool{}
+	for _, run := range r.Runs() {
+		entry := soakRun{replica: r.ID(), zone: r.Zone(), Run: run}
+		if !isOpen[run.Peer] {
+			entry.queued = s.links[r.ID()].QueueTime(run.Peer)
+		}
+		isOpen[run.Peer] = true
+		list = append(list, entry)
+	}
+	return list
+}
+
 // checkResults checks that all hosts serve requests again and that no work is left over.
 // Then it checks the results of all calls and runs, and the logs of the hosts.
 func (s *soak) checkResults() {
@@ -334,9 +349,7 @@
 		s.t.Errorf("unfinished after 5s: %v", unfinished)
 	}
 	for _, r := range s.replicas {
-		for _, run := range r.Runs() {
-			s.history.runs = append(s.history.runs, soakRun{r.ID(), r.Zone(), run})
-		}
+		s.history.runs = append(s.history.runs, s.runsAt(r)...)
 	}
 	for _, violation := range s.history.violations() {
 		s.t.Error(violation)
--- a/fakes/faultproxy/limit.go
+++ b/fakes/faultproxy/limit.go
@@ -134,3 +134,35 @@
 	p.listener = l
 	return l
 }
+
+// queueTime returns how long the bytes that have arrived on a connection have waited for its accept,
+// or 0 if none have.
+func queueTime(c net.Conn) time.Duration {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var d time.Duration
+	_ = raw.Control(func(fd uintptr) { // fails only for a closed connection
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		if err != nil || n == 0 {
+			return
+		}
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			d = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return d
+}
+
+// QueueTime returns how long the first bytes of a connection have waited until the proxy accepted it,
+// since a limit was reached. The address is the one from which the target got the connection.
+func (p *Proxy) QueueTime(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queued[address]
+}
--- a/fakes/faultproxy/proxy.go
+++ b/fakes/faultproxy/proxy.go
@@ -51,6 +51,8 @@
 	mode    Mode
 	changed chan struct{}
 	pairs   map[*connPair]bool
+	// queued holds how long the connections that waited for their accept have waited; see QueueTime.
+	queued map[string]time.Duration
 }
 
 // connPair is a client connection with the matching connection to the target.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{address: l.Addr().String(), listener: l, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}}
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, changed: make(chan struct{}), pairs: map[*connPair]bool{}, queued: map[string]time.Duration{}}
 	go p.accept(l)
 	return p, nil
 }
@@ -143,6 +145,7 @@
 }
 
 func (p *Proxy) handleConnection(client net.Conn) {
+	queued := queueTime(client)
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
@@ -156,6 +159,9 @@
 	pair.server = server
 	p.mu.Lock()
 	p.pairs[pair] = true
+	if queued > 0 {
+		p.queued[server.LocalAddr().String()] = queued
+	}
 	if p.mode == Reset {
 		pair.reset()
 	}
--- a/fakes/platform/replica.go
+++ b/fakes/platform/replica.go
@@ -14,8 +14,10 @@
 // Run records a request that a replica ran.
 type Run struct {
 	AttemptID, Method, Target, Account, Authorization, Body, Priority, Helpers, LastEventID string
-	TimeLeft                                                                                time.Duration
-	StartedAt                                                                               time.Time
+	// Peer is the other end of the connection.
+	Peer      string
+	TimeLeft  time.Duration
+	StartedAt time.Time
 	// Ended reports whether the replica has stopped working on the request,
 	// Completed whether it sent the complete response.
 	Ended, Completed bool
@@ -256,7 +258,7 @@
 	run := &Run{
 		AttemptID: q.Header.Get("Attempt-Id"), Method: q.Method, Target: q.RequestURI, Account: q.Header.Get("Tenant"),
 		Authorization: q.Header.Get("Authorization"), Body: body, Priority: q.Header.Get("Request-Priority"), Helpers: q.Header.Get("Helpers"),
-		LastEventID: q.Header.Get("Last-Event-Id"), TimeLeft: time.Duration(deadlineMS) * time.Millisecond, StartedAt: time.Now(),
+		LastEventID: q.Header.Get("Last-Event-Id"), Peer: q.RemoteAddr, TimeLeft: time.Duration(deadlineMS) * time.Millisecond, StartedAt: time.Now(),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
