edge: close idle connections to replicas that get no new requests

Callers got 504 at their time limit, or an answer up to 3 s late, from a replica that had left although it had free slots.

A replica accepts a limited number of connections and may let one more wait in its accept queue.

A host now closes them when the replicas change that may get new requests, and those whose request ends later.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -303,6 +303,23 @@
 	}
 }
 
+// Addresses returns the addresses of the replicas that may get new requests now or after a pause.
+func (t *Table) Addresses(now time.Duration) map[string]bool {
+	addresses := map[string]bool{}
+	for r := range t.All(now) {
+		if !t.isWithdrawn(r) {
+			addresses[r.Address] = true
+		}
+	}
+	return addresses
+}
+
+// isWithdrawn reports whether a replica gets no new requests until its entry or the evacuation of its
+// zone changes.
+func (t *Table) isWithdrawn(r Replica) bool {
+	return r.Draining || t.evacuated[r.Zone] || t.isLeaving(r)
+}
+
 // Len returns the number of entries.
 func (t *Table) Len() int { return len(t.entries) }
 
@@ -340,7 +357,7 @@
 		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(b.StartUnixMs, a.StartUnixMs), cmp.Compare(a.ID, b.ID))
 	})
 	list = slices.CompactFunc(list, func(a, b Replica) bool { return a.Address == b.Address })
-	list = slices.DeleteFunc(list, func(r Replica) bool { return r.Draining || t.evacuated[r.Zone] || t.isLeaving(r) || t.isPaused(now, r) })
+	list = slices.DeleteFunc(list, func(r Replica) bool { return t.isWithdrawn(r) || t.isPaused(now, r) })
 	slices.SortFunc(list, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/edge/control/apply.go
+++ b/edge/control/apply.go
@@ -24,6 +24,7 @@
 		l.applyChange(now, lastSeen, c)
 	}
 	l.forgetRemovedReplicas(now)
+	l.retainConnections(now)
 	l.updateReplicaGauges(now)
 	l.updateForwarding()
 	l.updateView(func(v *View) {
@@ -98,6 +99,19 @@
 	maps.DeleteFunc(l.coldPlacements, func(id string, _ []time.Duration) bool { return !known[id] })
 }
 
+// retainConnections makes this host close idle connections to replicas that get no new requests.
+func (l *Loop) retainConnections(now time.Duration) {
+	if l.config.ConnectionLimits == nil {
+		return
+	}
+	version := l.directory.Version(now)
+	if version == l.connectionsVersion {
+		return
+	}
+	l.connectionsVersion = version
+	l.config.ConnectionLimits.RetainIdle(l.directory.Addresses(now))
+}
+
 // updateReplicaGauges sets the gauges of replicas that have said that they leave or that have
 // asked for a pause. The end of a pause shows with the next response of the store.
 func (l *Loop) updateReplicaGauges(now time.Duration) {
--- a/edge/control/loop.go
+++ b/edge/control/loop.go
@@ -77,6 +77,8 @@
 	candidateBuffer []placement.Candidate
 	// retainedVersion is the version of the directory at the last forgetRemovedReplicas.
 	retainedVersion uint64
+	// connectionsVersion is the version of the directory at the last retainConnections.
+	connectionsVersion uint64
 
 	health *health.Tracker
 	ledger *placement.Ledger
@@ -318,6 +320,7 @@
 		if l.directory.MarkLeaving(now, m.target.ID, m.target.Address, m.target.StartUnixMs) {
 			klog.V(1).InfoS("replica is leaving", "replica", m.target.ID, "address", m.target.Address, "request_id", m.requestID)
 			l.updateReplicaGauges(now)
+			l.retainConnections(now)
 		}
 	case replicaPaused:
 		l.directory.Pause(now, now+m.length, m.target.ID, m.target.Address, m.target.StartUnixMs)
--- a/edge/control/speeds.go
+++ b/edge/control/speeds.go
@@ -32,6 +32,9 @@
 	// YieldIdle is called if the replica turns connections of another host away, which has the given
 	// number of them.
 	YieldIdle(address string, theirs int)
+	// RetainIdle is called when the replicas change that may get new requests, with their
+	// addresses. It must not modify the map.
+	RetainIdle(addresses map[string]bool)
 }
 
 // replicaLink is what is known of the way to a replica.
--- a/edge/control/speeds_test.go
+++ b/edge/control/speeds_test.go
@@ -36,6 +36,9 @@
 // YieldIdle implements ConnectionLimits.
 func (f fixedConnections) YieldIdle(string, int) {}
 
+// RetainIdle implements ConnectionLimits.
+func (f fixedConnections) RetainIdle(map[string]bool) {}
+
 func TestZoneDelaysAndConnections(t *testing.T) {
 	// Guards against delays of an old configuration, delays that count although they are
 	// switched off, and a connection that counts after its time.
--- a/edge/control/turned_away_test.go
+++ b/edge/control/turned_away_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,19 +13,25 @@
 	"siskinstand.example/platform"
 )
 
-// recordedLimits is a ConnectionLimits that records the calls of YieldIdle.
+// recordedLimits is a ConnectionLimits that records the calls of YieldIdle, and the last one of
+// RetainIdle.
 type recordedLimits struct {
-	open    map[string]int
-	yielded map[string]int
+	open     map[string]int
+	yielded  map[string]int
+	retained map[string]bool
 }
 
 func (recordedLimits) FullUntil(string) *atomic.Int64         { return &atomic.Int64{} }
 func (r recordedLimits) OpenConnections(address string) int   { return r.open[address] }
 func (r recordedLimits) YieldIdle(address string, theirs int) { r.yielded[address] = theirs }
+func (r recordedLimits) RetainIdle(addresses map[string]bool) {
+	clear(r.retained)
+	maps.Copy(r.retained, addresses)
+}
 
 func limitedLoop(t *testing.T, open map[string]int) (*Loop, recordedLimits) {
 	t.Helper()
-	limits := recordedLimits{open: open, yielded: map[string]int{}}
+	limits := recordedLimits{open: open, yielded: map[string]int{}, retained: map[string]bool{}}
 	l := testLoop(t, replica("a", "app", "z1"), replica("b", "app", "z1"))
 	l.config.ConnectionLimits = limits
 	l.turnedAway = newTurnedAwaySection(l)
@@ -87,3 +94,27 @@
 		t.Error("a section of 7 bytes was accepted")
 	}
 }
+
+// Guards against idle connections to replicas that get no new requests, and against closing those to a
+// replica that is only paused.
+func TestConnectionsToUsedReplicasAreRetained(t *testing.T) {
+	b, other := Target{ID: "b", Address: "b:1"}, replica("c", "app", "z2")
+	for name, tc := range map[string]struct {
+		message message
+		want    map[string]bool
+	}{
+		"another replica": {storeUpdate{list: []platform.Change{{Kind: platform.ChangeReplica, Name: other.ID, Replica: other}}}, map[string]bool{"a:1": true, "b:1": true, "c:1": true}},
+		"removed":         {storeUpdate{list: []platform.Change{{Kind: platform.ChangeReplica, Name: "b", Deleted: true}}}, map[string]bool{"a:1": true}},
+		"evacuated zone":  {storeUpdate{list: []platform.Change{{Kind: platform.ChangeEvacuation, Name: "z1"}}}, map[string]bool{}},
+		"leaving":         {replicaLeaving{target: b}, map[string]bool{"a:1": true}},
+		"paused":          {replicaPaused{target: b, length: time.Second}, map[string]bool{"a:1": true, "b:1": true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, limits := limitedLoop(t, nil)
+			l.handle(time.Second, tc.message)
+			if diff := cmp.Diff(tc.want, limits.retained); diff != "" {
+				t.Errorf("addresses retained (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/edge/replica/acquire.go
+++ b/edge/replica/acquire.go
@@ -193,7 +193,7 @@
 	s.isGrowing = false
 	switch {
 	case c == nil:
-	case p.isClosed || c.isBroken():
+	case p.isClosed || c.isBroken() || !p.keepsIdle(address, s):
 		c.Close()
 	default:
 		s.limit = s.limit.WithSuccess()
--- a/edge/replica/connections.go
+++ b/edge/replica/connections.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"siskinstand.example/coord/connfault"
 	"siskinstand.example/coord/connlimit"
 	"siskinstand.example/service/bootclock"
@@ -253,7 +255,7 @@
 	defer p.mu.Unlock()
 	s := p.at(c.address)
 	s.endUse(now, c)
-	if p.isClosed || usable <= 0 || len(s.idle) >= p.config.MaxIdle || s.open() >= s.maxIdle(now) {
+	if p.isClosed || usable <= 0 || len(s.idle) >= p.config.MaxIdle || s.open() >= s.maxIdle(now) || !p.keepsIdle(c.address, s) {
 		c.Close()
 	} else {
 		s.idle = append(s.idle, c)
@@ -262,6 +264,30 @@
 	p.released(now, c.address, s)
 }
 
+// RetainIdle keeps idle connections only to the given addresses from now on, apart from those that
+// requests wait for. Each connection counts for the limit of its replica, also at one that leaves, and
+// may keep a request of another host in the accept queue. The caller must not modify the map afterwards.
+func (p *Pool) RetainIdle(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retained = addresses
+	now := bootclock.Now()
+	for address, s := range p.replicas {
+		if len(s.idle) == 0 || p.keepsIdle(address, s) {
+			continue
+		}
+		klog.V(1).InfoS("idle connections to unused replica closed", "address", address, "active", len(s.active), "closed", len(s.idle))
+		p.config.Scope.Counter("unused_connections_closed").Inc(int64(len(s.idle)))
+		s.closeIdle()
+		p.released(now, address, s)
+	}
+}
+
+// keepsIdle reports whether idle connections to an address are kept. The caller holds mu.
+func (p *Pool) keepsIdle(address string, s *connections) bool {
+	return p.retained == nil || p.retained[address] || len(s.waiting) > 0
+}
+
 // maxIdle returns how many connections the host may have open when one becomes idle. One that
 // another request waits for is kept, unless the host has to go back to its share.
 func (s *connections) maxIdle(now time.Duration) int {
--- a/edge/replica/pool.go
+++ b/edge/replica/pool.go
@@ -47,6 +47,8 @@
 	mu sync.Mutex
 	// replicas holds the connections by address.
 	replicas map[string]*connections
+	// retained holds the addresses whose idle connections are kept; nil for all. See RetainIdle.
+	retained map[string]bool
 	// closeExpiredTimer runs closeExpired while there are idle connections.
 	closeExpiredTimer *time.Timer
 	isClosed          bool
