--- a/edge/replica/reset_test.go
+++ b/edge/replica/reset_test.go
@@ -17,9 +17,11 @@
 func TestResetIsSeenAfterLook(t *testing.T) {
 	for name, tc := range map[string]struct {
 		// end is what the replica does before it closes the connection.
-		end      func(net.Conn)
-		wantBody string
-		wantErr  string
+		end func(net.Conn)
+		// wantUnread is set if the look is to show unread data instead of the end.
+		wantUnread bool
+		wantBody   string
+		wantErr    string
 	}{
 		"reset": {
 			end: func(c net.Conn) {
@@ -32,7 +34,7 @@
 			end: func(c net.Conn) {
 				_, _ = io.WriteString(c, " two") // the check of the body shows a failure
 			},
-			wantBody: "part two",
+			wantUnread: true, wantBody: "part two",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -57,6 +59,9 @@
 			close(partRead)
 			for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
 				if state, hasUnread := resp.conn.link(); state == linkClosed || hasUnread {
+					if hasUnread != tc.wantUnread {
+						t.Errorf("the look shows unread data: %t, want %t", hasUnread, tc.wantUnread)
+					}
 					break
 				}
 				if time.Now().After(end) {
