edge: a completed run is no excuse at the end of a shutdown

A run that the replica had completed, and whose response the host then lost, was passed over.

The run must now be incomplete, too: then the replica was at work when the host ended the request, which is in the last sixth.

--- a/edge/soak_checks_fire_test.go
+++ b/edge/soak_checks_fire_test.go
@@ -38,6 +38,10 @@
 		runs[0].queued = time.Second
 		return runs
 	}
+	completed := func(runs []soakRun) []soakRun {
+		runs[0].Completed = true
+		return runs
+	}
 	ending := reply(http.StatusBadGateway, `{"error":{"code":"shutting_down"}}`)
 	ran := func(ms ...int) []soakRun { return ranAt("i-app-1", ms...) }
 	tests := map[string]struct {
@@ -62,6 +66,7 @@
 		"closed, paused":  {callResult{call: call, host: 1, reply: cut}, ran(1), ""},
 		"error response":  {callResult{call: call, timeSpan: timeSpan{at(5100), at(5200)}, reply: reply(http.StatusBadGateway, "")}, ran(5150), "an error response in a planned-change phase"},
 		"shutdown time is over, replica accepts late":  {callResult{call: call, host: 5, timeSpan: timeSpan{at(5100), at(6200)}, reply: ending}, queued(ran(6100)), ""},
+		"shutdown time is over, replica has ended":     {callResult{call: call, host: 5, timeSpan: timeSpan{at(5100), at(6200)}, reply: ending}, completed(queued(ran(6100))), "an error response in a planned-change phase"},
 		"shutdown time is over, replica accepts early": {callResult{call: call, host: 5, timeSpan: timeSpan{at(5100), at(6200)}, reply: ending}, queued(ran(5600)), "an error response in a planned-change phase"},
 		"shutdown time is over, replica is at work":    {callResult{call: call, host: 5, timeSpan: timeSpan{at(5100), at(6200)}, reply: ending}, ran(6100), "an error response in a planned-change phase"},
 		"shutdown time is over, no shutdown":           {callResult{call: call, timeSpan: timeSpan{at(5100), at(6200)}, reply: ending}, queued(ran(6100)), "an error response in a planned-change phase"},
--- a/edge/soak_checks_test.go
+++ b/edge/soak_checks_test.go
@@ -295,10 +295,11 @@
 		// listener closed 0.5 ms after the connection was made, at the end of the notice time.
 		return ""
 	case h.wasDisturbed(r) && strings.Contains(r.reply.Body, `"shutting_down"`) && slices.ContainsFunc(runs, func(run soakRun) bool {
-		return run.queued > 0 && run.StartedAt.After(r.to.Add(-shutdownTime/6))
+		return run.queued > 0 && !run.Completed && run.StartedAt.After(r.to.Add(-shutdownTime/6))
 	}):
-		// A replica that is still at work in the last sixth of the shutdown time may lose its response. With
-		// seed 1, it accepted the connection 2 s after the bytes had arrived.
+		// A replica that is still at work in the last sixth of the shutdown time may lose its response. The host
+		// ends requests in that time, so that a run which was not completed then was at work. With seed 1, the
+		// replica accepted the connection 2 s after the bytes had arrived.
 		return ""
 	case r.reply.Err != nil:
 		return "no complete response in a planned-change phase"
